--- /dev/null
+++ b/crates/benchlink/src/setup.rs
@@ -0,0 +1,158 @@
+//! Reading of the path=value pairs that an instance is born with, into the types of `badgerstream-routing`.
+
+use badgerstream_routing::{
+    Allowance, ColdStart, Currency, Drain, Instance, Quota, Repeat, Replication, Within, Workload,
+};
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+/// The pairs of one instance's settings; unknown ones are passed over.
+struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
+
+impl<'a> Pairs<'a> {
+    fn text(&self, path: &str) -> Result<&'a str, String> {
+        self.0
+            .get(path)
+            .copied()
+            .ok_or_else(|| format!("setting {path} is missing"))
+    }
+
+    fn read<T: FromStr>(&self, path: &str) -> Result<T, String> {
+        parse(path, self.text(path)?)
+    }
+
+    fn read_or<T: FromStr>(&self, path: &str, absent: T) -> Result<T, String> {
+        self.0.get(path).map_or(Ok(absent), |text| parse(path, text))
+    }
+
+    fn seconds(&self, path: &str) -> Result<f64, String> {
+        Ok(self.read::<f64>(path)? / 1e3)
+    }
+}
+
+fn parse<T: FromStr>(path: &str, text: &str) -> Result<T, String> {
+    text.parse()
+        .map_err(|_| format!("setting {path} cannot be read: {text:?}"))
+}
+
+/// What the link itself must know of an instance to read its events.
+pub struct Reading {
+    /// Seconds on the clock from which positions count.
+    pub origin: f64,
+    /// Where position and role stand in a load report.
+    pub position_column: Option<usize>,
+    pub role_column: Option<usize>,
+    /// The list must be subscribed to.
+    pub subscribes: bool,
+    pub workloads: usize,
+}
+
+/// A new instance from its settings.
+pub fn instance(seed: u64, text: &str) -> Result<(Instance, Reading), String> {
+    let pairs = Pairs(text.lines().filter_map(|line| line.split_once('=')).collect());
+    let count: usize = pairs.read("classes.count")?;
+    let needs: Vec<&str> = pairs.text("domain.needs_by_class")?.split(',').collect();
+    let bounds: Vec<&str> = pairs.text("domain.max_age_ms")?.split(',').collect();
+    let mut workloads = Vec::new();
+    for i in 0..count {
+        let need = needs
+            .get(i)
+            .ok_or_else(|| format!("setting domain.needs_by_class has no entry {i}"))?;
+        let bound = bounds
+            .get(i)
+            .ok_or_else(|| format!("setting domain.max_age_ms has no entry {i}"))?;
+        let bound = parse::<f64>("domain.max_age_ms", bound)? / 1e3;
+        workloads.push(workload(&pairs, i, need, bound)?);
+    }
+    let beyond = pairs.read_or("over_share_worth", 1.0)?;
+    let customers: usize = pairs.read_or("tenants.count", 0)?;
+    let quota = |i| {
+        pairs
+            .read(&format!("tenants.{i}.quota_per_s"))
+            .map(|per_s| Quota { per_s, beyond })
+    };
+    let quotas = (0..customers).map(quota).collect::<Result<_, String>>()?;
+    let replication = Replication {
+        checked: pairs.text("domain.checks")? != "none",
+        carried: pairs.text("domain.token_mode")? == "client",
+    };
+    let cold = ColdStart {
+        share: pairs.read("safety.cold_from")?,
+        lasts: pairs.seconds("safety.cold_ms")?,
+        factor: pairs.read("safety.overload_factor")?,
+        window: pairs.seconds("safety.fall_ms")?,
+    };
+    let drain = Drain {
+        grace: pairs.seconds("safety.stop_sending_within_ms")?,
+        only_draining: pairs.read_or("safety.only_draining_binds", false)?,
+    };
+    let advice = pairs.seconds("policy_limits.max_retry_after_ms")?;
+    let allowance = Allowance {
+        executions: pairs.read("policy_limits.max_attempts")?,
+        second_copies: pairs.read("policy_limits.second_copies")?,
+        cancelling: pairs.read("policy_limits.cancelling")?,
+        probes: pairs.read("policy_limits.probes")?,
+        retry_after: if pairs.read("policy_limits.retry_after")? {
+            advice
+        } else {
+            0.0
+        },
+        step: pairs.seconds("tick_ms")?,
+    };
+    let columns: Vec<&str> = pairs.text("load_info.columns")?.split(',').collect();
+    let reading = Reading {
+        origin: pairs.seconds("domain.origin_time_ms")?,
+        position_column: columns.iter().position(|c| *c == "x0"),
+        role_column: columns.iter().position(|c| *c == "x1"),
+        subscribes: pairs.text("discovery")? == "on_request",
+        workloads: count,
+    };
+    let routers = pairs.read("siblings")?;
+    let instance = Instance::new(
+        seed,
+        routers,
+        workloads,
+        quotas,
+        replication,
+        cold,
+        drain,
+        allowance,
+    );
+    Ok((instance, reading))
+}
+
+fn workload(pairs: &Pairs, i: usize, need: &str, bound: f64) -> Result<Workload, String> {
+    let path = |key: &str| format!("classes.{i}.{key}");
+    let within = || match pairs.text(&path("group"))? {
+        "all" => Ok(Within::Anywhere),
+        "zone" => Ok(Within::Zone),
+        "cell" => Ok(Within::Group),
+        other => Err(format!("setting {} is unknown: {other:?}", path("group"))),
+    };
+    let repeat = match pairs.text(&path("repeat"))? {
+        "pure" => Repeat::Idempotent,
+        "token" => Repeat::Deduplicated {
+            within: within()?,
+            memory: pairs.seconds(&path("memory_span_ms"))?,
+        },
+        "side_effect" => Repeat::NonIdempotent,
+        other => return Err(format!("setting {} is unknown: {other:?}", path("repeat"))),
+    };
+    let currency = match need {
+        "update" => Currency::Primary,
+        "latest" => Currency::Latest,
+        "own_writes" => Currency::OwnWrites,
+        "recent" => Currency::Recent { bound },
+        "loose" => Currency::Loose,
+        other => return Err(format!("setting domain.needs_by_class is unknown: {other:?}")),
+    };
+    Ok(Workload {
+        slo: pairs.seconds(&path("aim_ms"))?,
+        slo_stretch: pairs.read_or(&path("aim_stretch"), 0.0)?,
+        timeout: pairs.seconds(&path("hard_limit_ms"))?,
+        importance: pairs.read(&path("importance"))?,
+        late_worth: pairs.read(&path("late_worth"))?,
+        repeat,
+        currency,
+    })
+}
