Lead a node's room by the share of the SLO time its answers take

Cause: rooms of eight at each of many routers let queues of a whole SLO time build at the nodes, and nodes were called silent before any answer had set their pace.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,7 +14,7 @@
 mod tests;
 
 /// How far a statement may be executed again.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Repeat {
     Idempotent,
     /// Repeats are dropped by the nodes of `within`, for `memory` seconds after the first send that may have run.
@@ -22,6 +22,7 @@
         within: Within,
         memory: f64,
     },
+    #[default]
     NonIdempotent,
 }
 
@@ -34,9 +35,10 @@
 }
 
 /// What a statement must see.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Currency {
     /// Only the primary takes it: a write.
+    #[default]
     Primary,
     /// All commits from before its arrival.
     Latest,
@@ -49,7 +51,7 @@
     Loose,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Workload {
     /// SLO time: an answer within it earns the full importance.
     pub slo: f64,
@@ -73,7 +75,7 @@
 }
 
 /// How the store's copies behave towards reads.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Replication {
     /// Nodes turn away a read for which they are too far behind.
     pub checked: bool,
@@ -82,7 +84,7 @@
 }
 
 /// What a node that has just started can bear.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ColdStart {
     /// The least share of its capacity that it starts with, and the longest time until it has all of it.
     pub share: f64,
@@ -93,7 +95,7 @@
 }
 
 /// How long a node may still be sent work once this router was told that it drains or is gone.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Drain {
     pub grace: f64,
     /// Only a listed drain binds, a node that is merely gone does not.
@@ -101,7 +103,7 @@
 }
 
 /// What a router may do for one statement.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Allowance {
     pub executions: usize,
     pub second_copies: bool,
@@ -145,8 +147,9 @@
     Replica,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
+    #[default]
     Ready,
     Draining,
     Gone,
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -1,14 +1,15 @@
-//! All of badgerstream's decisions. A front builds one [`Instance`] per router, tells it what happened by the input
+//! All of badgerstream's decisions. A front builds one [`Instance`] a router, tells it what happened by the input
 //! methods (`listing`, `arrived`, `executed`, `probed`, ...), then calls `settle`, which goes through the rules and
 //! sends what they conclude through an `Outbox`. The types of both directions are in `lib.rs`; docs/design.md says
 //! where the mechanism comes from. Inputs record facts only; every send passes `permitted`, every answer `conclude`.
 
 use crate::{
     Allowance, ColdStart, Currency, Drain, Ending, Outbox, Quota, Repeat, Replication, Role, Standing,
-    Within, Workload,
 };
+use crate::{Within, Workload};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+const NEVER: f64 = f64::NEG_INFINITY;
 /// The design's figures: how long a touch of the primary marks a session, and how long a node may go unheard.
 const MARK_S: f64 = 3.0;
 const IDLE_S: f64 = 1.0;
@@ -21,12 +22,16 @@
 const OWED_ANSWERS: f64 = 8.0;
 /// Unhealthy answers in a row after which a node is a suspect; not reaching it at all counts for all of them.
 const FAULTS: u32 = 3;
-/// A suspect gets its first trial after the one, and never waits longer than the other.
+/// A suspect's first trial comes after the one, and none waits longer than the other.
 const TRIAL_S: f64 = 0.5;
 const TRIAL_MAX_S: f64 = 4.0;
-/// Executions out at one node before its room is learnt, and the weight of one answer in a node's pace.
-const ROOM: f64 = 8.0;
-const PACE_GAIN: f64 = 0.1;
+/// Executions out at a node, from all routers, before its room is learnt; and the least that one router keeps.
+const ROOM: f64 = 16.0;
+const LEAST_ROOM: f64 = 1.0;
+/// Room grows while answers take less than this share of their SLO time, and shrinks beyond: the rest is for spread.
+const STRAIN: f64 = 0.45;
+/// The weight of one answer in a node's pace and strain.
+const GAIN: f64 = 0.1;
 /// Of what a cold node is sure to bear, the part that this router dares to send: the front's split is uneven.
 const COLD_CARE: f64 = 0.7;
 /// Positions and ages come in rounded milliseconds.
@@ -37,12 +42,12 @@
     pub node: u32,
     pub sent: f64,
     pub ended: Option<Ending>,
-    pub cancelled: bool,
 }
 
 /// Lives until the final answer.
+#[derive(Default)]
 pub struct Statement {
-    pub workload: usize,
+    pub kind: Workload,
     pub group: u16,
     pub session: u64,
     pub arrived: f64,
@@ -50,7 +55,7 @@
     pub slo_end: f64,
     /// A read is answered only from data at or past this.
     pub owed: f64,
-    /// The session wrote, or was marked elsewhere, within the mark's time.
+    /// Its session wrote within the mark's time, here or elsewhere.
     pub fresh_age: bool,
     pub worth: f64,
     pub executions: Vec<Execution>,
@@ -60,6 +65,7 @@
 }
 
 /// Lives as long as the router knows the node's id.
+#[derive(Default)]
 pub struct Node {
     pub group: u16,
     pub zone: u8,
@@ -72,22 +78,23 @@
     /// Lower bound of its position: it only grows, also across a restart.
     pub lsn: f64,
     pub heard: f64,
-    /// When it was primary and when it said it was none, by the latest word of each.
+    /// When it was primary and when it was none, by its own latest word on each.
     pub claimed: f64,
     pub denied: f64,
     pub out: usize,
-    /// When the present run of unanswered executions began: the last answer, or the first send after none were out.
-    pub waiting_since: f64,
+    /// The last answer, or the first send after none were out.
+    pub owing_since: f64,
     pub pace: f64,
+    pub strain: f64,
     pub room: f64,
     cut: f64,
-    /// Completions a second, counted in `IDLE_S` steps.
+    /// Completions a second, counted in steps of `IDLE_S`.
     pub rate: f64,
     completions: f64,
     counted: f64,
     pub faults: u32,
     pub suspected: Option<f64>,
-    trials: u32,
+    trials: i32,
     trial_at: f64,
     sends: VecDeque<f64>,
     probed: f64,
@@ -104,14 +111,16 @@
 }
 
 /// Lives from one start of the router to the next; knows only what its own inputs told it.
+#[derive(Default)]
 pub struct Instance {
-    pub workloads: Vec<Workload>,
-    pub replication: Replication,
-    pub cold: ColdStart,
-    pub drain: Drain,
-    pub allowance: Allowance,
+    workloads: Vec<Workload>,
     quotas: Vec<Quota>,
+    replication: Replication,
+    cold: ColdStart,
+    drain: Drain,
+    allowance: Allowance,
     routers: f64,
+    /// When each customer was last heard, and its statements a second.
     usage: Vec<(f64, f64)>,
     chance: fastrand::Rng,
     pub nodes: BTreeMap<u32, Node>,
@@ -123,16 +132,15 @@
     touched: BTreeSet<u32>,
     touched_groups: BTreeSet<u16>,
     roll: u64,
-    beat: f64,
-    swept: f64,
+    beat: Option<f64>,
     cancels: Vec<(u32, u8)>,
 }
 
-type StatementRule = fn(&mut Instance, u32, f64, &mut dyn Outbox) -> bool;
-type NodeRule = fn(&mut Instance, u32, f64, &mut dyn Outbox) -> bool;
+/// A condition and an effect on one statement or node; true when it fired.
+type Rule = fn(&mut Instance, u32, f64, &mut dyn Outbox) -> bool;
 
 /// Gone through in this order for each touched statement until none fires.
-const STATEMENT_RULES: [StatementRule; 6] = [
+const STATEMENT_RULES: [Rule; 6] = [
     Instance::close_over,
     Instance::answer_last_moment,
     Instance::give_up_worthless,
@@ -142,103 +150,13 @@
 ];
 
 /// Gone through for every node at each beat.
-const NODE_RULES: [NodeRule; 4] = [
+const NODE_RULES: [Rule; 4] = [
     Instance::suspect_silent,
     Instance::suspect_faulty,
     Instance::probe_unheard,
     Instance::probe_search,
 ];
 
-impl Statement {
-    fn live(&self) -> impl Iterator<Item = &Execution> {
-        self.executions.iter().filter(|e| e.ended.is_none())
-    }
-
-    fn may_have_run(&self) -> impl Iterator<Item = &Execution> {
-        self.executions
-            .iter()
-            .filter(|e| !e.ended.is_some_and(Ending::proves_unrun))
-    }
-
-    /// The moment from which an answer earns nothing.
-    fn last_use(&self, workload: &Workload) -> f64 {
-        if workload.late_worth > 0.0 {
-            self.due
-        } else {
-            self.slo_end.min(self.due)
-        }
-    }
-}
-
-impl Node {
-    fn new(group: u16, zone: u8) -> Node {
-        Node {
-            group,
-            zone,
-            standing: Standing::Ready,
-            told: 0.0,
-            drained: false,
-            since: 0.0,
-            listed_primary: false,
-            roll: 0,
-            lsn: f64::NEG_INFINITY,
-            heard: f64::NEG_INFINITY,
-            claimed: f64::NEG_INFINITY,
-            denied: f64::NEG_INFINITY,
-            out: 0,
-            waiting_since: 0.0,
-            pace: 0.0,
-            room: ROOM,
-            cut: f64::NEG_INFINITY,
-            rate: 0.0,
-            completions: 0.0,
-            counted: 0.0,
-            faults: 0,
-            suspected: None,
-            trials: 0,
-            trial_at: f64::NEG_INFINITY,
-            sends: VecDeque::new(),
-            probed: f64::NEG_INFINITY,
-            probing: false,
-        }
-    }
-
-    /// The share of its capacity that a node is sure to have by now, had it warmed as slowly as is allowed.
-    pub fn warmth(&self, cold: &ColdStart, now: f64) -> f64 {
-        if self.since <= 0.0 || now - self.since >= cold.lasts {
-            return 1.0;
-        }
-        cold.share + (1.0 - cold.share) * ((now - self.since) / cold.lasts).max(0.0)
-    }
-
-    /// Guards rule 3: nothing new once told that the node drains or is gone. A draining primary may still take what
-    /// no other member can for a part of the grace, as it hands over only at its end.
-    pub fn closed(&self, drain: &Drain, last_resort: bool, now: f64) -> bool {
-        match self.standing {
-            Standing::Ready => false,
-            Standing::Draining => !last_resort || now - self.told > drain.grace / 2.0,
-            Standing::Gone => !(drain.only_draining && !self.drained && last_resort),
-        }
-    }
-
-    /// A suspect is tried by one execution at a time, each trial later than the one before.
-    fn on_trial(&self, now: f64) -> bool {
-        let Some(since) = self.suspected else { return true };
-        let wait = (TRIAL_S * f64::from(1 << self.trials.min(8))).min(TRIAL_MAX_S);
-        now - self.trial_at.max(since) >= wait
-    }
-
-    fn suspect(&mut self, now: f64) {
-        self.suspected = Some(now);
-        self.trials = 0;
-        self.trial_at = now;
-    }
-
-    fn is_primary(&self) -> bool {
-        self.claimed > self.denied
-    }
-}
-
 /// Inputs: they record facts and note what they touch.
 impl Instance {
     #[allow(clippy::too_many_arguments)] // each part takes its own few settings; no record holds them all
@@ -252,28 +170,12 @@
         drain: Drain,
         allowance: Allowance,
     ) -> Instance {
-        Instance {
-            usage: vec![(f64::NEG_INFINITY, 0.0); quotas.len()],
-            workloads,
-            replication,
-            cold,
-            drain,
-            allowance,
-            quotas,
-            routers: routers.max(1) as f64,
-            chance: fastrand::Rng::with_seed(seed),
-            nodes: BTreeMap::new(),
-            groups: BTreeMap::new(),
-            statements: BTreeMap::new(),
-            sessions: BTreeMap::new(),
-            timers: BTreeSet::new(),
-            touched: BTreeSet::new(),
-            touched_groups: BTreeSet::new(),
-            roll: 0,
-            beat: f64::NEG_INFINITY,
-            swept: f64::NEG_INFINITY,
-            cancels: Vec::new(),
-        }
+        let mut born = Instance::default();
+        (born.chance, born.routers) = (fastrand::Rng::with_seed(seed), routers.max(1) as f64);
+        born.usage = vec![(NEVER, 0.0); quotas.len()];
+        (born.workloads, born.quotas, born.replication) = (workloads, quotas, replication);
+        (born.cold, born.drain, born.allowance) = (cold, drain, allowance);
+        born
     }
 
     /// A list begins; `member` follows for each entry, then `listed`.
@@ -297,35 +199,24 @@
             // Routers that all began their rotation at one member would meet there.
             members.insert(self.chance.usize(0..=members.len()), id);
         }
-        let node = self.nodes.entry(id).or_insert_with(|| Node::new(group, zone));
-        node.roll = self.roll;
-        if at != node.standing {
-            // A node that goes from draining to gone was told of before: the grace runs from the first word.
-            if at == Standing::Ready || node.standing == Standing::Ready {
-                node.told = now;
-            }
-            node.standing = at;
-        }
-        node.drained |= at == Standing::Draining;
+        let room = (ROOM / self.routers).max(LEAST_ROOM);
+        let node = self
+            .nodes
+            .entry(id)
+            .or_insert_with(|| Node::new(group, zone, room));
+        (node.roll, node.listed_primary) = (self.roll, primary);
+        node.stands(at, now);
         if since > node.since + ROUNDING_S {
-            node.since = since;
-            node.drained = at == Standing::Draining;
-            if at == Standing::Ready {
-                node.suspected = None;
-                node.faults = 0;
-            }
+            (node.since, node.drained) = (since, at == Standing::Draining);
+            (node.suspected, node.faults) = (None, 0);
         }
-        node.listed_primary = primary;
         self.touched_groups.insert(group);
     }
 
     /// The list is over: a node that a whole one leaves out is gone.
     pub fn listed(&mut self, now: f64, whole: bool) {
         for node in self.nodes.values_mut().filter(|n| whole && n.roll != self.roll) {
-            if node.standing == Standing::Ready {
-                node.told = now;
-            }
-            node.standing = Standing::Gone;
+            node.stands(Standing::Gone, now);
             self.touched_groups.insert(node.group);
         }
     }
@@ -343,56 +234,41 @@
         due: f64,
         write_age: f64,
     ) {
-        let kind = self.workloads[workload];
+        let (mut s, kind) = (Statement::default(), self.workloads[workload]);
+        (s.kind, s.group, s.session) = (kind, group, session);
+        (s.arrived, s.held_until, s.due) = (now, now, due);
+        s.slo_end = now + (kind.slo + kind.slo_stretch * work).min(kind.timeout);
+        s.worth = kind.importance * self.within_quota(now, customer);
+        // The carried age may be older than the last write answered here: the later of the two commits is owed.
         let known = self
             .sessions
             .get(&session)
             .filter(|_| session != 0)
-            .map_or(f64::NEG_INFINITY, |s| s.1);
+            .map_or(NEVER, |s| s.1);
         let carried = if write_age > 0.0 {
             now - write_age + ROUNDING_S
         } else {
-            f64::NEG_INFINITY
+            NEVER
         };
-        let owed = match kind.currency {
-            Currency::Latest => now,
-            Currency::OwnWrites if self.replication.carried => carried.max(known),
-            Currency::OwnWrites => known,
-            _ => f64::NEG_INFINITY,
+        s.owed = if kind.currency == Currency::Latest {
+            now
+        } else {
+            known.max(carried)
         };
-        let share = self.within_quota(now, customer);
-        let slo_end = now + (kind.slo + kind.slo_stretch * work).min(kind.timeout);
-        self.statements.insert(
-            stmt,
-            Statement {
-                workload,
-                group,
-                session,
-                arrived: now,
-                due,
-                slo_end,
-                owed,
-                fresh_age: write_age > 0.0 && write_age < MARK_S,
-                worth: kind.importance * share,
-                executions: Vec::new(),
-                held_until: now,
-                over: false,
-                streaming: false,
-            },
-        );
-        self.groups.entry(group).or_default().waiting.insert(stmt);
+        s.fresh_age = write_age > 0.0 && write_age < MARK_S;
         self.schedule(due - 2.0 * self.allowance.step, stmt);
-        self.schedule(slo_end, stmt);
+        self.schedule(s.slo_end, stmt);
+        self.statements.insert(stmt, s);
+        self.groups.entry(group).or_default().waiting.insert(stmt);
         self.touched_groups.insert(group);
     }
 
     /// What a customer sends beyond its quota is worth less; each router sees about its share of the traffic.
     fn within_quota(&mut self, now: f64, customer: usize) -> f64 {
-        let (Some(quota), Some(usage)) = (self.quotas.get(customer), self.usage.get_mut(customer)) else {
+        let Some((quota, usage)) = self.quotas.get(customer).zip(self.usage.get_mut(customer)) else {
             return 1.0;
         };
-        let kept = (-(now - usage.0).max(0.0) / IDLE_S).exp();
-        *usage = (now, usage.1 * kept + 1.0 / IDLE_S);
+        *usage = (now, usage.1 * (-(now - usage.0) / MARK_S).exp() + 1.0 / MARK_S);
         if usage.1 * self.routers > quota.per_s {
             quota.beyond
         } else {
@@ -400,7 +276,7 @@
         }
     }
 
-    /// A stream began: its statement is the client's and no longer has a deadline.
+    /// A stream began: it is the client's, and its statement no longer has a deadline.
     pub fn started(&mut self, stmt: u32) {
         if let Some(s) = self.statements.get_mut(&stmt) {
             s.streaming = true;
@@ -421,37 +297,34 @@
         role: Option<Role>,
         lsn: f64,
     ) {
-        let slo = self.statements.get(&stmt).map(|s| self.workloads[s.workload].slo);
-        let write = self
-            .statements
-            .get(&stmt)
-            .is_some_and(|s| self.workloads[s.workload].currency == Currency::Primary);
+        let mut statement = self.statements.get_mut(&stmt);
+        let committed = statement.as_ref().is_some_and(|s| s.writes()) && ending == Ending::Completed;
         if let Some(node) = self.nodes.get_mut(&id) {
-            node.out = node.out.saturating_sub(1);
-            let position = if write && ending == Ending::Completed {
+            node.executed(now, ending, took, statement.as_ref().map(|s| s.kind.slo));
+            // A commit is rounded up: the node is sure to stand only at what lies before.
+            node.lsn = node.lsn.max(if lsn <= 0.0 {
+                NEVER
+            } else if committed {
                 lsn - ROUNDING_S
             } else {
                 lsn
-            };
-            node.lsn = if lsn > 0.0 {
-                node.lsn.max(position)
-            } else {
-                node.lsn
-            };
-            node.executed(now, ending, took, slo);
-            self.touched_groups.insert(node.group);
+            });
             match role {
-                Some(Role::Primary) if now > node.denied => node.claimed = node.claimed.max(now),
+                Some(Role::Primary) => node.claimed = node.claimed.max(now),
                 Some(Role::Replica) => node.denied = now,
-                _ => {}
+                None => {}
             }
+            self.touched_groups.insert(node.group);
         }
-        if let Some(s) = self.statements.get_mut(&stmt) {
+        if let Some(s) = &mut statement {
             if let Some(e) = s.executions.get_mut(usize::from(execution)) {
                 e.ended = Some(ending);
             }
+            if s.writes() && matches!(ending, Ending::TurnedAway | Ending::Unconnected) {
+                s.held_until = now + HOLD_SHARE * s.kind.timeout;
+            }
             s.over |= over;
-            if write && ending == Ending::Completed && s.session != 0 {
+            if committed && s.session != 0 {
                 let session = self.sessions.entry(s.session).or_insert((now, lsn));
                 session.1 = session.1.max(lsn);
             }
@@ -460,29 +333,29 @@
     }
 
     pub fn probed(&mut self, now: f64, id: u32, answered: bool, primary: Option<bool>, lsn: f64) {
-        let Some(node) = self.nodes.get_mut(&id) else {
-            return;
-        };
-        node.probing = false;
-        if !answered {
-            node.faults += 1;
-            return;
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.probing = false;
+            (node.heard, node.faults) = if answered {
+                (now, node.faults)
+            } else {
+                (node.heard, node.faults + 1)
+            };
+        }
+        if answered {
+            self.reported(now, id, primary, lsn);
         }
-        node.heard = now;
-        self.reported(now, id, primary, lsn);
     }
 
     /// A load report, some time old: its position still holds.
     pub fn reported(&mut self, now: f64, id: u32, primary: Option<bool>, lsn: f64) {
-        let Some(node) = self.nodes.get_mut(&id) else {
+        // A position ahead of the clock is a broken report, not a fresher copy.
+        let Some(node) = self.nodes.get_mut(&id).filter(|_| lsn <= now) else {
             return;
         };
-        // A position ahead of the clock is a broken report, not a fresher copy.
-        let lsn = if lsn <= now { lsn } else { f64::NEG_INFINITY };
         node.lsn = node.lsn.max(lsn);
         match primary {
             // A primary stands at the present, so its own position dates the claim, however late the report.
-            Some(true) if lsn > node.denied => node.claimed = node.claimed.max(lsn),
+            Some(true) => node.claimed = node.claimed.max(lsn),
             Some(false) if lsn > node.claimed => node.denied = node.denied.max(lsn),
             _ => {}
         }
@@ -502,48 +375,121 @@
     }
 }
 
+impl Statement {
+    fn writes(&self) -> bool {
+        self.kind.currency == Currency::Primary
+    }
+
+    fn live(&self) -> impl Iterator<Item = &Execution> {
+        self.executions.iter().filter(|e| e.ended.is_none())
+    }
+
+    fn may_have_run(&self) -> impl Iterator<Item = &Execution> {
+        self.executions
+            .iter()
+            .filter(|e| !e.ended.is_some_and(Ending::proves_unrun))
+    }
+
+    /// The moment from which an answer earns nothing.
+    fn last_use(&self) -> f64 {
+        if self.kind.late_worth > 0.0 {
+            self.due
+        } else {
+            self.slo_end.min(self.due)
+        }
+    }
+}
+
 impl Node {
-    fn executed(&mut self, now: f64, ending: Ending, took: f64, slo: Option<f64>) {
-        if ending == Ending::Moot {
-            return;
+    fn new(group: u16, zone: u8, room: f64) -> Node {
+        let mut born = Node::default();
+        (born.group, born.zone, born.room) = (group, zone, room);
+        (born.lsn, born.heard, born.probed, born.cut) = (NEVER, NEVER, NEVER, NEVER);
+        (born.claimed, born.denied) = (NEVER, NEVER);
+        born
+    }
+
+    /// From draining to gone is no news: the grace runs from the first word.
+    fn stands(&mut self, at: Standing, now: f64) {
+        if self.standing == Standing::Ready && at != Standing::Ready {
+            self.told = now;
         }
-        let spoke = matches!(
+        self.standing = at;
+        self.drained |= at == Standing::Draining;
+    }
+
+    fn executed(&mut self, now: f64, ending: Ending, took: f64, slo: Option<f64>) {
+        self.out = self.out.saturating_sub(1);
+        if matches!(
             ending,
             Ending::Completed | Ending::Missed | Ending::TurnedAway | Ending::Errored
-        );
-        if spoke {
-            self.heard = now;
-            self.waiting_since = now;
+        ) {
+            (self.heard, self.owing_since) = (now, now);
         }
         match ending {
             Ending::Completed => {
                 self.completions += 1.0;
-                self.pace += (took - self.pace) * if self.pace == 0.0 { 1.0 } else { PACE_GAIN };
-                self.suspected = None;
-                self.faults = 0;
-                let slo = slo.unwrap_or(f64::INFINITY);
-                if took <= slo / 2.0 && self.out as f64 + 2.0 >= self.room {
-                    self.room += 1.0 / self.room;
-                } else if took > slo {
-                    self.shrink(now, took);
-                }
+                (self.suspected, self.faults) = (None, 0);
+                self.pace += (took - self.pace) * if self.pace == 0.0 { 1.0 } else { GAIN };
+                self.strained(now, took, slo);
             }
-            Ending::Missed => self.faults = 0,
-            Ending::TurnedAway => self.shrink(now, took.max(self.pace)),
-            Ending::TimedOut => self.shrink(now, took),
+            Ending::TimedOut => self.strained(now, took, slo),
+            Ending::TurnedAway => self.shrink(now),
             Ending::Errored | Ending::Dropped => self.faults += 1,
             Ending::Unconnected => self.faults += FAULTS,
-            Ending::Cancelled | Ending::Moot => {}
+            Ending::Missed | Ending::Cancelled | Ending::Moot => {}
         }
     }
 
-    /// Once for all that was sent before the last time: one jam is one sign, however many statements met it.
-    fn shrink(&mut self, now: f64, took: f64) {
-        if now - took >= self.cut {
-            self.room = (self.room * 0.8).max(2.0);
-            self.cut = now;
+    fn strained(&mut self, now: f64, took: f64, slo: Option<f64>) {
+        let Some(slo) = slo else { return };
+        self.strain += (took / slo - self.strain) * GAIN;
+        if self.strain > STRAIN {
+            self.shrink(now);
+        } else if self.out as f64 + 2.0 >= self.room {
+            self.room += 1.0 / self.room;
         }
     }
+
+    /// Once for all that was out at one time: one jam is one sign, however many statements met it.
+    fn shrink(&mut self, now: f64) {
+        if now - self.cut >= self.pace {
+            (self.room, self.cut) = ((self.room * 0.9).max(LEAST_ROOM), now);
+        }
+    }
+
+    /// The share of its capacity that a node is sure to have by now, had it warmed as slowly as is allowed.
+    pub fn warmth(&self, cold: &ColdStart, now: f64) -> f64 {
+        let warmed = if self.since > 0.0 {
+            ((now - self.since) / cold.lasts).clamp(0.0, 1.0)
+        } else {
+            1.0
+        };
+        cold.share + (1.0 - cold.share) * warmed
+    }
+
+    /// Guards rule 3: nothing new once told that the node drains or is gone. A draining primary may still take what
+    /// no other member can for half of the grace, as it hands over only at its end.
+    pub fn closed(&self, drain: &Drain, last_resort: bool, now: f64) -> bool {
+        match self.standing {
+            Standing::Ready => false,
+            Standing::Draining => !last_resort || now - self.told > drain.grace / 2.0,
+            Standing::Gone => !(drain.only_draining && !self.drained && last_resort),
+        }
+    }
+
+    fn suspect(&mut self, now: f64) {
+        (self.suspected, self.trials, self.trial_at) = (Some(now), 0, now);
+    }
+
+    /// A suspect is tried by one execution at a time, each trial later than the one before.
+    fn on_trial(&self, now: f64) -> bool {
+        now - self.trial_at >= (TRIAL_S * 2f64.powi(self.trials)).min(TRIAL_MAX_S)
+    }
+
+    fn full(&self) -> bool {
+        self.out as f64 >= self.room
+    }
 }
 
 /// Settling.
@@ -551,28 +497,31 @@
     /// Goes through the rules for all that was touched or has come due, until none fires.
     pub fn settle(&mut self, now: f64, out: &mut dyn Outbox) {
         let due = ((now * 1e6) as u64, u32::MAX);
-        while let Some(&timer) = self.timers.first().filter(|t| **t <= due) {
+        while let Some(timer) = self.timers.first().copied().filter(|t| *t <= due) {
             self.timers.remove(&timer);
             self.touched.insert(timer.1);
         }
-        if now - self.beat >= BEAT_S - 1e-6 {
-            self.beat = now;
+        if self.beat.is_none_or(|last| now - last >= BEAT_S - ROUNDING_S) {
+            self.beat = Some(now);
             self.look_over(now, out);
             out.wake(BEAT_S);
         }
         self.believe(now, out);
         let mut queue: Vec<u32> = std::mem::take(&mut self.touched).into_iter().collect();
         for group in std::mem::take(&mut self.touched_groups) {
-            queue.extend(self.groups[&group].waiting.iter().copied());
-        }
-        let late = |s: &Statement, w: &Workload| if now > s.slo_end { w.late_worth } else { 1.0 };
-        let rank = |id: &u32| {
-            self.statements.get(id).map_or((0, 0, 0), |s| {
-                let worth = s.worth * late(s, &self.workloads[s.workload]);
-                (-(worth * 1e3) as i64, -(s.arrived * 1e6) as i64, *id)
+            queue.extend(self.groups[&group].waiting.iter());
+        }
+        // The worthiest first, and of these the youngest: in a jam the oldest would all be answered just too late.
+        queue.sort_by_cached_key(|id| {
+            self.statements.get(id).map_or((0, 0), |s| {
+                let worth = if now > s.slo_end {
+                    s.worth * s.kind.late_worth
+                } else {
+                    s.worth
+                };
+                (-(worth * 1e3) as i64, -(s.arrived * 1e6) as i64)
             })
-        };
-        queue.sort_by_cached_key(rank);
+        });
         for stmt in queue {
             while self.statements.contains_key(&stmt)
                 && STATEMENT_RULES.iter().any(|r| r(self, stmt, now, out))
@@ -587,8 +536,7 @@
     }
 
     fn look_over(&mut self, now: f64, out: &mut dyn Outbox) {
-        let ids: Vec<u32> = self.nodes.keys().copied().collect();
-        for id in ids {
+        for id in self.nodes.keys().copied().collect::<Vec<u32>>() {
             let node = self.nodes.get_mut(&id).expect("listed");
             if now - node.counted >= IDLE_S {
                 node.rate += (node.completions / IDLE_S - node.rate) * 0.3;
@@ -596,22 +544,16 @@
             }
             while NODE_RULES.iter().any(|r| r(self, id, now, out)) {}
         }
-        self.touched_groups.extend(self.groups.keys().copied());
+        self.touched_groups.extend(self.groups.keys());
         self.touched.extend(
             self.statements
                 .iter()
                 .filter(|s| s.1.live().next().is_some())
-                .map(|s| *s.0),
+                .map(|s| s.0),
         );
-        if now - self.swept > MARK_S {
-            self.swept = now;
-            // A commit that old is on the carried age, or behind every replica that a check would not catch.
-            let keep = if self.replication.carried {
-                MARK_S
-            } else {
-                f64::INFINITY
-            };
-            self.sessions.retain(|_, s| now - s.0 < keep);
+        if self.replication.carried {
+            // Past the mark, the carried age tells as much.
+            self.sessions.retain(|_, s| now - s.0 < MARK_S);
         }
     }
 
@@ -621,10 +563,14 @@
             let Some(group) = self.groups.get_mut(id) else {
                 continue;
             };
-            let claims = group.members.iter().filter(|m| self.nodes[m].is_primary());
+            let claims = group
+                .members
+                .iter()
+                .map(|m| (self.nodes[m].claimed, self.nodes[m].denied, *m));
             let last = claims
-                .max_by(|a, b| self.nodes[a].claimed.total_cmp(&self.nodes[b].claimed))
-                .copied();
+                .filter(|c| c.0 > c.1)
+                .max_by(|a, b| a.0.total_cmp(&b.0))
+                .map(|c| c.2);
             if last != group.primary {
                 out.log(&format!(
                     "{now:.3} group {id}: primary {:?} -> {last:?}",
@@ -642,9 +588,9 @@
     fn suspect_silent(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let usual = self.pace(self.nodes[&id].group);
         let node = self.nodes.get_mut(&id).expect("listed");
-        let pace = node.pace.max(usual).max(BEAT_S) / node.warmth(&self.cold, now);
-        let owed = node.out as f64 * (now - node.waiting_since) / pace;
-        let fires = node.suspected.is_none() && node.out > 0 && owed > OWED_ANSWERS;
+        let pace = node.pace.max(usual) / node.warmth(&self.cold, now);
+        let owed = node.out as f64 * (now - node.owing_since) / pace;
+        let fires = node.suspected.is_none() && owed > OWED_ANSWERS;
         if fires {
             out.log(&format!(
                 "{now:.3} node {id}: silent, {} out, {owed:.0} answers owed",
@@ -674,23 +620,19 @@
     /// Without a primary all writes of the group wait: its members are asked more often.
     fn probe_search(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let node = &self.nodes[&id];
-        let lost = self.groups[&node.group].primary.is_none_or(|p| self.troubled(p));
+        let primary = self.groups[&node.group].primary.map(|p| &self.nodes[&p]);
+        let lost = primary.is_none_or(|p| p.suspected.is_some() || p.standing != Standing::Ready);
         lost && now - node.probed >= SEARCH_S && self.probe(id, now, out)
     }
 
     fn probe(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let node = self.nodes.get_mut(&id).expect("listed");
-        if !self.allowance.probes || node.probing || node.standing != Standing::Ready {
-            return false;
+        let fires = self.allowance.probes && !node.probing && node.standing == Standing::Ready;
+        if fires {
+            (node.probed, node.probing) = (now, true);
+            out.probe(id);
         }
-        (node.probed, node.probing) = (now, true);
-        out.probe(id);
-        true
-    }
-
-    fn troubled(&self, id: u32) -> bool {
-        let node = &self.nodes[&id];
-        node.suspected.is_some() || node.standing != Standing::Ready
+        fires
     }
 }
 
@@ -708,51 +650,39 @@
     /// Guards rule 1: whatever else is going on, the answer is out before the client's time is up.
     fn answer_last_moment(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
-        let fires = !s.streaming && now >= s.due - 2.0 * self.allowance.step - 1e-6;
-        if fires {
-            self.conclude(stmt, out);
-        }
-        fires
+        let late = now >= s.due - 2.0 * self.allowance.step - ROUNDING_S;
+        !s.streaming && late && self.conclude(stmt, out)
     }
 
     /// Nothing it could still get is worth anything, or nothing sent now would be back in time.
     fn give_up_worthless(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
-        let last = s.last_use(&self.workloads[s.workload]);
-        let unsent = s.live().next().is_none() && now + self.pace(s.group) / 2.0 >= last;
-        let fires = !s.streaming && (now >= last || unsent);
-        if fires {
-            self.conclude(stmt, out);
-        }
-        fires
+        let unsent = s.live().next().is_none();
+        let needed = if unsent { self.pace(s.group) / 2.0 } else { 0.0 };
+        !s.streaming && now + needed >= s.last_use() && self.conclude(stmt, out)
     }
 
     /// Nothing is out and nothing more may be sent.
     fn give_up_spent(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
         let spent = s.executions.len() >= self.allowance.executions || !self.repeatable(s, None, now);
-        let fires = spent && s.live().next().is_none();
-        if fires {
-            self.conclude(stmt, out);
-        }
-        fires
+        spent && s.live().next().is_none() && self.conclude(stmt, out)
     }
 
     fn send_next(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
-        if s.live().next().is_some() || s.held_until > now + 1e-6 {
+        if s.live().next().is_some() || s.held_until > now + ROUNDING_S {
             return false;
         }
         if let Some(node) = self.choose(stmt, now) {
             return self.execute(stmt, node, now, out);
         }
-        let s = &self.statements[&stmt];
-        let (group, hold) = (s.group, HOLD_SHARE * self.workloads[s.workload].timeout);
-        self.groups.get_mut(&group).expect("known").waiting.insert(stmt);
-        let s = &self.statements[&stmt];
-        if self.workloads[s.workload].currency == Currency::Primary && self.round_missed(s, now) {
-            let until = (now + hold).min(s.due);
-            self.statements.get_mut(&stmt).expect("open").held_until = until;
+        let s = self.statements.get_mut(&stmt).expect("open");
+        let group = self.groups.get_mut(&s.group).expect("known");
+        group.waiting.insert(stmt);
+        if s.writes() && group.primary.is_none() {
+            s.held_until = now + HOLD_SHARE * s.kind.timeout;
+            let until = s.held_until;
             self.schedule(until, stmt);
         }
         false
@@ -763,50 +693,48 @@
         let s = &self.statements[&stmt];
         let live: Vec<&Execution> = s.live().collect();
         let [only] = live[..] else { return false };
-        let (from, node) = (only.node, &self.nodes[&only.node]);
-        let stuck = node
-            .suspected
-            .is_some_and(|at| only.sent <= at || now - only.sent > 2.0 * self.pace(s.group));
-        if !stuck || !self.allowance.second_copies {
-            return false;
-        }
-        match self.choose(stmt, now) {
-            Some(other) if other != from => self.execute(stmt, other, now, out),
-            _ => false,
-        }
+        let trial = 2.0 * self.pace(s.group);
+        let stuck = |at: f64| only.sent <= at || now - only.sent > trial;
+        let fires = self.allowance.second_copies && self.nodes[&only.node].suspected.is_some_and(stuck);
+        let from = only.node;
+        let other = if fires {
+            self.choose(stmt, now).filter(|o| *o != from)
+        } else {
+            None
+        };
+        other.is_some_and(|o| self.execute(stmt, o, now, out))
     }
 }
 
 /// Choosing a node.
 impl Instance {
+    /// The best that members of a group show; before any answer, the shortest SLO time has to do.
     fn pace(&self, group: u16) -> f64 {
         let paces = self.groups[&group]
             .members
             .iter()
             .map(|m| self.nodes[m].pace)
             .filter(|p| *p > 0.0);
-        let least = paces.fold(f64::INFINITY, f64::min);
-        if least.is_finite() { least } else { 0.0 }
+        paces
+            .chain(self.workloads.iter().map(|w| w.slo))
+            .fold(f64::INFINITY, f64::min)
     }
 
     /// The design's steps 1 to 5.
     pub fn choose(&mut self, stmt: u32, now: f64) -> Option<u32> {
         let s = &self.statements[&stmt];
-        let group = &self.groups[&s.group];
-        let primary = group.primary.filter(|p| self.open(s, *p, now));
-        match self.workloads[s.workload].currency {
-            Currency::Primary if group.primary.is_none() => self.next_asked(s, now),
+        let believed = self.groups[&s.group].primary;
+        let primary = believed.filter(|p| self.open(s, *p, now));
+        match s.kind.currency {
+            Currency::Primary if believed.is_none() => self.next_asked(s, now),
             Currency::Primary => primary,
-            Currency::Latest => primary.or_else(|| self.rotate(stmt, now)),
-            Currency::OwnWrites if self.marked(s, now) => {
-                // The design's relief: a replica known past the write, when the primary is full or slow.
-                if let Some(p) = primary.filter(|p| !self.strained(*p)) {
-                    return Some(p);
-                }
-                let replica = self.rotate(stmt, now);
-                replica.or(primary)
-            }
-            _ => self.rotate(stmt, now).or(primary),
+            Currency::OwnWrites if !self.marked(s, now) => self.rotate(stmt, now).or(primary),
+            // The design's relief: a replica known past the write, when the primary is full or slow.
+            Currency::OwnWrites | Currency::Latest => primary
+                .filter(|p| !self.busy(*p))
+                .or_else(|| self.rotate(stmt, now))
+                .or(primary),
+            Currency::Recent { .. } | Currency::Loose => self.rotate(stmt, now).or(primary),
         }
     }
 
@@ -816,81 +744,57 @@
     }
 
     /// Full or slow: half its room is kept for what nobody else can take, and replicas answer in half the time.
-    pub fn strained(&self, id: u32) -> bool {
+    pub fn busy(&self, id: u32) -> bool {
         let node = &self.nodes[&id];
-        let group = &self.groups[&node.group];
-        let others: Vec<&Node> = group
-            .members
-            .iter()
-            .filter(|m| **m != id)
-            .map(|m| &self.nodes[m])
-            .filter(|n| n.pace > 0.0)
-            .collect();
-        let mean = others.iter().map(|n| n.pace).sum::<f64>() / others.len().max(1) as f64;
-        node.out as f64 >= node.room / 2.0 || (mean > 0.0 && node.out > 0 && node.pace > 2.0 * mean)
+        node.out as f64 >= node.room / 2.0 || node.pace > 2.0 * self.pace(node.group)
     }
 
-    /// The next eligible replica from the group's counter.
+    /// The next eligible replica from the group's counter, which wraps.
     fn rotate(&mut self, stmt: u32, now: f64) -> Option<u32> {
         let s = &self.statements[&stmt];
         let group = &self.groups[&s.group];
-        let primary = group.primary;
-        let fits = |id: &u32| Some(*id) != primary && self.current(s, *id, now) && self.open(s, *id, now);
-        let members = group.members.len();
-        let next = (0..members)
-            .map(|i| group.members[(group.counter + i) % members])
-            .find(fits)?;
-        let at = group.members.iter().position(|m| *m == next)?;
-        self.groups.get_mut(&s.group)?.counter = (at + 1) % members;
-        Some(next)
+        let size = group.members.len();
+        let order = (0..size).map(|i| (group.counter + i) % size);
+        let replicas = order.filter(|i| Some(group.members[*i]) != group.primary);
+        let next = { replicas }.find(|i| self.open(s, group.members[*i], now))?;
+        let chosen = group.members[next];
+        self.groups.get_mut(&s.group).expect("known").counter = (next + 1) % size;
+        Some(chosen)
     }
 
-    /// No primary is known: the listed one first, then whoever has most of the log and has not said no of late.
+    /// No primary is known: the listed one first, then whoever has most of the log. What the members answered to one
+    /// write is known to all: one round of misses, or half a write's executions, and it waits for a claim.
     fn next_asked(&self, s: &Statement, now: f64) -> Option<u32> {
-        let half = s.executions.len() * 2 >= self.allowance.executions && now < s.held_until + BEAT_S;
-        let asked = self.groups[&s.group].members.iter().copied();
-        let open = asked.filter(|m| !half && !self.refused_lately(s, *m, now) && self.open(s, *m, now));
-        open.max_by(|a, b| {
-            let (a, b) = (&self.nodes[a], &self.nodes[b]);
-            (a.listed_primary && a.denied < 0.0)
-                .cmp(&(b.listed_primary && b.denied < 0.0))
-                .then(a.lsn.total_cmp(&b.lsn))
-        })
-    }
-
-    /// One round of misses is enough for all statements of a group: they share what the members answered.
-    fn refused_lately(&self, s: &Statement, id: u32, now: f64) -> bool {
-        now - self.nodes[&id].denied < HOLD_SHARE * self.workloads[s.workload].timeout
-    }
-
-    fn round_missed(&self, s: &Statement, now: f64) -> bool {
-        self.groups[&s.group]
-            .members
-            .iter()
-            .any(|m| self.refused_lately(s, *m, now))
+        if s.executions.len() * 2 >= self.allowance.executions {
+            return None;
+        }
+        let members = self.groups[&s.group].members.iter().copied();
+        let asked = members.filter(|m| now - self.nodes[m].denied >= HOLD_SHARE * s.kind.timeout);
+        let rank = |m: &u32| {
+            (
+                self.nodes[m].listed_primary && self.nodes[m].denied == NEVER,
+                self.nodes[m].lsn,
+            )
+        };
+        let best = |a: &u32, b: &u32| rank(a).0.cmp(&rank(b).0).then(rank(a).1.total_cmp(&rank(b).1));
+        asked.filter(|m| self.open(s, *m, now)).max_by(best)
     }
 
-    /// Whether a node may be chosen now: reachable in health, with room, within its cold budget, not yet met.
+    /// Whether a node may be chosen now: in health or on trial, with room, and not met in vain by this statement.
     fn open(&self, s: &Statement, id: u32, now: f64) -> bool {
         let node = &self.nodes[&id];
-        let failed = |e: &Execution| {
-            e.node == id && e.ended != Some(Ending::Missed) || e.ended.is_none() && e.node == id
-        };
-        let read = self.workloads[s.workload].currency != Currency::Primary;
-        let tried = read
-            && s.executions
-                .iter()
-                .any(|e| e.node == id && (failed(e) || now - e.sent < IDLE_S));
-        let trial = node.suspected.is_none()
-            || (node.on_trial(now) && self.workloads[s.workload].repeat != Repeat::NonIdempotent)
-            || self.all_suspected(s.group);
-        !tried && trial && (node.out as f64) < node.room && self.permitted(s, id, now)
+        let missed =
+            |e: &Execution| e.ended == Some(Ending::Missed) && now - e.sent > HOLD_SHARE * s.kind.timeout;
+        let met = !s.writes() && s.executions.iter().any(|e| e.node == id && !missed(e));
+        let trial = node.on_trial(now) && s.kind.repeat != Repeat::NonIdempotent;
+        let trusted = node.suspected.is_none() || trial || self.all_suspected(s.group);
+        !met && trusted && !node.full() && self.permitted(s, id, now)
     }
 
     /// A whole group that looks bad shares one trouble: suspicion alone never leaves it without a member.
     fn all_suspected(&self, group: u16) -> bool {
-        let mut ready = self.groups[&group].members.iter().map(|m| &self.nodes[m]);
-        ready.all(|n| n.standing != Standing::Ready || n.suspected.is_some())
+        let mut members = self.groups[&group].members.iter().map(|m| &self.nodes[m]);
+        members.all(|n| n.standing != Standing::Ready || n.suspected.is_some())
     }
 }
 
@@ -898,18 +802,14 @@
 impl Instance {
     fn permitted(&self, s: &Statement, id: u32, now: f64) -> bool {
         let node = &self.nodes[&id];
-        let write = self.workloads[s.workload].currency == Currency::Primary;
+        let last_resort = s.writes() || self.groups[&s.group].primary == Some(id);
         !s.over
             && now < s.due
             && node.group == s.group
             && s.executions.len() < self.allowance.executions
             && (self.allowance.second_copies || s.live().next().is_none())
             && self.repeatable(s, Some(id), now)
-            && !node.closed(
-                &self.drain,
-                write || self.groups[&s.group].primary == Some(id),
-                now,
-            )
+            && !node.closed(&self.drain, last_resort, now)
             && self.bearable(node, now)
             && self.current(s, id, now)
     }
@@ -919,14 +819,11 @@
         let Some(first) = s.may_have_run().next() else {
             return true;
         };
-        match self.workloads[s.workload].repeat {
+        match s.kind.repeat {
             Repeat::Idempotent => true,
             Repeat::NonIdempotent => false,
             Repeat::Deduplicated { within, memory } => {
-                let (from, to) = (
-                    &self.nodes[&first.node],
-                    to.map_or(&self.nodes[&first.node], |t| &self.nodes[&t]),
-                );
+                let (from, to) = (&self.nodes[&first.node], &self.nodes[&to.unwrap_or(first.node)]);
                 let known = match within {
                     Within::Anywhere => true,
                     Within::Zone => from.zone == to.zone,
@@ -945,34 +842,31 @@
         if warmth >= 1.0 {
             return true;
         }
-        let (mut rate, mut warm) = (0.0, 0.0);
-        for other in self.nodes.values().filter(|n| n.standing == Standing::Ready) {
-            rate += other.rate;
-            warm += other.warmth(&self.cold, now);
-        }
-        let budget = COLD_CARE * self.cold.factor * warmth * self.cold.window * rate / f64::max(warm, 1.0);
+        let ready = || self.nodes.values().filter(|n| n.standing == Standing::Ready);
+        let rate: f64 = ready().map(|n| n.rate).sum();
+        let warm: f64 = ready().map(|n| n.warmth(&self.cold, now)).sum();
+        let budget = COLD_CARE * self.cold.factor * warmth * self.cold.window * rate / warm.max(1.0);
         let sent = node
             .sends
             .iter()
             .rev()
             .take_while(|at| now - **at < self.cold.window)
-            .count() as f64;
-        sent + 1.0 <= budget.max(1.0) && (node.out as f64) < (node.room * warmth).max(1.0)
+            .count();
+        sent as f64 + 1.0 <= budget.max(1.0) && (node.out as f64) < (node.room * warmth).max(1.0)
     }
 
     /// Guards rule 5: a member not believed primary answers a read only from a position known to be new enough.
     pub fn current(&self, s: &Statement, id: u32, now: f64) -> bool {
         let node = &self.nodes[&id];
-        let needed = match self.workloads[s.workload].currency {
+        let needed = match s.kind.currency {
             Currency::Primary | Currency::Loose => return true,
             Currency::Recent { bound } => now - bound + ROUNDING_S,
             Currency::Latest | Currency::OwnWrites => s.owed,
         };
-        if self.groups[&s.group].primary == Some(id) && node.is_primary() || node.lsn >= needed {
-            return true;
-        }
+        let leads = self.groups[&s.group].primary == Some(id) && node.claimed > node.denied;
         // Where nodes check for themselves, a likely position will do: as far behind as when it was last heard, twice.
-        self.replication.checked && now - 2.0 * (node.heard - node.lsn) >= needed
+        let likely = self.replication.checked && now - 2.0 * (node.heard - node.lsn) >= needed;
+        leads || node.lsn >= needed || likely
     }
 
     fn execute(&mut self, stmt: u32, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
@@ -980,44 +874,39 @@
         if !self.permitted(s, id, now) {
             return false;
         }
-        let group = s.group;
-        let limit = s.last_use(&self.workloads[s.workload]) - now;
-        let lead = self.groups[&group].primary == Some(id);
-        let s = self.statements.get_mut(&stmt).expect("open");
-        s.executions.push(Execution {
-            node: id,
-            sent: now,
-            ended: None,
-            cancelled: false,
-        });
-        if s.session != 0 && lead {
-            self.sessions
-                .entry(s.session)
-                .or_insert((now, f64::NEG_INFINITY))
-                .0 = now;
+        let (group, limit) = (self.groups.get_mut(&s.group).expect("known"), s.last_use() - now);
+        group.waiting.remove(&stmt);
+        if s.session != 0 && group.primary == Some(id) {
+            self.sessions.entry(s.session).or_insert((now, NEVER)).0 = now;
         }
         let node = self.nodes.get_mut(&id).expect("listed");
-        if node.out == 0 {
-            node.waiting_since = now;
-        }
+        node.owing_since = if node.out == 0 { now } else { node.owing_since };
         node.out += 1;
         if node.suspected.is_some() {
-            node.trial_at = now;
-            node.trials += 1;
+            (node.trial_at, node.trials) = (now, node.trials + 1);
         }
         node.sends.push_back(now);
         while node.sends.front().is_some_and(|at| now - at > self.cold.window) {
             node.sends.pop_front();
         }
-        self.groups.get_mut(&group).expect("known").waiting.remove(&stmt);
+        let execution = Execution {
+            node: id,
+            sent: now,
+            ended: None,
+        };
+        self.statements
+            .get_mut(&stmt)
+            .expect("open")
+            .executions
+            .push(execution);
         out.execute(stmt, id, limit);
         true
     }
 
     /// The one way to a final answer of ours: a rejection only where trying again is harmless, else an abort.
-    fn conclude(&mut self, stmt: u32, out: &mut dyn Outbox) {
+    fn conclude(&mut self, stmt: u32, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
-        let harmless = match self.workloads[s.workload].repeat {
+        let harmless = match s.kind.repeat {
             Repeat::Idempotent
             | Repeat::Deduplicated {
                 within: Within::Anywhere,
@@ -1026,14 +915,12 @@
             _ => s.may_have_run().next().is_none(),
         };
         if harmless {
-            out.reject(
-                stmt,
-                self.workloads[s.workload].slo.min(self.allowance.retry_after),
-            );
+            out.reject(stmt, s.kind.slo.min(self.allowance.retry_after));
         } else {
             out.abort(stmt);
         }
         self.forget(stmt);
+        true
     }
 
     fn forget(&mut self, stmt: u32) {
@@ -1043,10 +930,11 @@
         if let Some(group) = self.groups.get_mut(&s.group) {
             group.waiting.remove(&stmt);
         }
-        for (i, e) in s.executions.iter().enumerate() {
-            if self.allowance.cancelling && e.ended.is_none() && !s.streaming {
-                self.cancels.push((stmt, i as u8));
-            }
-        }
+        let live = (0..)
+            .zip(&s.executions)
+            .filter(|e| e.1.ended.is_none())
+            .map(|e| (stmt, e.0));
+        self.cancels
+            .extend(live.filter(|_| self.allowance.cancelling && !s.streaming));
     }
 }
