--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -218,7 +218,7 @@
                 let lsn = if position > 0 {
                     reading.origin + f64::from(position) / 1e3
                 } else {
-                    0.0
+                    f64::NEG_INFINITY
                 };
                 instance.executed(
                     now,
@@ -276,7 +276,7 @@
         2 => Standing::Draining,
         other => return Err(format!("node {node} has the unknown status {other}")),
     };
-    instance.member(now, node, group, zone, standing, since, primary >= 0.5);
+    instance.member(now, node, (group, zone), standing, since, primary >= 0.5);
     Ok(())
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,6 +8,7 @@
 //! Every decision is in [`policy`]; nothing here decides.
 
 pub mod policy;
+pub mod state;
 pub use policy::Instance;
 
 #[cfg(test)]
@@ -133,6 +134,14 @@
 }
 
 impl Ending {
+    /// The node itself answered.
+    pub fn spoken(self) -> bool {
+        matches!(
+            self,
+            Ending::Completed | Ending::Missed | Ending::TurnedAway | Ending::Errored
+        )
+    }
+
     pub fn proves_unrun(self) -> bool {
         matches!(
             self,
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -3,11 +3,12 @@
 //! sends what they conclude through an `Outbox`. The types of both directions are in `lib.rs`; docs/design.md says
 //! where the mechanism comes from. Inputs record facts only; every send passes `permitted`, every answer `conclude`.
 
+use crate::state::{Execution, Group, Node, Statement};
 use crate::{
     Allowance, ColdStart, Currency, Drain, Ending, Outbox, Quota, Repeat, Replication, Role, Standing,
 };
 use crate::{Within, Workload};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 const NEVER: f64 = f64::NEG_INFINITY;
 /// The design's figures: how long a touch of the primary marks a session, and how long a node may go unheard.
@@ -37,79 +38,6 @@
 /// Positions and ages come in rounded milliseconds.
 const ROUNDING_S: f64 = 0.001;
 
-/// Lives for one send.
-pub struct Execution {
-    pub node: u32,
-    pub sent: f64,
-    pub ended: Option<Ending>,
-}
-
-/// Lives until the final answer.
-#[derive(Default)]
-pub struct Statement {
-    pub kind: Workload,
-    pub group: u16,
-    pub session: u64,
-    pub arrived: f64,
-    pub due: f64,
-    pub slo_end: f64,
-    /// A read is answered only from data at or past this.
-    pub owed: f64,
-    /// Its session wrote within the mark's time, here or elsewhere.
-    pub fresh_age: bool,
-    pub worth: f64,
-    pub executions: Vec<Execution>,
-    pub held_until: f64,
-    pub over: bool,
-    pub streaming: bool,
-}
-
-/// Lives as long as the router knows the node's id.
-#[derive(Default)]
-pub struct Node {
-    pub group: u16,
-    pub zone: u8,
-    pub standing: Standing,
-    pub told: f64,
-    pub drained: bool,
-    pub since: f64,
-    pub listed_primary: bool,
-    roll: u64,
-    /// Lower bound of its position: it only grows, also across a restart.
-    pub lsn: f64,
-    pub heard: f64,
-    /// When it was primary and when it was none, by its own latest word on each.
-    pub claimed: f64,
-    pub denied: f64,
-    pub out: usize,
-    /// The last answer, or the first send after none were out.
-    pub owing_since: f64,
-    pub pace: f64,
-    pub strain: f64,
-    pub room: f64,
-    cut: f64,
-    /// Completions a second, counted in steps of `IDLE_S`.
-    pub rate: f64,
-    completions: f64,
-    counted: f64,
-    pub faults: u32,
-    pub suspected: Option<f64>,
-    trials: i32,
-    trial_at: f64,
-    sends: VecDeque<f64>,
-    probed: f64,
-    probing: bool,
-}
-
-/// Lives as long as the router does.
-#[derive(Default)]
-pub struct Group {
-    pub members: Vec<u32>,
-    pub primary: Option<u32>,
-    pub counter: usize,
-    pub waiting: BTreeSet<u32>,
-}
-
 /// Lives from one start of the router to the next; knows only what its own inputs told it.
 #[derive(Default)]
 pub struct Instance {
@@ -183,28 +111,16 @@
         self.roll += 1;
     }
 
-    #[allow(clippy::too_many_arguments)] // the fields of a list's entry, straight from the wire
-    pub fn member(
-        &mut self,
-        now: f64,
-        id: u32,
-        group: u16,
-        zone: u8,
-        at: Standing,
-        since: f64,
-        primary: bool,
-    ) {
+    pub fn member(&mut self, now: f64, id: u32, place: (u16, u8), at: Standing, since: f64, leads: bool) {
+        let (group, zone) = place;
         let members = &mut self.groups.entry(group).or_default().members;
         if !members.contains(&id) {
             // Routers that all began their rotation at one member would meet there.
             members.insert(self.chance.usize(0..=members.len()), id);
         }
         let room = (ROOM / self.routers).max(LEAST_ROOM);
-        let node = self
-            .nodes
-            .entry(id)
-            .or_insert_with(|| Node::new(group, zone, room));
-        (node.roll, node.listed_primary) = (self.roll, primary);
+        let node = self.nodes.entry(id).or_insert(Node::new(group, zone, room));
+        (node.roll, node.listed_primary) = (self.roll, leads);
         node.stands(at, now);
         if since > node.since + ROUNDING_S {
             (node.since, node.drained) = (since, at == Standing::Draining);
@@ -240,20 +156,11 @@
         s.slo_end = now + (kind.slo + kind.slo_stretch * work).min(kind.timeout);
         s.worth = kind.importance * self.within_quota(now, customer);
         // The carried age may be older than the last write answered here: the later of the two commits is owed.
-        let known = self
-            .sessions
-            .get(&session)
-            .filter(|_| session != 0)
-            .map_or(NEVER, |s| s.1);
-        let carried = if write_age > 0.0 {
-            now - write_age + ROUNDING_S
-        } else {
-            NEVER
-        };
-        s.owed = if kind.currency == Currency::Latest {
-            now
-        } else {
-            known.max(carried)
+        let known = self.sessions.get(&session).map_or(NEVER, |s| s.1);
+        s.owed = match kind.currency {
+            Currency::Latest => now,
+            _ if write_age > 0.0 => known.max(now - write_age + ROUNDING_S),
+            _ => known,
         };
         s.fresh_age = write_age > 0.0 && write_age < MARK_S;
         self.schedule(due - 2.0 * self.allowance.step, stmt);
@@ -269,21 +176,18 @@
             return 1.0;
         };
         *usage = (now, usage.1 * (-(now - usage.0) / MARK_S).exp() + 1.0 / MARK_S);
-        if usage.1 * self.routers > quota.per_s {
-            quota.beyond
-        } else {
-            1.0
-        }
+        let beyond = usage.1 * self.routers > quota.per_s;
+        if beyond { quota.beyond } else { 1.0 }
     }
 
     /// A stream began: it is the client's, and its statement no longer has a deadline.
     pub fn started(&mut self, stmt: u32) {
         if let Some(s) = self.statements.get_mut(&stmt) {
-            s.streaming = true;
+            (s.due, s.slo_end) = (f64::INFINITY, f64::INFINITY);
         }
     }
 
-    /// An execution ended. `lsn` is 0 where the answer told no position.
+    /// An execution ended. `lsn` is minus infinity where the answer told no position.
     #[allow(clippy::too_many_arguments)] // the fields of an outcome, straight from the wire
     pub fn executed(
         &mut self,
@@ -302,13 +206,7 @@
         if let Some(node) = self.nodes.get_mut(&id) {
             node.executed(now, ending, took, statement.as_ref().map(|s| s.kind.slo));
             // A commit is rounded up: the node is sure to stand only at what lies before.
-            node.lsn = node.lsn.max(if lsn <= 0.0 {
-                NEVER
-            } else if committed {
-                lsn - ROUNDING_S
-            } else {
-                lsn
-            });
+            node.lsn = node.lsn.max(lsn - ROUNDING_S);
             match role {
                 Some(Role::Primary) => node.claimed = node.claimed.max(now),
                 Some(Role::Replica) => node.denied = now,
@@ -321,7 +219,7 @@
                 e.ended = Some(ending);
             }
             if s.writes() && matches!(ending, Ending::TurnedAway | Ending::Unconnected) {
-                s.held_until = now + HOLD_SHARE * s.kind.timeout;
+                s.held_until = now + s.hold();
             }
             s.over |= over;
             if committed && s.session != 0 {
@@ -333,15 +231,13 @@
     }
 
     pub fn probed(&mut self, now: f64, id: u32, answered: bool, primary: Option<bool>, lsn: f64) {
-        if let Some(node) = self.nodes.get_mut(&id) {
-            node.probing = false;
-            (node.heard, node.faults) = if answered {
-                (now, node.faults)
-            } else {
-                (node.heard, node.faults + 1)
-            };
-        }
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        node.probing = false;
+        node.faults += u32::from(!answered);
         if answered {
+            node.heard = now;
             self.reported(now, id, primary, lsn);
         }
     }
@@ -349,9 +245,10 @@
     /// A load report, some time old: its position still holds.
     pub fn reported(&mut self, now: f64, id: u32, primary: Option<bool>, lsn: f64) {
         // A position ahead of the clock is a broken report, not a fresher copy.
-        let Some(node) = self.nodes.get_mut(&id).filter(|_| lsn <= now) else {
+        let Some(node) = self.nodes.get_mut(&id) else {
             return;
         };
+        let lsn = if lsn <= now { lsn } else { NEVER };
         node.lsn = node.lsn.max(lsn);
         match primary {
             // A primary stands at the present, so its own position dates the claim, however late the report.
@@ -376,6 +273,21 @@
 }
 
 impl Statement {
+    /// The worthiest first, and of these the youngest: in a jam the oldest would all be answered just too late.
+    fn rank(&self, now: f64) -> (i64, i64) {
+        let left = if now > self.slo_end {
+            self.kind.late_worth
+        } else {
+            1.0
+        };
+        (-(self.worth * left * 1e3) as i64, -(self.arrived * 1e6) as i64)
+    }
+
+    /// A small part of its time, after which what turned it away is asked again.
+    fn hold(&self) -> f64 {
+        HOLD_SHARE * self.kind.timeout
+    }
+
     fn writes(&self) -> bool {
         self.kind.currency == Currency::Primary
     }
@@ -385,30 +297,22 @@
     }
 
     fn may_have_run(&self) -> impl Iterator<Item = &Execution> {
-        self.executions
-            .iter()
-            .filter(|e| !e.ended.is_some_and(Ending::proves_unrun))
+        let ran = |e: &&Execution| !e.ended.is_some_and(Ending::proves_unrun);
+        self.executions.iter().filter(ran)
     }
 
     /// The moment from which an answer earns nothing.
     fn last_use(&self) -> f64 {
+        let on_time = self.slo_end.min(self.due);
         if self.kind.late_worth > 0.0 {
             self.due
         } else {
-            self.slo_end.min(self.due)
+            on_time
         }
     }
 }
 
 impl Node {
-    fn new(group: u16, zone: u8, room: f64) -> Node {
-        let mut born = Node::default();
-        (born.group, born.zone, born.room) = (group, zone, room);
-        (born.lsn, born.heard, born.probed, born.cut) = (NEVER, NEVER, NEVER, NEVER);
-        (born.claimed, born.denied) = (NEVER, NEVER);
-        born
-    }
-
     /// From draining to gone is no news: the grace runs from the first word.
     fn stands(&mut self, at: Standing, now: f64) {
         if self.standing == Standing::Ready && at != Standing::Ready {
@@ -420,10 +324,7 @@
 
     fn executed(&mut self, now: f64, ending: Ending, took: f64, slo: Option<f64>) {
         self.out = self.out.saturating_sub(1);
-        if matches!(
-            ending,
-            Ending::Completed | Ending::Missed | Ending::TurnedAway | Ending::Errored
-        ) {
+        if ending.spoken() {
             (self.heard, self.owing_since) = (now, now);
         }
         match ending {
@@ -460,12 +361,12 @@
 
     /// The share of its capacity that a node is sure to have by now, had it warmed as slowly as is allowed.
     pub fn warmth(&self, cold: &ColdStart, now: f64) -> f64 {
-        let warmed = if self.since > 0.0 {
-            ((now - self.since) / cold.lasts).clamp(0.0, 1.0)
+        let warmed = ((now - self.since) / cold.lasts).clamp(0.0, 1.0);
+        if self.since > 0.0 {
+            cold.share + (1.0 - cold.share) * warmed
         } else {
             1.0
-        };
-        cold.share + (1.0 - cold.share) * warmed
+        }
     }
 
     /// Guards rule 3: nothing new once told that the node drains or is gone. A draining primary may still take what
@@ -511,21 +412,10 @@
         for group in std::mem::take(&mut self.touched_groups) {
             queue.extend(self.groups[&group].waiting.iter());
         }
-        // The worthiest first, and of these the youngest: in a jam the oldest would all be answered just too late.
-        queue.sort_by_cached_key(|id| {
-            self.statements.get(id).map_or((0, 0), |s| {
-                let worth = if now > s.slo_end {
-                    s.worth * s.kind.late_worth
-                } else {
-                    s.worth
-                };
-                (-(worth * 1e3) as i64, -(s.arrived * 1e6) as i64)
-            })
-        });
+        queue.sort_by_cached_key(|id| self.statements.get(id).map_or((0, 0), |s| s.rank(now)));
         for stmt in queue {
-            while self.statements.contains_key(&stmt)
-                && STATEMENT_RULES.iter().any(|r| r(self, stmt, now, out))
-            {}
+            let mut fires = |r: &Rule| self.statements.contains_key(&stmt) && r(self, stmt, now, out);
+            while STATEMENT_RULES.iter().any(&mut fires) {}
         }
         for (stmt, execution) in std::mem::take(&mut self.cancels) {
             out.cancel(stmt, execution);
@@ -545,12 +435,8 @@
             while NODE_RULES.iter().any(|r| r(self, id, now, out)) {}
         }
         self.touched_groups.extend(self.groups.keys());
-        self.touched.extend(
-            self.statements
-                .iter()
-                .filter(|s| s.1.live().next().is_some())
-                .map(|s| s.0),
-        );
+        let sent = self.statements.iter().filter(|s| s.1.live().next().is_some());
+        self.touched.extend(sent.map(|s| s.0));
         if self.replication.carried {
             // Past the mark, the carried age tells as much.
             self.sessions.retain(|_, s| now - s.0 < MARK_S);
@@ -560,22 +446,15 @@
     /// The primary is the last member to answer as primary, until it answers otherwise.
     fn believe(&mut self, now: f64, out: &mut dyn Outbox) {
         for id in &self.touched_groups {
-            let Some(group) = self.groups.get_mut(id) else {
-                continue;
-            };
-            let claims = group
-                .members
-                .iter()
-                .map(|m| (self.nodes[m].claimed, self.nodes[m].denied, *m));
+            let group = self.groups.get_mut(id).expect("known");
+            let members = group.members.iter().map(|m| (&self.nodes[m], *m));
+            let claims = members.filter(|(n, _)| n.claimed > n.denied);
             let last = claims
-                .filter(|c| c.0 > c.1)
-                .max_by(|a, b| a.0.total_cmp(&b.0))
-                .map(|c| c.2);
+                .max_by(|a, b| a.0.claimed.total_cmp(&b.0.claimed))
+                .map(|c| c.1);
             if last != group.primary {
-                out.log(&format!(
-                    "{now:.3} group {id}: primary {:?} -> {last:?}",
-                    group.primary
-                ));
+                let before = group.primary;
+                out.log(&format!("{now:.3} group {id}: primary {before:?} -> {last:?}"));
                 group.primary = last;
             }
         }
@@ -592,10 +471,7 @@
         let owed = node.out as f64 * (now - node.owing_since) / pace;
         let fires = node.suspected.is_none() && owed > OWED_ANSWERS;
         if fires {
-            out.log(&format!(
-                "{now:.3} node {id}: silent, {} out, {owed:.0} answers owed",
-                node.out
-            ));
+            out.log(&format!("{now:.3} node {id}: silent, {owed:.0} answers owed"));
             node.suspect(now);
         }
         fires
@@ -640,18 +516,14 @@
 impl Instance {
     /// The client has its answer: what is still out would be work for nobody.
     fn close_over(&mut self, stmt: u32, _now: f64, _out: &mut dyn Outbox) -> bool {
-        let over = self.statements[&stmt].over;
-        if over {
-            self.forget(stmt);
-        }
-        over
+        self.statements[&stmt].over && self.forget(stmt)
     }
 
     /// Guards rule 1: whatever else is going on, the answer is out before the client's time is up.
     fn answer_last_moment(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
         let late = now >= s.due - 2.0 * self.allowance.step - ROUNDING_S;
-        !s.streaming && late && self.conclude(stmt, out)
+        late && self.conclude(stmt, out)
     }
 
     /// Nothing it could still get is worth anything, or nothing sent now would be back in time.
@@ -659,7 +531,7 @@
         let s = &self.statements[&stmt];
         let unsent = s.live().next().is_none();
         let needed = if unsent { self.pace(s.group) / 2.0 } else { 0.0 };
-        !s.streaming && now + needed >= s.last_use() && self.conclude(stmt, out)
+        now + needed >= s.last_use() && self.conclude(stmt, out)
     }
 
     /// Nothing is out and nothing more may be sent.
@@ -681,7 +553,7 @@
         let group = self.groups.get_mut(&s.group).expect("known");
         group.waiting.insert(stmt);
         if s.writes() && group.primary.is_none() {
-            s.held_until = now + HOLD_SHARE * s.kind.timeout;
+            s.held_until = now + s.hold();
             let until = s.held_until;
             self.schedule(until, stmt);
         }
@@ -696,13 +568,9 @@
         let trial = 2.0 * self.pace(s.group);
         let stuck = |at: f64| only.sent <= at || now - only.sent > trial;
         let fires = self.allowance.second_copies && self.nodes[&only.node].suspected.is_some_and(stuck);
-        let from = only.node;
-        let other = if fires {
-            self.choose(stmt, now).filter(|o| *o != from)
-        } else {
-            None
-        };
-        other.is_some_and(|o| self.execute(stmt, o, now, out))
+        // Never one that it is out at: `open` sees to that.
+        let other = if fires { self.choose(stmt, now) } else { None };
+        other.is_some_and(|node| self.execute(stmt, node, now, out))
     }
 }
 
@@ -710,13 +578,11 @@
 impl Instance {
     /// The best that members of a group show; before any answer, the shortest SLO time has to do.
     fn pace(&self, group: u16) -> f64 {
-        let paces = self.groups[&group]
-            .members
-            .iter()
-            .map(|m| self.nodes[m].pace)
-            .filter(|p| *p > 0.0);
+        let paces = self.groups[&group].members.iter().map(|m| self.nodes[m].pace);
+        let slos = self.workloads.iter().map(|w| w.slo);
         paces
-            .chain(self.workloads.iter().map(|w| w.slo))
+            .filter(|p| *p > 0.0)
+            .chain(slos)
             .fold(f64::INFINITY, f64::min)
     }
 
@@ -730,17 +596,16 @@
             Currency::Primary => primary,
             Currency::OwnWrites if !self.marked(s, now) => self.rotate(stmt, now).or(primary),
             // The design's relief: a replica known past the write, when the primary is full or slow.
-            Currency::OwnWrites | Currency::Latest => primary
-                .filter(|p| !self.busy(*p))
-                .or_else(|| self.rotate(stmt, now))
-                .or(primary),
+            Currency::OwnWrites | Currency::Latest => {
+                let spare = primary.filter(|p| !self.busy(*p));
+                spare.or_else(|| self.rotate(stmt, now)).or(primary)
+            }
             Currency::Recent { .. } | Currency::Loose => self.rotate(stmt, now).or(primary),
         }
     }
 
     pub fn marked(&self, s: &Statement, now: f64) -> bool {
-        let touched = self.sessions.get(&s.session).filter(|_| s.session != 0);
-        s.fresh_age || touched.is_some_and(|t| now - t.0 < MARK_S)
+        s.fresh_age || self.sessions.get(&s.session).is_some_and(|t| now - t.0 < MARK_S)
     }
 
     /// Full or slow: half its room is kept for what nobody else can take, and replicas answer in half the time.
@@ -769,23 +634,26 @@
             return None;
         }
         let members = self.groups[&s.group].members.iter().copied();
-        let asked = members.filter(|m| now - self.nodes[m].denied >= HOLD_SHARE * s.kind.timeout);
+        let asked = members.filter(|m| now - self.nodes[m].denied >= s.hold());
+        let listed = |n: &Node| n.listed_primary && n.denied == NEVER;
         let rank = |m: &u32| {
-            (
-                self.nodes[m].listed_primary && self.nodes[m].denied == NEVER,
-                self.nodes[m].lsn,
-            )
+            if listed(&self.nodes[m]) {
+                f64::INFINITY
+            } else {
+                self.nodes[m].lsn
+            }
         };
-        let best = |a: &u32, b: &u32| rank(a).0.cmp(&rank(b).0).then(rank(a).1.total_cmp(&rank(b).1));
-        asked.filter(|m| self.open(s, *m, now)).max_by(best)
+        asked
+            .filter(|m| self.open(s, *m, now))
+            .max_by(|a, b| rank(a).total_cmp(&rank(b)))
     }
 
     /// Whether a node may be chosen now: in health or on trial, with room, and not met in vain by this statement.
     fn open(&self, s: &Statement, id: u32, now: f64) -> bool {
         let node = &self.nodes[&id];
-        let missed =
-            |e: &Execution| e.ended == Some(Ending::Missed) && now - e.sent > HOLD_SHARE * s.kind.timeout;
-        let met = !s.writes() && s.executions.iter().any(|e| e.node == id && !missed(e));
+        let again = |e: &Execution| e.ended == Some(Ending::Missed) && now - e.sent > s.hold();
+        let spent = |e: &Execution| e.ended.is_none() || !s.writes() && !again(e);
+        let met = s.executions.iter().any(|e| e.node == id && spent(e));
         let trial = node.on_trial(now) && s.kind.repeat != Repeat::NonIdempotent;
         let trusted = node.suspected.is_none() || trial || self.all_suspected(s.group);
         !met && trusted && !node.full() && self.permitted(s, id, now)
@@ -824,11 +692,8 @@
             Repeat::NonIdempotent => false,
             Repeat::Deduplicated { within, memory } => {
                 let (from, to) = (&self.nodes[&first.node], &self.nodes[&to.unwrap_or(first.node)]);
-                let known = match within {
-                    Within::Anywhere => true,
-                    Within::Zone => from.zone == to.zone,
-                    Within::Group => from.group == to.group,
-                };
+                let same = from.group == to.group && (within == Within::Group || from.zone == to.zone);
+                let known = within == Within::Anywhere || same;
                 // The repeat must also get there: a quarter of the memory is left for dialling and the network.
                 known && now - first.sent < memory * 0.75
             }
@@ -849,8 +714,7 @@
         let sent = node
             .sends
             .iter()
-            .rev()
-            .take_while(|at| now - **at < self.cold.window)
+            .filter(|at| now - **at < self.cold.window)
             .count();
         sent as f64 + 1.0 <= budget.max(1.0) && (node.out as f64) < (node.room * warmth).max(1.0)
     }
@@ -879,6 +743,8 @@
         if s.session != 0 && group.primary == Some(id) {
             self.sessions.entry(s.session).or_insert((now, NEVER)).0 = now;
         }
+        let s = self.statements.get_mut(&stmt).expect("open");
+        s.executions.push(Execution::new(id, now));
         let node = self.nodes.get_mut(&id).expect("listed");
         node.owing_since = if node.out == 0 { now } else { node.owing_since };
         node.out += 1;
@@ -889,16 +755,6 @@
         while node.sends.front().is_some_and(|at| now - at > self.cold.window) {
             node.sends.pop_front();
         }
-        let execution = Execution {
-            node: id,
-            sent: now,
-            ended: None,
-        };
-        self.statements
-            .get_mut(&stmt)
-            .expect("open")
-            .executions
-            .push(execution);
         out.execute(stmt, id, limit);
         true
     }
@@ -906,35 +762,33 @@
     /// The one way to a final answer of ours: a rejection only where trying again is harmless, else an abort.
     fn conclude(&mut self, stmt: u32, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
-        let harmless = match s.kind.repeat {
-            Repeat::Idempotent
-            | Repeat::Deduplicated {
-                within: Within::Anywhere,
-                ..
-            } => true,
-            _ => s.may_have_run().next().is_none(),
+        let known = match s.kind.repeat {
+            Repeat::Deduplicated { within, .. } => within == Within::Anywhere,
+            repeat => repeat == Repeat::Idempotent,
         };
-        if harmless {
+        if known || s.may_have_run().next().is_none() {
             out.reject(stmt, s.kind.slo.min(self.allowance.retry_after));
         } else {
             out.abort(stmt);
         }
-        self.forget(stmt);
-        true
+        self.forget(stmt)
     }
 
-    fn forget(&mut self, stmt: u32) {
+    fn forget(&mut self, stmt: u32) -> bool {
         let Some(s) = self.statements.remove(&stmt) else {
-            return;
+            return false;
         };
-        if let Some(group) = self.groups.get_mut(&s.group) {
-            group.waiting.remove(&stmt);
-        }
+        self.groups
+            .get_mut(&s.group)
+            .expect("known")
+            .waiting
+            .remove(&stmt);
         let live = (0..)
             .zip(&s.executions)
             .filter(|e| e.1.ended.is_none())
             .map(|e| (stmt, e.0));
         self.cancels
-            .extend(live.filter(|_| self.allowance.cancelling && !s.streaming));
+            .extend(live.filter(|_| self.allowance.cancelling && s.due.is_finite()));
+        true
     }
 }
--- /dev/null
+++ b/crates/routing/src/state.rs
@@ -0,0 +1,106 @@
+//! What an instance remembers, grouped by how long it lives. Records only: what follows from them is in `policy.rs`.
+
+use crate::{Ending, Standing, Workload};
+use std::collections::{BTreeSet, VecDeque};
+
+/// Lives for one send.
+pub struct Execution {
+    pub node: u32,
+    pub sent: f64,
+    pub ended: Option<Ending>,
+}
+
+/// Lives until the final answer.
+#[derive(Default)]
+pub struct Statement {
+    pub kind: Workload,
+    pub group: u16,
+    pub session: u64,
+    pub arrived: f64,
+    pub due: f64,
+    pub slo_end: f64,
+    /// A read is answered only from data at or past this.
+    pub owed: f64,
+    /// Its session wrote within the mark's time, here or elsewhere.
+    pub fresh_age: bool,
+    pub worth: f64,
+    pub executions: Vec<Execution>,
+    pub held_until: f64,
+    pub over: bool,
+}
+
+/// Lives as long as the router knows the node's id.
+#[derive(Default)]
+pub struct Node {
+    pub group: u16,
+    pub zone: u8,
+    pub standing: Standing,
+    pub told: f64,
+    pub drained: bool,
+    pub since: f64,
+    pub listed_primary: bool,
+    pub roll: u64,
+    /// Lower bound of its position: it only grows, also across a restart.
+    pub lsn: f64,
+    pub heard: f64,
+    /// When it was primary and when it was none, by its own latest word on each.
+    pub claimed: f64,
+    pub denied: f64,
+    pub out: usize,
+    /// The last answer, or the first send after none were out.
+    pub owing_since: f64,
+    pub pace: f64,
+    pub strain: f64,
+    pub room: f64,
+    pub cut: f64,
+    /// Completions a second, counted in steps of `IDLE_S`.
+    pub rate: f64,
+    pub completions: f64,
+    pub counted: f64,
+    pub faults: u32,
+    pub suspected: Option<f64>,
+    pub trials: i32,
+    pub trial_at: f64,
+    pub sends: VecDeque<f64>,
+    pub probed: f64,
+    pub probing: bool,
+}
+
+/// Lives as long as the router does.
+#[derive(Default)]
+pub struct Group {
+    pub members: Vec<u32>,
+    pub primary: Option<u32>,
+    pub counter: usize,
+    pub waiting: BTreeSet<u32>,
+}
+
+impl Execution {
+    pub fn new(node: u32, sent: f64) -> Execution {
+        Execution {
+            node,
+            sent,
+            ended: None,
+        }
+    }
+}
+
+impl Node {
+    pub fn new(group: u16, zone: u8, room: f64) -> Node {
+        const NEVER: f64 = f64::NEG_INFINITY;
+        let (lsn, heard, probed, cut) = (NEVER, NEVER, NEVER, NEVER);
+        let (claimed, denied) = (NEVER, NEVER);
+        Node {
+            group,
+            zone,
+            room,
+            lsn,
+            heard,
+            probed,
+            cut,
+            claimed,
+            denied,
+            ..Node::default()
+        }
+    }
+}
