--- a/crates/benchlink/src/tests.rs
+++ b/crates/benchlink/src/tests.rs
@@ -1,1 +1,215 @@
+//! Frames written from the wire's layout, its own worked examples among them.
 
+use crate::codec::{Batch, EVENT_BYTES, Fields, Reply};
+use crate::link::{Link, serve};
+use crate::setup;
+use test_case::test_case;
+
+fn hex(text: &str) -> Vec<u8> {
+    let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
+    let byte = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).unwrap(), 16).unwrap();
+    digits.chunks(2).map(byte).collect()
+}
+
+/// A record: its code and fields in hex, zeros up to its size.
+fn record(text: &str) -> Vec<u8> {
+    let mut bytes = hex(text);
+    bytes.resize(EVENT_BYTES, 0);
+    bytes
+}
+
+fn frame(number: u32, now: f64, records: &[Vec<u8>], tail: &[u8]) -> Vec<u8> {
+    let length = (records.len() * EVENT_BYTES + tail.len()) as u32;
+    let mut bytes = Vec::new();
+    for field in [number, length, records.len() as u32] {
+        bytes.extend(field.to_le_bytes());
+    }
+    bytes.extend(now.to_le_bytes());
+    bytes.extend(records.concat());
+    bytes.extend(tail);
+    bytes
+}
+
+fn batch(now: f64, records: &[Vec<u8>], tail: &[u8]) -> Batch {
+    Batch::read(&mut &frame(1, now, records, tail)[..])
+        .unwrap()
+        .unwrap()
+}
+
+const SETUP: &str = "classes.count=2
+classes.0.aim_ms=400.0
+classes.0.group=all
+classes.0.hard_limit_ms=2000.0
+classes.0.importance=3.0
+classes.0.late_worth=0.0
+classes.0.memory_span_ms=5000.0
+classes.0.repeat=pure
+classes.1.aim_ms=600.0
+classes.1.group=cell
+classes.1.hard_limit_ms=2000.0
+classes.1.importance=6.0
+classes.1.late_worth=0.3
+classes.1.memory_span_ms=1200.0
+classes.1.repeat=token
+discovery=pushed
+domain.checks=none
+domain.max_age_ms=0.0,0.0
+domain.needs_by_class=loose,update
+domain.origin_time_ms=1000.0
+domain.token_mode=client
+load_info.columns=x0,x1
+policy_limits.cancelling=true
+policy_limits.max_attempts=8
+policy_limits.max_retry_after_ms=2000.0
+policy_limits.probes=true
+policy_limits.retry_after=true
+policy_limits.second_copies=true
+safety.cold_from=0.27
+safety.cold_ms=18000.0
+safety.fall_ms=3000.0
+safety.overload_factor=3.0
+safety.stop_sending_within_ms=250.0
+siblings=2
+tick_ms=5.0
+something.new=7
+";
+
+/// Instance 3 with one node of group 11, ready, and what a run of it answers to more records.
+fn hosted(records: &[&str]) -> Result<Vec<u8>, String> {
+    let entry = hex("074a1203 00 00 0b00 01 0000803f 0000000000000000 0000803f");
+    let (lines, members) = (SETUP.len() as u32, hex("01000000"));
+    let mut open = hex("0a 0100000000000000 00000000");
+    open.extend(lines.to_le_bytes());
+    open.resize(EVENT_BYTES, 0);
+    let mut list = hex("6e 0000");
+    list.extend(lines.to_le_bytes());
+    list.extend(members);
+    list.resize(EVENT_BYTES, 0);
+    let mut all = vec![
+        record("78 03000000"),
+        open,
+        list,
+        record("14 0000 01 2900000000000000"),
+    ];
+    all.extend(records.iter().map(|r| record(r)));
+    let mut output = Vec::new();
+    let input = frame(1, 45200.0, &all, &[SETUP.as_bytes(), &entry].concat());
+    serve(&mut &input[..], &mut output).map(|()| output)
+}
+
+fn codes(output: &[u8]) -> Vec<u8> {
+    let count = Fields { bytes: output, at: 4 }.u32() as usize;
+    output[12..].chunks(24).take(count).map(|r| r[0]).collect()
+}
+
+#[test]
+fn an_empty_batch_gets_an_empty_reply() {
+    let mut output = Vec::new();
+    serve(
+        &mut &hex("01000000 00000000 00000000 00000000206ec040")[..],
+        &mut output,
+    )
+    .unwrap();
+    assert_eq!(output, hex("01000000 00000000 00000000"));
+}
+
+#[test]
+fn the_worked_batch_reads_as_described() {
+    let records = [
+        "78 03000000",
+        "1e c4913a5d 0000 0000000000002840 640ad2557c3bf091 0000 0000000020e6c040 01 00003041 0040ce43",
+    ];
+    let read = batch(8412.25, &records.map(record), &[]);
+    assert_eq!((read.number, read.count, read.now), (1, 2, 8.41225));
+    let (code, mut f) = read.record(1);
+    assert_eq!((code, f.u32(), f.u16(), f.seconds()), (30, 0x5d3a_91c4, 0, 0.012));
+    assert_eq!(
+        (f.u64(), f.u16(), f.seconds()),
+        (0x91f0_3b7c_55d2_0a64, 0, 8.65225)
+    );
+    assert_eq!((f.u8(), f.f32(), f.f32()), (1, 11.0, 412.5));
+}
+
+#[test]
+fn the_worked_reply_is_written_byte_for_byte() {
+    let mut reply = Reply::default();
+    reply.record(30, &[&3u32.to_le_bytes()]);
+    let (stmt, node) = (0x5d3a_91c4_u32.to_le_bytes(), 0x0312_4a07_u32.to_le_bytes());
+    reply.record(90, &[&stmt, &node, &80f64.to_le_bytes()]);
+    reply.record(40, &[&500f64.to_le_bytes(), &77u32.to_le_bytes()]);
+    reply.record(30, &[&5u32.to_le_bytes()]);
+    reply.text(120, "two servers known");
+    let mut output = Vec::new();
+    reply.send(12, &mut output).unwrap();
+    let zeros = |n: usize| "00".repeat(n);
+    let expected = [
+        "0c000000 05000000 89000000".to_string(),
+        format!("1e 03000000 {}", zeros(19)),
+        format!("5a c4913a5d 074a1203 0000000000005440 {}", zeros(7)),
+        format!("28 0000000000407f40 4d000000 {}", zeros(11)),
+        format!("1e 05000000 {}", zeros(19)),
+        format!("78 00000000 11000000 {}", zeros(15)),
+        "74776f2073657276657273206b6e6f776e".to_string(),
+    ];
+    assert_eq!(output, hex(&expected.concat()));
+}
+
+#[test]
+fn a_hosted_instance_probes_and_executes() {
+    let stmt =
+        "1e c4913a5d 0000 0000000000002840 0000000000000000 0000 0000000000bae640 00 00003041 00000000";
+    let codes = codes(&hosted(&[stmt]).unwrap());
+    assert_eq!(codes[0], 30, "the instance is named first");
+    assert!(codes.contains(&20) && codes.contains(&90), "{codes:?}");
+}
+
+#[test]
+fn a_restart_in_one_batch_forgets_all() {
+    let stmt =
+        "1e c4913a5d 0000 0000000000002840 0000000000000000 0000 0000000000bae640 00 00003041 00000000";
+    assert_eq!(codes(&hosted(&[stmt, "64"]).unwrap()), []);
+}
+
+#[test_case("46 4d000000"; "a timer nobody set")]
+#[test_case("3c 192b6f0e"; "a client leaving that is not known")]
+#[test_case("32 c4913a5d 00 074a1203 3101"; "a late outcome with a code of its own")]
+#[test_case("5a 0200 00000000 00000000"; "a peer's message")]
+#[test_case("28 c4913a5d 00 074a1203"; "a stream that is not known")]
+#[test_case("14 0000 00"; "a failed list")]
+fn odd_but_legal(event: &str) {
+    assert!(hosted(&[event]).is_ok());
+}
+
+#[test_case("63", "batch 1, record 4: event code 99 is unknown"; "unknown code")]
+#[test_case("14 0900 01", "batch 1, record 4: list 9 was never given"; "unknown list")]
+#[test_case("6e 0000 00000000 ff000000", "lie outside the tail"; "a list outside the tail")]
+#[test_case("0a 01 00000000000000 00000000 ffffff00", "lie outside the tail"; "settings outside the tail")]
+#[test_case("32 c4913a5d 00 074a1203 e703", "outcome 999 is unknown"; "unknown outcome")]
+#[test_case("1e c4913a5d 0000 0000000000002840 0000000000000000 0900", "class 9 is not in"; "unknown class")]
+fn bad_events(event: &str, expected: &str) {
+    let problem = hosted(&[event]).unwrap_err();
+    assert!(problem.contains(expected), "{problem}");
+}
+
+#[test]
+fn an_event_needs_a_running_instance() {
+    let records = [record("78 09000000"), record("46 4d000000")];
+    let told = Link::default().answer(&batch(1.0, &records, &[]), &mut Reply::default());
+    assert_eq!(told.unwrap_err(), "batch 1, record 1: instance 9 is not running");
+}
+
+#[test_case("01000000 00000000", "a batch's header ends after 8 of 20 bytes"; "header cut")]
+#[test_case("07000000 30000000 01000000 00000000206ec040 78", "batch 7: ends after 1 of 48 bytes"; "body cut")]
+#[test_case("07000000 30000000 02000000 00000000206ec040", "batch 7: 2 records do not fit"; "wrong length")]
+fn cut_frames(bytes: &str, expected: &str) {
+    let problem = serve(&mut &hex(bytes)[..], &mut Vec::new()).unwrap_err();
+    assert!(problem.contains(expected), "{problem}");
+}
+
+#[test_case("siblings=2\n", "", "setting siblings is missing"; "missing")]
+#[test_case("siblings=2", "siblings=many", "setting siblings cannot be read: \"many\""; "unreadable")]
+#[test_case("repeat=pure", "repeat=often", "setting classes.0.repeat is unknown: \"often\""; "unknown choice")]
+fn bad_settings(from: &str, to: &str, expected: &str) {
+    let problem = setup::instance(1, &SETUP.replace(from, to)).err().unwrap();
+    assert_eq!(problem, expected);
+}
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -1,1 +1,477 @@
+//! Each test sets up just the state it needs, then calls one function.
 
+use crate::state::{Execution, Statement};
+use crate::*;
+use test_case::test_case;
+
+/// Clock reading at which tests begin, and the group that they use.
+const T: f64 = 1000.0;
+const G: u16 = 0;
+const A: u32 = 11;
+const B: u32 = 12;
+const C: u32 = 13;
+
+const WRITE: usize = 0;
+const OWN: usize = 1;
+const RECENT: usize = 2;
+const LOOSE: usize = 3;
+const LATEST: usize = 4;
+const ONCE: usize = 5;
+
+#[derive(Default)]
+struct Seen(Vec<String>);
+
+impl Outbox for Seen {
+    fn execute(&mut self, stmt: u32, node: u32, _limit: f64) {
+        self.0.push(format!("execute {stmt} {node}"));
+    }
+    fn cancel(&mut self, stmt: u32, execution: u8) {
+        self.0.push(format!("cancel {stmt} {execution}"));
+    }
+    fn reject(&mut self, stmt: u32, _retry_after: f64) {
+        self.0.push(format!("reject {stmt}"));
+    }
+    fn abort(&mut self, stmt: u32) {
+        self.0.push(format!("abort {stmt}"));
+    }
+    fn probe(&mut self, node: u32) {
+        self.0.push(format!("probe {node}"));
+    }
+    fn wake(&mut self, _after: f64) {}
+    fn log(&mut self, _line: &str) {}
+}
+
+fn workload(currency: Currency, repeat: Repeat, importance: f64) -> Workload {
+    Workload {
+        slo: 0.4,
+        slo_stretch: 0.0,
+        timeout: 2.0,
+        importance,
+        late_worth: 0.2,
+        repeat,
+        currency,
+    }
+}
+
+/// One group: A the primary, B and C replicas that stand at the present; nothing checked by the nodes.
+fn router(checked: bool) -> Instance {
+    let within = Repeat::Deduplicated {
+        within: Within::Group,
+        memory: 1.2,
+    };
+    let workloads = vec![
+        workload(Currency::Primary, within, 6.0),
+        workload(Currency::OwnWrites, Repeat::Idempotent, 1.0),
+        workload(Currency::Recent { bound: 0.5 }, Repeat::Idempotent, 3.0),
+        workload(Currency::Loose, Repeat::Idempotent, 1.0),
+        workload(Currency::Latest, Repeat::Idempotent, 1.0),
+        workload(Currency::Primary, Repeat::NonIdempotent, 6.0),
+    ];
+    let replication = Replication {
+        checked,
+        carried: true,
+    };
+    let cold = ColdStart {
+        share: 0.2,
+        lasts: 10.0,
+        factor: 2.0,
+        window: 1.0,
+    };
+    let drain = Drain {
+        grace: 0.5,
+        only_draining: false,
+    };
+    let allowance = Allowance {
+        executions: 8,
+        second_copies: true,
+        cancelling: true,
+        probes: true,
+        retry_after: 1.0,
+        step: 0.005,
+    };
+    let quotas = vec![Quota {
+        per_s: 10.0,
+        beyond: 0.2,
+    }];
+    let mut router = Instance::new(7, 2, workloads, quotas, replication, cold, drain, allowance);
+    router.listing();
+    for id in [A, B, C] {
+        router.member(T, id, (G, 0), Standing::Ready, 0.0, id == A);
+        let node = router.nodes.get_mut(&id).unwrap();
+        (node.lsn, node.heard, node.pace) = (T, T, 0.1);
+        node.denied = if id == A { node.denied } else { T };
+    }
+    router.listed(T, true);
+    router.nodes.get_mut(&A).unwrap().claimed = T;
+    let group = router.groups.get_mut(&G).unwrap();
+    (group.primary, group.members, group.counter) = (Some(A), vec![A, B, C], 0);
+    router
+}
+
+fn take(router: &mut Instance, now: f64, stmt: u32, workload: usize, session: u64, age: f64) {
+    router.arrived(now, stmt, workload, G, session, 9, 0.0, now + 2.0, age);
+}
+
+fn settle(router: &mut Instance, now: f64) -> Vec<String> {
+    let mut seen = Seen::default();
+    router.settle(now, &mut seen);
+    seen.0.retain(|line| !line.starts_with("probe"));
+    seen.0
+}
+
+fn sent(node: u32, at: f64, ended: Option<Ending>) -> Execution {
+    Execution {
+        node,
+        sent: at,
+        ended,
+    }
+}
+
+#[test_case(WRITE, 0, 0.0, A; "a write goes to the primary")]
+#[test_case(LATEST, 0, 0.0, A; "a fresh read goes to the primary")]
+#[test_case(OWN, 5, 0.3, A; "a young carried age counts as a mark")]
+#[test_case(OWN, 5, 3.5, B; "an old write is on the replicas known past it")]
+#[test_case(OWN, 5, 0.0, B; "an unmarked session that owes nothing rotates")]
+#[test_case(RECENT, 0, 0.0, B; "a bounded read rotates")]
+#[test_case(LOOSE, 0, 0.0, B; "a read of any age rotates")]
+fn steps(workload: usize, session: u64, age: f64, expected: u32) {
+    let mut router = router(false);
+    take(&mut router, T, 1, workload, session, age);
+    assert_eq!(router.choose(1, T), Some(expected));
+}
+
+#[test]
+fn the_counter_wraps_over_replicas() {
+    let mut router = router(false);
+    take(&mut router, T, 1, LOOSE, 0, 0.0);
+    let order: Vec<_> = (0..4).map(|_| router.choose(1, T).unwrap()).collect();
+    assert_eq!(order, [B, C, B, C]);
+}
+
+#[test_case(2.9, A; "within three seconds")]
+#[test_case(3.1, B; "after three seconds")]
+fn a_send_to_the_primary_marks_the_session(later: f64, expected: u32) {
+    let mut router = router(true);
+    router.sessions.insert(5, (T, T - 9.0));
+    for id in [B, C] {
+        let node = router.nodes.get_mut(&id).unwrap();
+        (node.lsn, node.heard) = (T + later, T + later);
+    }
+    take(&mut router, T + later, 1, OWN, 5, 0.0);
+    assert_eq!(router.choose(1, T + later), Some(expected));
+}
+
+#[test_case(T, B; "known past the write")]
+#[test_case(T - 0.4, A; "not known past the write")]
+fn a_marked_read_leaves_a_full_primary_for_a_replica(known: f64, expected: u32) {
+    let mut router = router(false);
+    let primary = router.nodes.get_mut(&A).unwrap();
+    primary.out = primary.room as usize - 1;
+    for id in [B, C] {
+        router.nodes.get_mut(&id).unwrap().lsn = known;
+    }
+    take(&mut router, T, 1, OWN, 5, 0.3);
+    assert_eq!(router.choose(1, T), Some(expected));
+}
+
+#[test_case(false, T - 0.6, false; "too old without checks")]
+#[test_case(false, T - 0.4, true; "inside the bound")]
+#[test_case(true, T - 0.1, true; "a likely position where nodes check")]
+fn no_read_staler_than_its_bound(checked: bool, lsn: f64, expected: bool) {
+    let mut router = router(checked);
+    router.nodes.get_mut(&B).unwrap().lsn = lsn;
+    take(&mut router, T, 1, RECENT, 0, 0.0);
+    assert_eq!(router.current(&router.statements[&1], B, T), expected);
+}
+
+#[test]
+fn a_deposed_primary_answers_no_fresh_read() {
+    let mut router = router(false);
+    take(&mut router, T + 1.0, 1, LATEST, 0, 0.0);
+    router.nodes.get_mut(&A).unwrap().denied = T + 0.5;
+    assert!(!router.current(&router.statements[&1], A, T + 1.0));
+}
+
+#[test_case(T - 0.5, Some(A); "an older claim in a late report")]
+#[test_case(T + 0.5, Some(B); "a younger claim")]
+#[test_case(T + 9.0, Some(A); "a claim from the future is a broken report")]
+fn of_two_that_claim_the_role_the_later_leads(claim: f64, expected: Option<u32>) {
+    let mut router = router(false);
+    router.nodes.get_mut(&B).unwrap().denied = T - 2.0;
+    router.reported(T + 1.0, B, Some(true), claim);
+    settle(&mut router, T + 1.0);
+    assert_eq!(router.groups[&G].primary, expected);
+}
+
+#[test]
+fn a_miss_moves_a_write_on_and_one_round_is_enough_for_all() {
+    let mut router = router(false);
+    for id in [A, B, C] {
+        let node = router.nodes.get_mut(&id).unwrap();
+        (node.claimed, node.denied) = (f64::NEG_INFINITY, if id == C { T - 1.0 } else { T });
+    }
+    take(&mut router, T, 1, ONCE, 0, 0.0);
+    take(&mut router, T, 2, ONCE, 0, 0.0);
+    assert_eq!(settle(&mut router, T), ["execute 1 13", "execute 2 13"]);
+    for stmt in [1, 2] {
+        let none = f64::NEG_INFINITY;
+        router.executed(
+            T,
+            stmt,
+            0,
+            C,
+            Ending::Missed,
+            0.001,
+            false,
+            Some(Role::Replica),
+            none,
+        );
+    }
+    assert!(settle(&mut router, T).is_empty(), "held after the round");
+    assert!(
+        !settle(&mut router, T + 0.11).is_empty(),
+        "tried again after the hold"
+    );
+}
+
+#[test_case(0.1, 1, false; "one answer owed for a moment")]
+#[test_case(0.5, 3, true; "many answers owed")]
+fn silence(waited: f64, out: usize, expected: bool) {
+    let mut router = router(false);
+    let node = router.nodes.get_mut(&B).unwrap();
+    (node.out, node.owing_since) = (out, T);
+    settle(&mut router, T + waited);
+    assert_eq!(router.nodes[&B].suspected.is_some(), expected);
+}
+
+/// Found on the first days: a pace that no answer had set yet made every node look silent at the start.
+#[test]
+fn no_node_is_silent_before_a_pace_is_known() {
+    let mut router = router(false);
+    for node in router.nodes.values_mut() {
+        (node.pace, node.out, node.owing_since) = (0.0, 3, T);
+    }
+    settle(&mut router, T + 0.3);
+    assert!(router.nodes.values().all(|n| n.suspected.is_none()));
+}
+
+#[test_case(Ending::Unconnected, 1, true; "out of reach")]
+#[test_case(Ending::Errored, 2, false; "two errors")]
+#[test_case(Ending::Errored, 3, true; "errors in a row")]
+fn faults(ending: Ending, times: u8, expected: bool) {
+    let mut router = router(false);
+    for _ in 0..times {
+        router.executed(T, 99, 0, B, ending, 0.001, false, None, f64::NEG_INFINITY);
+    }
+    settle(&mut router, T);
+    assert_eq!(router.nodes[&B].suspected.is_some(), expected);
+}
+
+#[test_case(&[B], C; "one suspect is passed over")]
+#[test_case(&[A, B, C], B; "a group that all looks bad keeps its members")]
+fn suspicion(suspects: &[u32], expected: u32) {
+    let mut router = router(false);
+    for id in suspects {
+        let node = router.nodes.get_mut(id).unwrap();
+        (node.suspected, node.trial_at) = (Some(T), T);
+    }
+    take(&mut router, T, 1, LOOSE, 0, 0.0);
+    assert_eq!(router.choose(1, T), Some(expected));
+}
+
+#[test_case(LOOSE, Some(B); "a read that may repeat tries a suspect")]
+#[test_case(ONCE, None; "a write that may not run twice never does")]
+fn trial_of_a_suspect(workload: usize, expected: Option<u32>) {
+    let mut router = router(false);
+    router.groups.get_mut(&G).unwrap().primary = Some(B);
+    for id in [A, B] {
+        let node = router.nodes.get_mut(&id).unwrap();
+        (node.suspected, node.trial_at) = (Some(T - 9.0), T - 9.0);
+    }
+    router.nodes.get_mut(&A).unwrap().denied = T;
+    router.nodes.get_mut(&C).unwrap().room = 0.0;
+    router.nodes.get_mut(&A).unwrap().room = 0.0;
+    take(&mut router, T, 1, workload, 0, 0.0);
+    assert_eq!(router.choose(1, T), expected);
+}
+
+#[test_case(LOOSE, &["execute 1 13"]; "a read is copied elsewhere")]
+#[test_case(ONCE, &[]; "a write is not")]
+fn what_a_silent_node_holds(workload: usize, expected: &[&str]) {
+    let mut router = router(false);
+    take(&mut router, T, 1, workload, 0, 0.0);
+    router.groups.get_mut(&G).unwrap().waiting.clear();
+    router
+        .statements
+        .get_mut(&1)
+        .unwrap()
+        .executions
+        .push(sent(B, T, None));
+    let node = router.nodes.get_mut(&B).unwrap();
+    (node.suspected, node.trial_at, node.out) = (Some(T), T, 1);
+    assert_eq!(settle(&mut router, T + 0.1), expected);
+}
+
+#[test_case(LOOSE, Ending::TimedOut, 0.1, true; "idempotent")]
+#[test_case(ONCE, Ending::TimedOut, 0.1, false; "non-idempotent that may have run")]
+#[test_case(ONCE, Ending::Dropped, 0.1, false; "non-idempotent that was cut off")]
+#[test_case(ONCE, Ending::Errored, 0.1, false; "non-idempotent that errored")]
+#[test_case(ONCE, Ending::Missed, 0.1, true; "non-idempotent proved unrun")]
+#[test_case(WRITE, Ending::Dropped, 0.5, true; "deduplicated inside the memory")]
+#[test_case(WRITE, Ending::Dropped, 1.1, false; "deduplicated near the memory's end")]
+fn repeats(workload: usize, ending: Ending, later: f64, expected: bool) {
+    let mut router = router(false);
+    take(&mut router, T, 1, workload, 0, 0.0);
+    router
+        .statements
+        .get_mut(&1)
+        .unwrap()
+        .executions
+        .push(sent(A, T, Some(ending)));
+    assert_eq!(
+        router.repeatable(&router.statements[&1], Some(A), T + later),
+        expected
+    );
+}
+
+#[test_case(LOOSE, None, "reject 1"; "a read may always be tried again")]
+#[test_case(WRITE, None, "abort 1"; "a deduplicated write still out")]
+#[test_case(WRITE, Some(Ending::Missed), "reject 1"; "a deduplicated write that never ran")]
+#[test_case(ONCE, Some(Ending::TimedOut), "abort 1"; "a non-idempotent write that may have run")]
+fn the_last_moment_has_one_answer(workload: usize, ended: Option<Ending>, expected: &str) {
+    let mut router = router(false);
+    take(&mut router, T, 1, workload, 0, 0.0);
+    router
+        .statements
+        .get_mut(&1)
+        .unwrap()
+        .executions
+        .push(sent(A, T, ended));
+    let end = T + 2.0 - 0.01;
+    let said = settle(&mut router, end);
+    assert_eq!(
+        said.iter()
+            .filter(|l| !l.starts_with("cancel"))
+            .collect::<Vec<_>>(),
+        [expected]
+    );
+    assert!(
+        settle(&mut router, end + 0.05).is_empty(),
+        "nothing is sent after it"
+    );
+}
+
+#[test]
+fn an_answer_ends_what_else_is_out() {
+    let mut router = router(false);
+    take(&mut router, T, 1, LOOSE, 0, 0.0);
+    let executions = vec![sent(B, T, None), sent(C, T, None)];
+    router.statements.get_mut(&1).unwrap().executions = executions;
+    router.executed(
+        T + 0.1,
+        1,
+        0,
+        B,
+        Ending::Completed,
+        0.1,
+        true,
+        Some(Role::Replica),
+        T,
+    );
+    assert_eq!(settle(&mut router, T + 0.1), ["cancel 1 1"]);
+}
+
+#[test]
+fn a_read_worth_nothing_late_is_given_up_at_once() {
+    let mut router = router(false);
+    take(&mut router, T, 1, LOOSE, 0, 0.0);
+    router.statements.get_mut(&1).unwrap().kind.late_worth = 0.0;
+    router.nodes.values_mut().for_each(|n| n.room = 0.0);
+    assert_eq!(settle(&mut router, T + 0.36), ["reject 1"]);
+}
+
+#[test_case(Standing::Draining, 0.1, true, false; "a draining primary within half the grace")]
+#[test_case(Standing::Draining, 0.1, false, true; "a draining replica")]
+#[test_case(Standing::Draining, 0.3, true, true; "a draining primary later")]
+#[test_case(Standing::Gone, 0.0, true, true; "a node that is gone")]
+fn drains(standing: Standing, later: f64, last_resort: bool, expected: bool) {
+    let mut router = router(false);
+    router.member(T, B, (G, 0), standing, 0.0, false);
+    let drain = Drain {
+        grace: 0.5,
+        only_draining: false,
+    };
+    assert_eq!(router.nodes[&B].closed(&drain, last_resort, T + later), expected);
+}
+
+#[test]
+fn a_whole_list_without_a_node_tells_that_it_is_gone() {
+    let mut router = router(false);
+    router.listing();
+    router.member(T, A, (G, 0), Standing::Ready, 0.0, true);
+    router.listed(T, true);
+    assert_eq!(router.nodes[&B].standing, Standing::Gone);
+}
+
+#[test_case(0, 0.0, true; "the first send to a cold node")]
+#[test_case(2, 20.0, true; "inside what warm nodes bear")]
+#[test_case(9, 20.0, false; "beyond what warm nodes bear")]
+#[test_case(1, 0.0, false; "a second one before any load is known")]
+fn a_cold_node_gets_its_part(already: usize, rate: f64, expected: bool) {
+    let mut router = router(false);
+    router.member(T, B, (G, 0), Standing::Ready, T, false);
+    router.nodes.values_mut().for_each(|n| n.rate = rate);
+    router.nodes.get_mut(&B).unwrap().sends = vec![T; already].into();
+    assert_eq!(router.bearable(&router.nodes[&B], T + 0.5), expected);
+}
+
+#[test_case(1, 3.0; "within the quota")]
+#[test_case(60, 0.6; "far beyond it")]
+fn a_customer_beyond_its_quota_is_worth_less(times: u32, expected: f64) {
+    let mut router = router(false);
+    for stmt in 0..times {
+        router.arrived(T, stmt, RECENT, G, 0, 0, 0.0, T + 2.0, 0.0);
+    }
+    assert!((router.statements[&(times - 1)].worth - expected).abs() < 1e-9);
+}
+
+#[test]
+fn the_worthiest_statement_takes_the_last_room() {
+    let mut router = router(false);
+    router.nodes.get_mut(&A).unwrap().room = 1.0;
+    for id in [B, C] {
+        router.nodes.get_mut(&id).unwrap().room = 0.0;
+    }
+    take(&mut router, T, 1, LOOSE, 0, 0.0);
+    take(&mut router, T, 2, WRITE, 0, 0.0);
+    assert_eq!(settle(&mut router, T), ["execute 2 11"]);
+}
+
+#[test]
+fn a_position_never_goes_back() {
+    let mut router = router(false);
+    router.member(T, B, (G, 0), Standing::Ready, T + 1.0, false);
+    router.reported(T + 2.0, B, Some(false), T - 5.0);
+    assert_eq!(router.nodes[&B].lsn, T);
+}
+
+#[test]
+fn a_room_shrinks_once_a_jam() {
+    let mut router = router(false);
+    let before = router.nodes[&B].room;
+    router.statements.insert(1, Statement::default());
+    for _ in 0..5 {
+        router.executed(
+            T,
+            1,
+            0,
+            B,
+            Ending::TurnedAway,
+            0.0,
+            false,
+            None,
+            f64::NEG_INFINITY,
+        );
+    }
+    assert!((router.nodes[&B].room - before * 0.9).abs() < 1e-9);
+}
