Keep queues at nodes short: room is led by answers taking 0.22 of their SLO time, not 0.45

Cause: what waits here can still be ranked, sent elsewhere or given up; what waits at a node cannot.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -30,7 +30,7 @@
 const ROOM: f64 = 16.0;
 const LEAST_ROOM: f64 = 1.0;
 /// Room grows while answers take less than this share of their SLO time, and shrinks beyond: the rest is for spread.
-const STRAIN: f64 = 0.45;
+const STRAIN: f64 = 0.22;
 /// The weight of one answer in a node's pace and strain.
 const GAIN: f64 = 0.1;
 /// Of what a cold node is sure to bear, the part that this router dares to send: the front's split is uneven.
