--- a/crates/benchlink/src/setup.rs
+++ b/crates/benchlink/src/setup.rs
@@ -1,7 +1,7 @@
 //! Reading of the path=value pairs that an instance is born with, into the types of `badgerstream-routing`.
 
 use badgerstream_routing::{
-    Allowance, ColdStart, Currency, Drain, Instance, Quota, Repeat, Replication, Within, Workload,
+    Allowance, ColdStart, Currency, Drain, Fairness, Instance, Quota, Repeat, Replication, Within, Workload,
 };
 use std::collections::BTreeMap;
 use std::str::FromStr;
@@ -72,6 +72,11 @@
             .map(|per_s| Quota { per_s, beyond })
     };
     let quotas = (0..customers).map(quota).collect::<Result<_, String>>()?;
+    let fairness = Fairness {
+        whole: pairs.read_or("goal.whole", 1.0)?,
+        worst_workload: pairs.read_or("goal.worst_class", 0.0)?,
+        worst_customer: pairs.read_or("goal.worst_tenant", 0.0)?,
+    };
     let replication = Replication {
         checked: pairs.text("domain.checks")? != "none",
         carried: pairs.text("domain.token_mode")? == "client",
@@ -113,6 +118,7 @@
         routers,
         workloads,
         quotas,
+        fairness,
         replication,
         cold,
         drain,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -75,6 +75,14 @@
     pub beyond: f64,
 }
 
+/// How much the whole service counts against its worst-served workload and its worst-served customer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Fairness {
+    pub whole: f64,
+    pub worst_workload: f64,
+    pub worst_customer: f64,
+}
+
 /// How the store's copies behave towards reads.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Replication {
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -4,10 +4,8 @@
 //! where the mechanism comes from. Inputs record facts only; every send passes `permitted`, every answer `conclude`.
 
 use crate::state::{Execution, Group, Node, Statement};
-use crate::{
-    Allowance, ColdStart, Currency, Drain, Ending, Outbox, Quota, Repeat, Replication, Role, Standing,
-};
-use crate::{Within, Workload};
+use crate::{Allowance, ColdStart, Currency, Drain, Ending, Fairness, Outbox, Quota};
+use crate::{Repeat, Replication, Role, Standing, Within, Workload};
 use std::collections::{BTreeMap, BTreeSet};
 
 const NEVER: f64 = f64::NEG_INFINITY;
@@ -50,6 +48,9 @@
     routers: f64,
     /// When each customer was last heard, and its statements a second.
     usage: Vec<(f64, f64)>,
+    pub fairness: Fairness,
+    /// Importance asked for and met in time, by workload and by customer.
+    pub shares: [Vec<(f64, f64)>; 2],
     chance: fastrand::Rng,
     pub nodes: BTreeMap<u32, Node>,
     pub groups: BTreeMap<u16, Group>,
@@ -93,6 +94,7 @@
         routers: usize,
         workloads: Vec<Workload>,
         quotas: Vec<Quota>,
+        fairness: Fairness,
         replication: Replication,
         cold: ColdStart,
         drain: Drain,
@@ -101,6 +103,8 @@
         let mut born = Instance::default();
         (born.chance, born.routers) = (fastrand::Rng::with_seed(seed), routers.max(1) as f64);
         born.usage = vec![(NEVER, 0.0); quotas.len()];
+        born.shares = [vec![(0.0, 0.0); workloads.len()], vec![(0.0, 0.0); quotas.len()]];
+        born.fairness = fairness;
         (born.workloads, born.quotas, born.replication) = (workloads, quotas, replication);
         (born.cold, born.drain, born.allowance) = (cold, drain, allowance);
         born
@@ -154,7 +158,14 @@
         (s.kind, s.group, s.session) = (kind, group, session);
         (s.arrived, s.held_until, s.due) = (now, now, due);
         s.slo_end = now + (kind.slo + kind.slo_stretch * work).min(kind.timeout);
+        s.served_as = [workload, customer];
         s.worth = kind.importance * self.within_quota(now, customer);
+        for (shares, index) in self.shares.iter_mut().zip(s.served_as) {
+            shares
+                .get_mut(index)
+                .into_iter()
+                .for_each(|share| share.0 += s.worth);
+        }
         // The carried age may be older than the last write answered here: the later of the two commits is owed.
         let known = self.sessions.get(&session).map_or(NEVER, |s| s.1);
         s.owed = match kind.currency {
@@ -222,6 +233,14 @@
                 s.held_until = now + s.hold();
             }
             s.over |= over;
+            let met = if ending == Ending::Completed && now <= s.slo_end {
+                s.worth
+            } else {
+                0.0
+            };
+            for (shares, index) in self.shares.iter_mut().zip(s.served_as) {
+                shares.get_mut(index).into_iter().for_each(|share| share.1 += met);
+            }
             if committed && s.session != 0 {
                 let session = self.sessions.entry(s.session).or_insert((now, lsn));
                 session.1 = session.1.max(lsn);
@@ -273,16 +292,6 @@
 }
 
 impl Statement {
-    /// The worthiest first, and of these the youngest: in a jam the oldest would all be answered just too late.
-    fn rank(&self, now: f64) -> (i64, i64) {
-        let left = if now > self.slo_end {
-            self.kind.late_worth
-        } else {
-            1.0
-        };
-        (-(self.worth * left * 1e3) as i64, -(self.arrived * 1e6) as i64)
-    }
-
     /// A small part of its time, after which what turned it away is asked again.
     fn hold(&self) -> f64 {
         HOLD_SHARE * self.kind.timeout
@@ -393,6 +402,18 @@
     }
 }
 
+/// What serving one more of the worst-served adds to its share, against the same worth anywhere: the smaller its part
+/// of all that is asked, the more. Without this the least important workload gets nothing at all in a jam.
+fn lift(shares: &[(f64, f64)], index: usize) -> f64 {
+    let served = |s: &(f64, f64)| if s.0 > 0.0 { s.1 / s.0 } else { 1.0 };
+    let worst = shares.iter().map(served).fold(f64::INFINITY, f64::min);
+    let all: f64 = shares.iter().map(|s| s.0).sum();
+    shares
+        .get(index)
+        .filter(|s| served(s) <= worst)
+        .map_or(0.0, |s| all / s.0)
+}
+
 /// Settling.
 impl Instance {
     /// Goes through the rules for all that was touched or has come due, until none fires.
@@ -412,7 +433,7 @@
         for group in std::mem::take(&mut self.touched_groups) {
             queue.extend(self.groups[&group].waiting.iter());
         }
-        queue.sort_by_cached_key(|id| self.statements.get(id).map_or((0, 0), |s| s.rank(now)));
+        queue.sort_by_cached_key(|id| self.statements.get(id).map_or((0, 0), |s| self.rank(s, now)));
         for stmt in queue {
             let mut fires = |r: &Rule| self.statements.contains_key(&stmt) && r(self, stmt, now, out);
             while STATEMENT_RULES.iter().any(&mut fires) {}
@@ -425,6 +446,17 @@
         }
     }
 
+    /// The worthiest first, and of these the youngest: in a jam the oldest would all be answered just too late.
+    fn rank(&self, s: &Statement, now: f64) -> (i64, i64) {
+        let left = if now > s.slo_end { s.kind.late_worth } else { 1.0 };
+        let [workload, customer] = [0, 1].map(|i| lift(&self.shares[i], s.served_as[i]));
+        let lifted = workload * self.fairness.worst_workload + customer * self.fairness.worst_customer;
+        (
+            -(s.worth * left * (self.fairness.whole + lifted) * 1e3) as i64,
+            -(s.arrived * 1e6) as i64,
+        )
+    }
+
     fn look_over(&mut self, now: f64, out: &mut dyn Outbox) {
         for id in self.nodes.keys().copied().collect::<Vec<u32>>() {
             let node = self.nodes.get_mut(&id).expect("listed");
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -14,6 +14,8 @@
 #[derive(Default)]
 pub struct Statement {
     pub kind: Workload,
+    /// Its workload's and its customer's place in their lists.
+    pub served_as: [usize; 2],
     pub group: u16,
     pub session: u64,
     pub arrived: f64,
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -67,6 +67,11 @@
         workload(Currency::Latest, Repeat::Idempotent, 1.0),
         workload(Currency::Primary, Repeat::NonIdempotent, 6.0),
     ];
+    let fairness = Fairness {
+        whole: 1.0,
+        worst_workload: 0.0,
+        worst_customer: 0.0,
+    };
     let replication = Replication {
         checked,
         carried: true,
@@ -93,7 +98,17 @@
         per_s: 10.0,
         beyond: 0.2,
     }];
-    let mut router = Instance::new(7, 2, workloads, quotas, replication, cold, drain, allowance);
+    let mut router = Instance::new(
+        7,
+        2,
+        workloads,
+        quotas,
+        fairness,
+        replication,
+        cold,
+        drain,
+        allowance,
+    );
     router.listing();
     for id in [A, B, C] {
         router.member(T, id, (G, 0), Standing::Ready, 0.0, id == A);
