--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -29,8 +29,9 @@
 const LEAST_ROOM: f64 = 1.0;
 /// Room grows while answers take less than this share of their SLO time, and shrinks beyond: the rest is for spread.
 const STRAIN: f64 = 0.22;
-/// The weight of one answer in a node's pace and strain.
+/// The weight of one answer in a node's pace and strain, and of how many its first guess stands.
 const GAIN: f64 = 0.1;
+const PRIOR: f64 = 4.0;
 /// Of what a cold node is sure to bear, the part that this router dares to send: the front's split is uneven.
 const COLD_CARE: f64 = 0.7;
 /// Positions and ages come in rounded milliseconds.
@@ -79,12 +80,7 @@
 ];
 
 /// Gone through for every node at each beat.
-const NODE_RULES: [Rule; 4] = [
-    Instance::suspect_silent,
-    Instance::suspect_faulty,
-    Instance::probe_unheard,
-    Instance::probe_search,
-];
+const NODE_RULES: [Rule; 3] = [Instance::suspect, Instance::probe_unheard, Instance::probe_search];
 
 /// Inputs: they record facts and note what they touch.
 impl Instance {
@@ -123,7 +119,16 @@
             members.insert(self.chance.usize(0..=members.len()), id);
         }
         let room = (ROOM / self.routers).max(LEAST_ROOM);
-        let node = self.nodes.entry(id).or_insert(Node::new(group, zone, room));
+        // Until a node's own answers tell its pace, half of the shortest SLO time stands for some of them.
+        let pace = self
+            .workloads
+            .iter()
+            .map(|w| w.slo / 2.0)
+            .fold(f64::INFINITY, f64::min);
+        let node = self
+            .nodes
+            .entry(id)
+            .or_insert(Node::new(group, zone, room, pace, PRIOR));
         (node.roll, node.listed_primary) = (self.roll, leads);
         node.stands(at, now);
         if since > node.since + ROUNDING_S {
@@ -396,10 +401,6 @@
         }
     }
 
-    fn suspect(&mut self, now: f64) {
-        (self.suspected, self.trials, self.trial_at) = (Some(now), 0, now);
-    }
-
     /// A suspect is tried by one execution at a time, each trial later than the one before.
     fn on_trial(&self, now: f64) -> bool {
         now - self.trial_at >= (TRIAL_S * 2f64.powi(self.trials)).min(TRIAL_MAX_S)
@@ -503,28 +504,21 @@
 
 /// Rules for a node.
 impl Instance {
-    /// A node that takes work and answers nothing looks idle and fast; its own pace says what it owes.
-    fn suspect_silent(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
+    /// A node that takes work and answers nothing looks idle and fast; its own pace says what it owes. Errors, drops and
+    /// failed connections come back fast and free a slot: both would draw more work. Harm: a node that is only slow for
+    /// a moment is spared until its next answer.
+    fn suspect(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let usual = self.pace(self.nodes[&id].group);
         let node = self.nodes.get_mut(&id).expect("listed");
-        let pace = node.pace.max(usual) / node.warmth(&self.cold, now);
         node.await_until(now);
-        let owed = node.awaited / pace;
-        let fires = node.suspected.is_none() && owed > OWED_ANSWERS;
-        if fires {
-            out.log(&format!("{now:.3} node {id}: silent, {owed:.0} answers owed"));
-            node.suspect(now);
-        }
-        fires
-    }
-
-    /// Errors, drops and failed connections come back fast and free a slot: without this they draw more work.
-    fn suspect_faulty(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
-        let node = self.nodes.get_mut(&id).expect("listed");
-        let fires = node.suspected.is_none() && node.faults >= FAULTS;
+        let owed = node.awaited * node.warmth(&self.cold, now) / node.pace.max(usual);
+        let fires = node.suspected.is_none() && (owed > OWED_ANSWERS || node.faults >= FAULTS);
         if fires {
-            out.log(&format!("{now:.3} node {id}: {} faults in a row", node.faults));
-            node.suspect(now);
+            out.log(&format!(
+                "{now:.3} node {id}: suspect, {owed:.0} answers owed, {} faults",
+                node.faults
+            ));
+            (node.suspected, node.trials, node.trial_at) = (Some(now), 0, now);
         }
         fires
     }
@@ -617,14 +611,10 @@
 
 /// Choosing a node.
 impl Instance {
-    /// The best that members of a group show; before any answer, the shortest SLO time has to do.
+    /// The best that members of a group show.
     fn pace(&self, group: u16) -> f64 {
         let paces = self.groups[&group].members.iter().map(|m| self.nodes[m].pace);
-        let slos = self.workloads.iter().map(|w| w.slo);
-        paces
-            .filter(|p| *p > 0.0)
-            .chain(slos)
-            .fold(f64::INFINITY, f64::min)
+        paces.fold(f64::INFINITY, f64::min)
     }
 
     /// The design's steps 1 to 5.
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -90,7 +90,7 @@
 }
 
 impl Node {
-    pub fn new(group: u16, zone: u8, room: f64) -> Node {
+    pub fn new(group: u16, zone: u8, room: f64, pace: f64, answers: f64) -> Node {
         const NEVER: f64 = f64::NEG_INFINITY;
         let (lsn, heard, probed, cut) = (NEVER, NEVER, NEVER, NEVER);
         let (claimed, denied) = (NEVER, NEVER);
@@ -98,6 +98,8 @@
             group,
             zone,
             room,
+            pace,
+            answers,
             lsn,
             heard,
             probed,
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -1,6 +1,6 @@
 //! Each test sets up just the state it needs, then calls one function.
 
-use crate::state::{Execution, Statement};
+use crate::state::{Execution, Node, Statement};
 use crate::*;
 use test_case::test_case;
 
@@ -278,7 +278,8 @@
 fn no_node_is_silent_before_a_pace_is_known() {
     let mut router = router(false);
     for node in router.nodes.values_mut() {
-        (node.pace, node.out, node.awaited_until) = (0.0, 3, T);
+        *node = Node::new(G, 0, 8.0, 0.2, 4.0);
+        (node.out, node.awaited_until) = (3, T);
     }
     settle(&mut router, T + 0.3);
     assert!(router.nodes.values().all(|n| n.suspected.is_none()));
