--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -24,9 +24,10 @@
 /// A suspect's first trial comes after the one, and none waits longer than the other.
 const TRIAL_S: f64 = 0.5;
 const TRIAL_MAX_S: f64 = 4.0;
-/// Executions out at a node, from all routers, before its room is learnt; and the least that one router keeps.
+/// Executions out at a node, from all routers, before its room is learnt, and the least that it is left with: when
+/// everything is slow at once, less room makes nothing faster and leaves cores idle.
 const ROOM: f64 = 16.0;
-const LEAST_ROOM: f64 = 1.0;
+const LEAST_ROOM: f64 = 4.0;
 /// Room grows while answers take less than this share of their SLO time, and shrinks beyond: the rest is for spread.
 const STRAIN: f64 = 0.22;
 /// The weight of one answer in a node's pace and strain, and of how many its first guess stands.
@@ -118,7 +119,10 @@
             // Routers that all began their rotation at one member would meet there.
             members.insert(self.chance.usize(0..=members.len()), id);
         }
-        let room = (ROOM / self.routers).max(LEAST_ROOM);
+        let (room, least) = (
+            (ROOM / self.routers).max(1.0),
+            (LEAST_ROOM / self.routers).max(1.0),
+        );
         // Until a node's own answers tell its pace, half of the shortest SLO time stands for some of them.
         let pace = self
             .workloads
@@ -128,7 +132,7 @@
         let node = self
             .nodes
             .entry(id)
-            .or_insert(Node::new(group, zone, room, pace, PRIOR));
+            .or_insert(Node::new(group, zone, (room, least), (pace, PRIOR)));
         (node.roll, node.listed_primary) = (self.roll, leads);
         node.stands(at, now);
         if since > node.since + ROUNDING_S {
@@ -377,7 +381,7 @@
     /// Once for all that was out at one time: one jam is one sign, however many statements met it.
     fn shrink(&mut self, now: f64) {
         if now - self.cut >= self.pace {
-            (self.room, self.cut) = ((self.room * 0.9).max(LEAST_ROOM), now);
+            (self.room, self.cut) = ((self.room * 0.9).max(self.least_room), now);
         }
     }
 
@@ -405,10 +409,6 @@
     fn on_trial(&self, now: f64) -> bool {
         now - self.trial_at >= (TRIAL_S * 2f64.powi(self.trials)).min(TRIAL_MAX_S)
     }
-
-    fn full(&self) -> bool {
-        self.out as f64 >= self.room
-    }
 }
 
 /// What serving one more of the worst-served adds to its share, against the same worth anywhere: the smaller its part
@@ -687,7 +687,7 @@
         let met = s.executions.iter().any(|e| e.node == id && spent(e));
         let trial = node.on_trial(now) && s.kind.repeat != Repeat::NonIdempotent;
         let trusted = node.suspected.is_none() || trial || self.all_suspected(s.group);
-        !met && trusted && !node.full() && self.permitted(s, id, now)
+        !met && trusted && (node.out as f64) < node.room && self.permitted(s, id, now)
     }
 
     /// A whole group that looks bad shares one trouble: suspicion alone never leaves it without a member.
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -56,6 +56,7 @@
     pub pace: f64,
     pub strain: f64,
     pub room: f64,
+    pub least_room: f64,
     pub cut: f64,
     /// Completions a second, counted in steps of `IDLE_S`.
     pub rate: f64,
@@ -90,7 +91,8 @@
 }
 
 impl Node {
-    pub fn new(group: u16, zone: u8, room: f64, pace: f64, answers: f64) -> Node {
+    pub fn new(group: u16, zone: u8, rooms: (f64, f64), prior: (f64, f64)) -> Node {
+        let ((room, least_room), (pace, answers)) = (rooms, prior);
         const NEVER: f64 = f64::NEG_INFINITY;
         let (lsn, heard, probed, cut) = (NEVER, NEVER, NEVER, NEVER);
         let (claimed, denied) = (NEVER, NEVER);
@@ -98,6 +100,7 @@
             group,
             zone,
             room,
+            least_room,
             pace,
             answers,
             lsn,
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -278,7 +278,7 @@
 fn no_node_is_silent_before_a_pace_is_known() {
     let mut router = router(false);
     for node in router.nodes.values_mut() {
-        *node = Node::new(G, 0, 8.0, 0.2, 4.0);
+        *node = Node::new(G, 0, (8.0, 1.0), (0.2, 4.0));
         (node.out, node.awaited_until) = (3, T);
     }
     settle(&mut router, T + 0.3);
