--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -67,7 +67,7 @@
     cancels: Vec<(u32, u8)>,
 }
 
-/// A condition and an effect on one statement or node; true when it fired.
+/// A condition and an effect on one statement or node: true when it fired.
 type Rule = fn(&mut Instance, u32, f64, &mut dyn Outbox) -> bool;
 
 /// Gone through in this order for each touched statement until none fires.
@@ -369,8 +369,7 @@
     }
 
     fn strained(&mut self, now: f64, took: f64, slo: Option<f64>) {
-        let Some(slo) = slo else { return };
-        self.strain += (took / slo - self.strain) * GAIN;
+        self.strain += (slo.map_or(self.strain, |slo| took / slo) - self.strain) * GAIN;
         if self.strain > STRAIN {
             self.shrink(now);
         } else if self.out as f64 + 2.0 >= self.room {
@@ -564,8 +563,11 @@
     /// Nothing it could still get is worth anything, or nothing sent now would be back in time.
     fn give_up_worthless(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
-        let unsent = s.live().next().is_none();
-        let needed = if unsent { self.pace(s.group) / 2.0 } else { 0.0 };
+        let needed = if s.live().next().is_none() {
+            self.pace(s.group)
+        } else {
+            0.0
+        };
         now + needed >= s.last_use() && self.conclude(stmt, out)
     }
 
