Advise rejected clients to come back as late as they will follow

Guards against retry storms of any cause; harm: after a very short trouble clients come back later than they need.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -169,12 +169,10 @@
         s.slo_end = now + (kind.slo + kind.slo_stretch * work).min(kind.timeout);
         s.served_as = [workload, customer];
         s.worth = kind.importance * self.within_quota(now, customer);
-        for (shares, index) in self.shares.iter_mut().zip(s.served_as) {
-            shares
-                .get_mut(index)
-                .into_iter()
-                .for_each(|share| share.0 += s.worth);
-        }
+        let shares = self.shares.iter_mut().zip(s.served_as);
+        shares
+            .filter_map(|(all, i)| all.get_mut(i))
+            .for_each(|share| share.0 += s.worth);
         // The carried age may be older than the last write answered here: the later of the two commits is owed.
         let known = self.sessions.get(&session).map_or(NEVER, |s| s.1);
         s.owed = match kind.currency {
@@ -242,14 +240,12 @@
                 s.held_until = now + s.hold();
             }
             s.over |= over;
-            let met = if ending == Ending::Completed && now <= s.slo_end {
-                s.worth
-            } else {
-                0.0
-            };
-            for (shares, index) in self.shares.iter_mut().zip(s.served_as) {
-                shares.get_mut(index).into_iter().for_each(|share| share.1 += met);
-            }
+            let in_time = ending == Ending::Completed && now <= s.slo_end;
+            let met = if in_time { s.worth } else { 0.0 };
+            let shares = self.shares.iter_mut().zip(s.served_as);
+            shares
+                .filter_map(|(all, i)| all.get_mut(i))
+                .for_each(|share| share.1 += met);
             if committed && s.session != 0 {
                 let session = self.sessions.entry(s.session).or_insert((now, lsn));
                 session.1 = session.1.max(lsn);
@@ -321,12 +317,8 @@
 
     /// The moment from which an answer earns nothing.
     fn last_use(&self) -> f64 {
-        let on_time = self.slo_end.min(self.due);
-        if self.kind.late_worth > 0.0 {
-            self.due
-        } else {
-            on_time
-        }
+        let (late, on_time) = (self.kind.late_worth > 0.0, self.slo_end.min(self.due));
+        if late { self.due } else { on_time }
     }
 }
 
@@ -800,7 +792,8 @@
             repeat => repeat == Repeat::Idempotent,
         };
         if known || s.may_have_run().next().is_none() {
-            out.reject(stmt, s.kind.slo.min(self.allowance.retry_after));
+            // A retry comes as a new statement, with an SLO time that its client no longer has: the later, the fewer.
+            out.reject(stmt, self.allowance.retry_after);
         } else {
             out.abort(stmt);
         }
