Give cold nodes all that their budget allows

The factor of 0.7 was care against an uneven split of clients, which the budget already covers: each router's part follows the load that it sees itself.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -33,8 +33,6 @@
 /// The weight of one answer in a node's pace and strain, and of how many its first guess stands.
 const GAIN: f64 = 0.1;
 const PRIOR: f64 = 4.0;
-/// Of what a cold node is sure to bear, the part that this router dares to send: the front's split is uneven.
-const COLD_CARE: f64 = 0.7;
 /// Positions and ages come in rounded milliseconds.
 const ROUNDING_S: f64 = 0.001;
 
@@ -734,7 +732,7 @@
         let ready = || self.nodes.values().filter(|n| n.standing == Standing::Ready);
         let rate: f64 = ready().map(|n| n.rate).sum();
         let warm: f64 = ready().map(|n| n.warmth(&self.cold, now)).sum();
-        let budget = COLD_CARE * self.cold.factor * warmth * self.cold.window * rate / warm.max(1.0);
+        let budget = self.cold.factor * warmth * self.cold.window * rate / warm.max(1.0);
         let sent = node
             .sends
             .iter()
