Give up a waiting statement when less than two paces are left

Guards against any jam; harm: with work far more even than at random, some that would have made it are turned away.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -553,7 +553,7 @@
     fn give_up_worthless(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
         let needed = if s.live().next().is_none() {
-            self.pace(s.group)
+            self.needed(s.group)
         } else {
             0.0
         };
@@ -608,6 +608,11 @@
         paces.fold(f64::INFINITY, f64::min)
     }
 
+    /// Within two paces, six in seven answers that come at random are back.
+    fn needed(&self, group: u16) -> f64 {
+        2.0 * self.pace(group)
+    }
+
     /// The design's steps 1 to 5.
     pub fn choose(&mut self, stmt: u32, now: f64) -> Option<u32> {
         let s = &self.statements[&stmt];
