--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -445,7 +445,8 @@
 
     /// The worthiest first, and of these the youngest: in a jam the oldest would all be answered just too late.
     fn rank(&self, s: &Statement, now: f64) -> (i64, i64) {
-        let left = if now > s.slo_end { s.kind.late_worth } else { 1.0 };
+        let late = now + self.needed(s.group) > s.slo_end;
+        let left = if late { s.kind.late_worth } else { 1.0 };
         let [workload, customer] = [0, 1].map(|i| lift(&self.shares[i], s.served_as[i]));
         let lifted = workload * self.fairness.worst_workload + customer * self.fairness.worst_customer;
         (
@@ -552,11 +553,8 @@
     /// Nothing it could still get is worth anything, or nothing sent now would be back in time.
     fn give_up_worthless(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
-        let needed = if s.live().next().is_none() {
-            self.needed(s.group)
-        } else {
-            0.0
-        };
+        let sent = s.live().next().is_some();
+        let needed = if sent { 0.0 } else { self.needed(s.group) };
         now + needed >= s.last_use() && self.conclude(stmt, out)
     }
 
