--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -623,7 +623,7 @@
             Currency::OwnWrites if !self.marked(s, now) => self.rotate(stmt, now).or(primary),
             // The design's relief: a replica known past the write, when the primary is full or slow.
             Currency::OwnWrites | Currency::Latest => {
-                let spare = primary.filter(|p| !self.busy(*p));
+                let spare = primary.filter(|p| !self.slow(*p));
                 spare.or_else(|| self.rotate(stmt, now)).or(primary)
             }
             Currency::Recent { .. } | Currency::Loose => self.rotate(stmt, now).or(primary),
@@ -634,10 +634,9 @@
         s.fresh_age || self.sessions.get(&s.session).is_some_and(|t| now - t.0 < MARK_S)
     }
 
-    /// Full or slow: half its room is kept for what nobody else can take, and replicas answer in half the time.
-    pub fn busy(&self, id: u32) -> bool {
-        let node = &self.nodes[&id];
-        node.out as f64 >= node.room / 2.0 || node.pace > 2.0 * self.pace(node.group)
+    /// Its peers answer in half the time: a jam that room has not yet taken down, or a machine that is shared.
+    pub fn slow(&self, id: u32) -> bool {
+        self.nodes[&id].pace > 2.0 * self.pace(self.nodes[&id].group)
     }
 
     /// The next eligible replica from the group's counter, which wraps.
