--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -486,6 +486,8 @@
                 let before = group.primary;
                 out.log(&format!("{now:.3} group {id}: primary {before:?} -> {last:?}"));
                 group.primary = last;
+                let held = group.waiting.iter().filter(|_| last.is_some());
+                held.for_each(|w| self.statements.get_mut(w).expect("open").held_until = now);
             }
         }
     }
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -249,6 +249,21 @@
     );
 }
 
+/// Found on reading: held writes sat out their hold although the new primary was known.
+#[test]
+fn a_claim_releases_held_writes() {
+    let mut router = router(false);
+    router.nodes.get_mut(&A).unwrap().denied = T + 0.1;
+    settle(&mut router, T + 0.1);
+    [A, B, C]
+        .iter()
+        .for_each(|id| router.nodes.get_mut(id).unwrap().denied = T + 0.1);
+    take(&mut router, T + 0.1, 1, ONCE, 0, 0.0);
+    assert!(settle(&mut router, T + 0.1).is_empty());
+    router.reported(T + 0.15, B, Some(true), T + 0.14);
+    assert_eq!(settle(&mut router, T + 0.15), ["execute 1 12"]);
+}
+
 #[test_case(0.1, 1, false; "one answer owed for a moment")]
 #[test_case(0.5, 3, true; "many answers owed")]
 fn silence(waited: f64, out: usize, expected: bool) {
