--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -104,7 +104,7 @@
         Ok(())
     }
 
-    fn fault(
+    pub fn fault(
         &mut self,
         id: Option<u32>,
         panic: Box<dyn std::any::Any + Send>,
--- a/crates/benchlink/src/tests.rs
+++ b/crates/benchlink/src/tests.rs
@@ -154,6 +154,20 @@
     assert_eq!(output, hex(&expected.concat()));
 }
 
+#[test]
+fn a_panic_is_told_as_in_the_worked_example() {
+    let (mut reply, mut output) = (Reply::default(), Vec::new());
+    Link::default()
+        .fault(Some(3), Box::new("index out of range"), &mut reply)
+        .unwrap();
+    reply.send(1, &mut output).unwrap();
+    let fault = format!("6e 00000000 12000000 {}", "00".repeat(15));
+    assert_eq!(
+        output[12 + 24..],
+        hex(&(fault + "696e646578206f7574206f662072616e6765"))
+    );
+}
+
 #[test]
 fn a_hosted_instance_probes_and_executes() {
     let stmt =
