--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -17,8 +17,8 @@
 const SEARCH_S: f64 = 0.1;
 /// A write that no member took is held for this share of its statement timeout.
 const HOLD_SHARE: f64 = 0.05;
-/// A node is silent once it owes this many answers by its own pace: e^-8 is one false alarm in 3,000 looks.
-const OWED_ANSWERS: f64 = 8.0;
+/// A node is silent once it owes this many answers by its own pace. Work is less even than at random: less gives alarms.
+const OWED_ANSWERS: f64 = 12.0;
 /// Faults, less one for each good answer, that make a node a suspect; not reaching it at all counts for all of them.
 const FAULTS: u32 = 3;
 /// A suspect's first trial comes after the one, and none waits longer than the other.
