--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -73,7 +73,8 @@
 }
 
 impl Link {
-    /// All events of a batch happened at one clock reading: each instance is told all of its own, then settles.
+    /// All events of a batch happened at one clock reading: each instance is told all of its own, then
+    /// settles.
     pub fn answer(&mut self, batch: &Batch, reply: &mut Reply) -> Result<(), String> {
         let mut present = None;
         let mut spoken_to = BTreeSet::new();
@@ -256,8 +257,8 @@
 }
 
 impl Reading {
-    /// Role and position of a load report. The position is rounded to an f32, perhaps upwards: the next one down is
-    /// sure not to be past it.
+    /// Role and position of a load report. The position is rounded to an f32, perhaps upwards: the next one
+    /// down is sure not to be past it.
     fn report(&self, n: u8, values: [f32; 4]) -> (Option<bool>, f64) {
         let value = |column: Option<usize>| column.filter(|c| *c < usize::from(n)).map(|c| values[c]);
         let lsn = value(self.position_column).map_or(f64::NEG_INFINITY, |x| {
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,4 +1,5 @@
-//! Plays badgerstream's decisions on the simulator's wire: batches on standard input, replies on standard output.
+//! Plays badgerstream's decisions on the simulator's wire: batches on standard input, replies on standard
+//! output.
 
 mod codec;
 mod link;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,9 +1,9 @@
 //! What a front needs to ask for routing decisions: plain types of the trade and the trait [`Outbox`].
 //!
-//! A front owns the clock, the sockets and the lists. It turns what it hears into calls on [`Instance`], calls
-//! [`Instance::settle`] once all that arrived at one reading of its clock has been told, and carries out what
-//! comes through its [`Outbox`]. All times are seconds on the front's clock; positions (lsn) are times on it too:
-//! the moment up to which a node has applied every commit. Ids are whatever the front uses.
+//! A front owns the clock, the sockets and the lists. It turns what it hears into calls on [`Instance`],
+//! calls [`Instance::settle`] once all that arrived at one reading of its clock has been told, and carries
+//! out what comes through its [`Outbox`]. All times are seconds on the front's clock; positions (lsn) are
+//! times on it too: the moment up to which a node has applied every commit. Ids are whatever the front uses.
 //!
 //! Every decision is in [`policy`]; nothing here decides.
 
@@ -21,7 +21,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Repeat {
     Idempotent,
-    /// Repeats are dropped by the nodes of `within`, for `memory` seconds after the first send that may have run.
+    /// Repeats are dropped by the nodes of `within`, for `memory` seconds after the first send that may have
+    /// run.
     Deduplicated {
         within: Within,
         memory: f64,
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -1,7 +1,7 @@
-//! All of badgerstream's decisions. A front builds one [`Instance`] a router, tells it what happened by the input
-//! methods (`listing`, `arrived`, `executed`, `probed`, ...), then calls `settle`, which goes through the rules and
-//! sends what they conclude through an `Outbox`. The types of both directions are in `lib.rs`; docs/design.md says
-//! where the mechanism comes from. Inputs record facts only; every send passes `permitted`, every answer `conclude`.
+//! All of badgerstream's decisions. A front builds one [`Instance`] a router, tells it what happened by the
+//! input methods (`listing`, `arrived`, `executed`, `probed`, ...), then calls `settle`, which goes through
+//! the rules and sends what they conclude through an `Outbox`. The types of both directions are in `lib.rs`;
+//! docs/design.md tells the mechanism. Inputs record facts; sends pass `permitted`, answers `conclude`.
 
 use crate::state::{Execution, Group, Node, Statement};
 use crate::{Allowance, ColdStart, Currency, Drain, Ending, Fairness, Outbox, Quota};
@@ -12,23 +12,23 @@
 /// The design's figures: how long a touch of the primary marks a session, and how long a node may go unheard.
 const MARK_S: f64 = 3.0;
 const IDLE_S: f64 = 1.0;
-/// Health is looked over this often, also when nothing comes in; a group without a primary is probed at this pace.
+/// Health is looked over this often, also when nothing comes in; a lost primary is looked for at this pace.
 const BEAT_S: f64 = 0.05;
 const SEARCH_S: f64 = 0.1;
 /// A write that no member took is held for this share of its statement timeout.
 const HOLD_SHARE: f64 = 0.05;
-/// A node is silent once it owes this many answers by its own pace. Work is less even than at random: less gives alarms.
+/// A node is silent once it owes this many answers by its own pace: with less, uneven work gives alarms.
 const OWED_ANSWERS: f64 = 12.0;
-/// Faults, less one for each good answer, that make a node a suspect; not reaching it at all counts for all of them.
+/// Faults, less one for each good answer, that make a node a suspect; not reaching it counts for all.
 const FAULTS: u32 = 3;
 /// A suspect's first trial comes after the one, and none waits longer than the other.
 const TRIAL_S: f64 = 0.5;
 const TRIAL_MAX_S: f64 = 4.0;
-/// Executions out at a node, from all routers, before its room is learnt, and the least that it is left with: when
-/// everything is slow at once, less room makes nothing faster and leaves cores idle.
+/// Executions out at a node, from all routers, before its room is learnt, and the least that it is left with:
+/// when everything is slow at once, less room makes nothing faster and leaves cores idle.
 const ROOM: f64 = 16.0;
 const LEAST_ROOM: f64 = 4.0;
-/// Room grows while answers take less than this share of their SLO time, and shrinks beyond: the rest is for spread.
+/// Room grows while answers take less than this share of their SLO time, and shrinks beyond.
 const STRAIN: f64 = 0.22;
 /// The weight of one answer in a node's pace and strain, and of how many its first guess stands.
 const GAIN: f64 = 0.1;
@@ -169,7 +169,7 @@
         shares
             .filter_map(|(all, i)| all.get_mut(i))
             .for_each(|share| share.0 += s.worth);
-        // The carried age may be older than the last write answered here: the later of the two commits is owed.
+        // The carried age may be older than the last write answered here: the later one is owed.
         let known = self.sessions.get(&session).map_or(NEVER, |s| s.1);
         s.owed = match kind.currency {
             Currency::Latest => now,
@@ -383,8 +383,8 @@
         }
     }
 
-    /// Guards rule 3: nothing new once told that the node drains or is gone. A draining primary may still take what
-    /// no other member can for half of the grace, as it hands over only at its end.
+    /// Guards rule 3: nothing new once told that the node drains or is gone. A draining primary may still
+    /// take what no other member can for half of the grace, as it hands over only at its end.
     pub fn closed(&self, drain: &Drain, last_resort: bool, now: f64) -> bool {
         match self.standing {
             Standing::Ready => false,
@@ -399,8 +399,8 @@
     }
 }
 
-/// What serving one more of the worst-served adds to its share, against the same worth anywhere: the smaller its part
-/// of all that is asked, the more. Without this the least important workload gets nothing at all in a jam.
+/// What serving one more of the worst-served adds to its share, against the same worth anywhere: the smaller
+/// its part of all that is asked, the more. Else the least important gets nothing in a jam.
 fn lift(shares: &[(f64, f64)], index: usize) -> f64 {
     let served = |s: &(f64, f64)| if s.0 > 0.0 { s.1 / s.0 } else { 1.0 };
     let worst = shares.iter().map(served).fold(f64::INFINITY, f64::min);
@@ -443,7 +443,7 @@
         }
     }
 
-    /// The worthiest first, and of these the youngest: in a jam the oldest would all be answered just too late.
+    /// The worthiest first, and of these the youngest: in a jam the oldest would all be too late.
     fn rank(&self, s: &Statement, now: f64) -> (i64, i64) {
         let late = now + self.needed(s) > s.slo_end;
         let left = if late { s.kind.late_worth } else { 1.0 };
@@ -495,9 +495,9 @@
 
 /// Rules for a node.
 impl Instance {
-    /// A node that takes work and answers nothing looks idle and fast; its own pace says what it owes. Errors, drops and
-    /// failed connections come back fast and free a slot: both would draw more work. Harm: a node that is only slow for
-    /// a moment is spared until its next answer.
+    /// A node that takes work and answers nothing looks idle and fast; its own pace says what it owes.
+    /// Errors, drops and failed connections come back fast and free a slot: both would draw more work. Harm:
+    /// a node that is only slow for a moment is spared until its next answer.
     fn suspect(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let usual = self.pace(self.nodes[&id].group);
         let node = self.nodes.get_mut(&id).expect("listed");
@@ -608,8 +608,8 @@
         paces.fold(f64::INFINITY, f64::min)
     }
 
-    /// Within two paces, six in seven answers that come at random are back. Never more than half the SLO time: nodes
-    /// that are all slow, or whose pace is not known yet, must still be tried.
+    /// Within two paces, six in seven answers that come at random are back. Never more than half the SLO
+    /// time: nodes that are all slow, or whose pace is not known yet, must still be tried.
     fn needed(&self, s: &Statement) -> f64 {
         (2.0 * self.pace(s.group)).min(s.kind.slo / 2.0)
     }
@@ -636,7 +636,7 @@
         s.fresh_age || self.sessions.get(&s.session).is_some_and(|t| now - t.0 < MARK_S)
     }
 
-    /// Its peers answer in half the time: a jam that room has not yet taken down, or a machine that is shared.
+    /// Its peers answer in half the time: a jam that room has not yet taken down, or a shared machine.
     pub fn slow(&self, id: u32) -> bool {
         self.nodes[&id].pace > 2.0 * self.pace(self.nodes[&id].group)
     }
@@ -654,8 +654,8 @@
         Some(chosen)
     }
 
-    /// No primary is known: the listed one first, then whoever has most of the log. What the members answered to one
-    /// write is known to all: one round of misses, or half a write's executions, and it waits for a claim.
+    /// No primary is known: the listed one first, then whoever has most of the log. What the members answered
+    /// to one write is known to all: after one round, or half its executions, it waits for a claim.
     fn next_asked(&self, s: &Statement, now: f64) -> Option<u32> {
         if s.executions.len() * 2 >= self.allowance.executions {
             return None;
@@ -675,7 +675,7 @@
             .max_by(|a, b| rank(a).total_cmp(&rank(b)))
     }
 
-    /// Whether a node may be chosen now: in health or on trial, with room, and not met in vain by this statement.
+    /// Whether a node may be chosen now: in health or on trial, with room, and not met in vain.
     fn open(&self, s: &Statement, id: u32, now: f64) -> bool {
         let node = &self.nodes[&id];
         let again = |e: &Execution| e.ended == Some(Ending::Missed) && now - e.sent > s.hold();
@@ -721,14 +721,14 @@
                 let (from, to) = (&self.nodes[&first.node], &self.nodes[&to.unwrap_or(first.node)]);
                 let same = from.group == to.group && (within == Within::Group || from.zone == to.zone);
                 let known = within == Within::Anywhere || same;
-                // The repeat must also get there: a quarter of the memory is left for dialling and the network.
+                // The repeat must also get there: a quarter of the memory is left for that.
                 known && now - first.sent < memory * 0.75
             }
         }
     }
 
-    /// Guards rule 4: in any window a cold node gets no more than its part of what warm nodes are seen to bear. All
-    /// routers see their own part of that load, so their parts of the budget add up, however unevenly they are split.
+    /// Guards rule 4: in any window a cold node gets no more than its part of what warm nodes are seen to
+    /// bear. All routers see their own part of that load, so their budgets add up, however uneven.
     pub fn bearable(&self, node: &Node, now: f64) -> bool {
         let warmth = node.warmth(&self.cold, now);
         if warmth >= 1.0 {
@@ -746,7 +746,7 @@
         sent as f64 + 1.0 <= budget.max(1.0) && (node.out as f64) < (node.room * warmth).max(1.0)
     }
 
-    /// Guards rule 5: a member not believed primary answers a read only from a position known to be new enough.
+    /// Guards rule 5: a member not believed primary answers a read only from a position known to do.
     pub fn current(&self, s: &Statement, id: u32, now: f64) -> bool {
         let node = &self.nodes[&id];
         let needed = match s.kind.currency {
@@ -755,7 +755,7 @@
             Currency::Latest | Currency::OwnWrites => s.owed,
         };
         let leads = self.groups[&s.group].primary == Some(id) && node.claimed > node.denied;
-        // Where nodes check for themselves, a likely position will do: as far behind as when it was last heard, twice.
+        // Where nodes check for themselves, a likely position will do: twice as far behind as when last heard.
         let likely = self.replication.checked && now - 2.0 * (node.heard - node.lsn) >= needed;
         leads || node.lsn >= needed || likely
     }
@@ -794,7 +794,7 @@
             repeat => repeat == Repeat::Idempotent,
         };
         if known || s.may_have_run().next().is_none() {
-            // A retry comes as a new statement, with an SLO time that its client no longer has: the later, the fewer.
+            // A retry comes as a new statement, with an SLO time that its client no longer has.
             out.reject(stmt, self.allowance.retry_after);
         } else {
             out.abort(stmt);
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -1,4 +1,5 @@
-//! What an instance remembers, grouped by how long it lives. Records only: what follows from them is in `policy.rs`.
+//! What an instance remembers, grouped by how long it lives. Records only: what follows from them is in
+//! `policy.rs`.
 
 use crate::{Ending, Standing, Workload};
 use std::collections::{BTreeSet, VecDeque};
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -511,7 +511,8 @@
     assert_eq!(router.nodes[&B].lsn, T);
 }
 
-/// Found in an incident: what was sent in the last moment of its SLO time came back late and held a core meanwhile.
+/// Found in an incident: what was sent in the last moment of its SLO time came back late and held a core
+/// meanwhile.
 #[test_case(0.15, &["execute 1 11"]; "two paces are left")]
 #[test_case(0.25, &["reject 1"]; "less than two paces are left")]
 fn no_send_that_cannot_be_back_in_time(later: f64, expected: &[&str]) {
