--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -755,7 +755,7 @@
             Currency::Latest | Currency::OwnWrites => s.owed,
         };
         let leads = self.groups[&s.group].primary == Some(id) && node.claimed > node.denied;
-        // Where nodes check for themselves, a likely position will do: twice as far behind as when last heard.
+        // Where nodes check for themselves, a likely position will do: twice as far behind as last heard.
         let likely = self.replication.checked && now - 2.0 * (node.heard - node.lsn) >= needed;
         leads || node.lsn >= needed || likely
     }
