One piece of code for what was written twice

The shares of a statement, the subscription's records, a test's push of an execution, and the value of 'never' each stood in two places or more; a node's first room and pace are worked out only when it is new, not for every entry of every list.

--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -149,8 +149,7 @@
             let text = std::str::from_utf8(batch.tail(span, 1)?).map_err(|e| format!("the settings: {e}"))?;
             let (instance, reading) = setup::instance(seed, text)?;
             if reading.subscribes {
-                reply.record(30, &[&id.to_le_bytes()]);
-                reply.record(100, &[&[1]]);
+                subscribe(id, reply);
             }
             self.hosted.insert(id, Hosted { instance, reading });
             spoken_to.insert(id);
@@ -173,8 +172,7 @@
                 }
                 if kind == 0 {
                     if reading.subscribes {
-                        reply.record(30, &[&id.to_le_bytes()]);
-                        reply.record(100, &[&[1]]);
+                        subscribe(id, reply);
                     }
                     return Ok(());
                 }
@@ -268,6 +266,11 @@
     }
 }
 
+fn subscribe(id: u32, reply: &mut Reply) {
+    reply.record(30, &[&id.to_le_bytes()]);
+    reply.record(100, &[&[1]]);
+}
+
 fn entry(instance: &mut Instance, now: f64, mut f: Fields<'_>) -> Result<(), String> {
     let (node, zone, _kind, group, standing) = (f.u32(), f.u8(), f.u8(), f.u16(), f.u8());
     let (_size, since, primary) = (f.f32(), f.seconds(), f.f32());
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -3,12 +3,11 @@
 //! the rules and sends what they conclude through an `Outbox`. The types of both directions are in `lib.rs`;
 //! docs/design.md tells the mechanism. Inputs record facts; sends pass `permitted`, answers `conclude`.
 
-use crate::state::{Execution, Group, Node, Statement};
+use crate::state::{Execution, Group, NEVER, Node, Statement};
 use crate::{Allowance, ColdStart, Currency, Drain, Ending, Fairness, Outbox, Quota};
 use crate::{Repeat, Replication, Role, Standing, Within, Workload};
 use std::collections::{BTreeMap, BTreeSet};
 
-const NEVER: f64 = f64::NEG_INFINITY;
 /// The design's figures: how long a touch of the primary marks a session, and how long a node may go unheard.
 const MARK_S: f64 = 3.0;
 const IDLE_S: f64 = 1.0;
@@ -116,20 +115,13 @@
             // Routers that all began their rotation at one member would meet there.
             members.insert(self.chance.usize(0..=members.len()), id);
         }
-        let (room, least) = (
-            (ROOM / self.routers).max(1.0),
-            (LEAST_ROOM / self.routers).max(1.0),
-        );
-        // Until a node's own answers tell its pace, half of the shortest SLO time stands for some of them.
-        let pace = self
-            .workloads
-            .iter()
-            .map(|w| w.slo / 2.0)
-            .fold(f64::INFINITY, f64::min);
-        let node = self
-            .nodes
-            .entry(id)
-            .or_insert(Node::new(group, zone, (room, least), (pace, PRIOR)));
+        let node = self.nodes.entry(id).or_insert_with(|| {
+            let rooms = [ROOM, LEAST_ROOM].map(|room| (room / self.routers).max(1.0));
+            // Until a node's own answers tell its pace, half of the shortest SLO time stands in.
+            let slos = self.workloads.iter().map(|w| w.slo);
+            let pace = slos.fold(f64::INFINITY, f64::min) / 2.0;
+            Node::new(group, zone, rooms.into(), (pace, PRIOR))
+        });
         (node.roll, node.listed_primary) = (self.roll, leads);
         node.stands(at, now);
         if since > node.since + ROUNDING_S {
@@ -165,10 +157,7 @@
         s.slo_end = now + (kind.slo + kind.slo_stretch * work).min(kind.timeout);
         s.served_as = [workload, customer];
         s.worth = kind.importance * self.within_quota(now, customer);
-        let shares = self.shares.iter_mut().zip(s.served_as);
-        shares
-            .filter_map(|(all, i)| all.get_mut(i))
-            .for_each(|share| share.0 += s.worth);
+        shares_of(&mut self.shares, &s).for_each(|share| share.0 += s.worth);
         // The carried age may be older than the last write answered here: the later one is owed.
         let known = self.sessions.get(&session).map_or(NEVER, |s| s.1);
         s.owed = match kind.currency {
@@ -237,10 +226,7 @@
             s.over |= over;
             let in_time = ending == Ending::Completed && now <= s.slo_end;
             let met = if in_time { s.worth } else { 0.0 };
-            let shares = self.shares.iter_mut().zip(s.served_as);
-            shares
-                .filter_map(|(all, i)| all.get_mut(i))
-                .for_each(|share| share.1 += met);
+            shares_of(&mut self.shares, s).for_each(|share| share.1 += met);
             if committed && s.session != 0 {
                 let session = self.sessions.entry(s.session).or_insert((now, lsn));
                 session.1 = session.1.max(lsn);
@@ -399,6 +385,18 @@
     }
 }
 
+/// The shares of a statement's workload and customer.
+fn shares_of<'a>(
+    shares: &'a mut [Vec<(f64, f64)>; 2],
+    s: &Statement,
+) -> impl Iterator<Item = &'a mut (f64, f64)> {
+    let served_as = s.served_as;
+    shares
+        .iter_mut()
+        .zip(served_as)
+        .filter_map(|(all, i)| all.get_mut(i))
+}
+
 /// What serving one more of the worst-served adds to its share, against the same worth anywhere: the smaller
 /// its part of all that is asked, the more. Else the least important gets nothing in a jam.
 fn lift(shares: &[(f64, f64)], index: usize) -> f64 {
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -4,6 +4,9 @@
 use crate::{Ending, Standing, Workload};
 use std::collections::{BTreeSet, VecDeque};
 
+/// The time of what has not happened, and the position of what told none.
+pub const NEVER: f64 = f64::NEG_INFINITY;
+
 /// Lives for one send.
 pub struct Execution {
     pub node: u32,
@@ -94,7 +97,6 @@
 impl Node {
     pub fn new(group: u16, zone: u8, rooms: (f64, f64), prior: (f64, f64)) -> Node {
         let ((room, least_room), (pace, answers)) = (rooms, prior);
-        const NEVER: f64 = f64::NEG_INFINITY;
         let (lsn, heard, probed, cut) = (NEVER, NEVER, NEVER, NEVER);
         let (claimed, denied) = (NEVER, NEVER);
         Node {
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -134,6 +134,10 @@
     seen.0
 }
 
+fn push(router: &mut Instance, execution: Execution) {
+    router.statements.get_mut(&1).unwrap().executions.push(execution);
+}
+
 fn sent(node: u32, at: f64, ended: Option<Ending>) -> Execution {
     Execution {
         node,
@@ -357,12 +361,7 @@
     let mut router = router(false);
     take(&mut router, T, 1, workload, 0, 0.0);
     router.groups.get_mut(&G).unwrap().waiting.clear();
-    router
-        .statements
-        .get_mut(&1)
-        .unwrap()
-        .executions
-        .push(sent(B, T, None));
+    push(&mut router, sent(B, T, None));
     let node = router.nodes.get_mut(&B).unwrap();
     (node.suspected, node.trial_at, node.out) = (Some(T), T, 1);
     assert_eq!(settle(&mut router, T + 0.1), expected);
@@ -378,12 +377,7 @@
 fn repeats(workload: usize, ending: Ending, later: f64, expected: bool) {
     let mut router = router(false);
     take(&mut router, T, 1, workload, 0, 0.0);
-    router
-        .statements
-        .get_mut(&1)
-        .unwrap()
-        .executions
-        .push(sent(A, T, Some(ending)));
+    push(&mut router, sent(A, T, Some(ending)));
     assert_eq!(
         router.repeatable(&router.statements[&1], Some(A), T + later),
         expected
@@ -397,12 +391,7 @@
 fn the_last_moment_has_one_answer(workload: usize, ended: Option<Ending>, expected: &str) {
     let mut router = router(false);
     take(&mut router, T, 1, workload, 0, 0.0);
-    router
-        .statements
-        .get_mut(&1)
-        .unwrap()
-        .executions
-        .push(sent(A, T, ended));
+    push(&mut router, sent(A, T, ended));
     let end = T + 2.0 - 0.01;
     let said = settle(&mut router, end);
     assert_eq!(
