Cold budgets that add up over many routers, by lots

Now a router's budget may be a part of one send; what is left under one goes to statements whose lot, drawn on arrival, lies under it. What warm nodes bear is pooled over the fleet instead of counted a node, as a router of two statements a second cannot tell it a node. Should also guard against waves of new nodes.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -44,9 +44,12 @@
     cold: ColdStart,
     drain: Drain,
     allowance: Allowance,
-    routers: f64,
+    pub routers: f64,
     /// When each customer was last heard, and its statements a second.
     usage: Vec<(f64, f64)>,
+    /// Completions a second over all nodes, and how many warm nodes bear them.
+    pub borne: (f64, f64),
+    pub warm: f64,
     pub fairness: Fairness,
     /// Importance asked for and met in time, by workload and by customer.
     pub shares: [Vec<(f64, f64)>; 2],
@@ -78,7 +81,7 @@
 ];
 
 /// Gone through for every node at each beat.
-const NODE_RULES: [Rule; 3] = [Instance::suspect, Instance::probe_unheard, Instance::probe_search];
+const NODE_RULES: [Rule; 2] = [Instance::suspect, Instance::probe_unheard];
 
 /// Inputs: they record facts and note what they touch.
 impl Instance {
@@ -168,8 +171,11 @@
         s.fresh_age = write_age > 0.0 && write_age < MARK_S;
         self.schedule(due - 2.0 * self.allowance.step, stmt);
         self.schedule(s.slo_end, stmt);
+        s.lot = self.chance.f64();
+        let asked = self.groups.entry(group).or_default();
+        asked.waiting.insert(stmt);
+        count(&mut asked.asked, now);
         self.statements.insert(stmt, s);
-        self.groups.entry(group).or_default().waiting.insert(stmt);
         self.touched_groups.insert(group);
     }
 
@@ -178,7 +184,7 @@
         let Some((quota, usage)) = self.quotas.get(customer).zip(self.usage.get_mut(customer)) else {
             return 1.0;
         };
-        *usage = (now, usage.1 * (-(now - usage.0) / MARK_S).exp() + 1.0 / MARK_S);
+        count(usage, now);
         let beyond = usage.1 * self.routers > quota.per_s;
         if beyond { quota.beyond } else { 1.0 }
     }
@@ -205,6 +211,9 @@
     ) {
         let mut statement = self.statements.get_mut(&stmt);
         let committed = statement.as_ref().is_some_and(|s| s.writes()) && ending == Ending::Completed;
+        if ending == Ending::Completed {
+            count(&mut self.borne, now);
+        }
         if let Some(node) = self.nodes.get_mut(&id) {
             node.executed(now, ending, took, statement.as_ref().map(|s| s.kind.slo));
             // A commit is rounded up: the node is sure to stand only at what lies before.
@@ -327,7 +336,6 @@
         }
         match ending {
             Ending::Completed => {
-                self.completions += 1.0;
                 // One good answer in three must not clear a node that fails the other two at once.
                 self.faults = self.faults.min(2 * FAULTS).saturating_sub(1);
                 (self.suspected, self.trials) = (self.suspected.filter(|_| self.faults >= FAULTS), 0);
@@ -385,6 +393,11 @@
     }
 }
 
+/// One more: a rate a second over about the last `MARK_S`, as of the last event.
+fn count(rate: &mut (f64, f64), now: f64) {
+    *rate = (now, rate.1 * (-(now - rate.0) / MARK_S).exp() + 1.0 / MARK_S);
+}
+
 /// The shares of a statement's workload and customer.
 fn shares_of<'a>(
     shares: &'a mut [Vec<(f64, f64)>; 2],
@@ -455,13 +468,10 @@
 
     fn look_over(&mut self, now: f64, out: &mut dyn Outbox) {
         for id in self.nodes.keys().copied().collect::<Vec<u32>>() {
-            let node = self.nodes.get_mut(&id).expect("listed");
-            if now - node.counted >= IDLE_S {
-                node.rate += (node.completions / IDLE_S - node.rate) * 0.3;
-                (node.completions, node.counted) = (0.0, now);
-            }
             while NODE_RULES.iter().any(|r| r(self, id, now, out)) {}
         }
+        let ready = self.nodes.values().filter(|n| n.standing == Standing::Ready);
+        self.warm = ready.map(|n| n.warmth(&self.cold, now)).sum();
         self.touched_groups.extend(self.groups.keys());
         let sent = self.statements.iter().filter(|s| s.1.live().next().is_some());
         self.touched.extend(sent.map(|s| s.0));
@@ -512,23 +522,15 @@
         fires
     }
 
+    /// A member unheard for a second; without a primary all writes of its group wait, so it is asked more often.
     fn probe_unheard(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
-        let node = &self.nodes[&id];
-        now - node.heard.max(node.probed) >= IDLE_S && self.probe(id, now, out)
-    }
-
-    /// Without a primary all writes of the group wait: its members are asked more often.
-    fn probe_search(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let node = &self.nodes[&id];
         let primary = self.groups[&node.group].primary.map(|p| &self.nodes[&p]);
         let lost = primary.is_none_or(|p| p.suspected.is_some() || p.standing != Standing::Ready);
-        lost && now - node.probed >= SEARCH_S && self.probe(id, now, out)
-    }
-
-    fn probe(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
-        let node = self.nodes.get_mut(&id).expect("listed");
-        let fires = self.allowance.probes && !node.probing && node.standing == Standing::Ready;
+        let wanted = lost && now - node.probed >= SEARCH_S || now - node.heard.max(node.probed) >= IDLE_S;
+        let fires = wanted && self.allowance.probes && !node.probing && node.standing == Standing::Ready;
         if fires {
+            let node = self.nodes.get_mut(&id).expect("listed");
             (node.probed, node.probing) = (now, true);
             out.probe(id);
         }
@@ -703,7 +705,7 @@
             && (self.allowance.second_copies || s.live().next().is_none())
             && self.repeatable(s, Some(id), now)
             && !node.closed(&self.drain, last_resort, now)
-            && self.bearable(node, now)
+            && self.bearable(node, id, s, now)
             && self.current(s, id, now)
     }
 
@@ -726,22 +728,20 @@
     }
 
     /// Guards rule 4: in any window a cold node gets no more than its part of what warm nodes are seen to
-    /// bear. All routers see their own part of that load, so their budgets add up, however uneven.
-    pub fn bearable(&self, node: &Node, now: f64) -> bool {
+    /// bear. All routers see their own part of that load, so their budgets add up, however uneven and however
+    /// far under one send a window each may be: what is left of a budget then goes to statements by their lot.
+    pub fn bearable(&self, node: &Node, id: u32, s: &Statement, now: f64) -> bool {
         let warmth = node.warmth(&self.cold, now);
         if warmth >= 1.0 {
             return true;
         }
-        let ready = || self.nodes.values().filter(|n| n.standing == Standing::Ready);
-        let rate: f64 = ready().map(|n| n.rate).sum();
-        let warm: f64 = ready().map(|n| n.warmth(&self.cold, now)).sum();
-        let budget = self.cold.factor * warmth * self.cold.window * rate / warm.max(1.0);
-        let sent = node
-            .sends
-            .iter()
-            .filter(|at| now - **at < self.cold.window)
-            .count();
-        sent as f64 + 1.0 <= budget.max(1.0) && (node.out as f64) < (node.room * warmth).max(1.0)
+        let (window, floor) = (self.cold.window, LEAST_ROOM / self.routers);
+        let budget = (self.cold.factor * warmth * window * self.borne.1 / self.warm.max(1.0)).max(floor);
+        let left = budget - node.sends.iter().filter(|at| now - **at < window).count() as f64;
+        // Another lot at each node, else a statement that one turns down would meet the same at its peers.
+        let lot = (s.lot + f64::from(id) * 0.618_033_988_75).fract();
+        let spared = left >= 1.0 || lot * self.groups[&s.group].asked.1 * window <= left;
+        spared && (node.out as f64) < (node.room * warmth).max(1.0)
     }
 
     /// Guards rule 5: a member not believed primary answers a read only from a position known to do.
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -30,6 +30,8 @@
     /// Its session wrote within the mark's time, here or elsewhere.
     pub fresh_age: bool,
     pub worth: f64,
+    /// Drawn by chance from 0 to 1: which statements go first where only a part of them may.
+    pub lot: f64,
     pub executions: Vec<Execution>,
     pub held_until: f64,
     pub over: bool,
@@ -62,10 +64,6 @@
     pub room: f64,
     pub least_room: f64,
     pub cut: f64,
-    /// Completions a second, counted in steps of `IDLE_S`.
-    pub rate: f64,
-    pub completions: f64,
-    pub counted: f64,
     pub faults: u32,
     pub suspected: Option<f64>,
     pub trials: i32,
@@ -82,6 +80,8 @@
     pub primary: Option<u32>,
     pub counter: usize,
     pub waiting: BTreeSet<u32>,
+    /// When a statement last arrived for it, and how many do a second.
+    pub asked: (f64, f64),
 }
 
 impl Execution {
