Probes are asked for by the statements that need them

Cause: every router probed every member each second, and ten times a second without a primary; with 280 routers that is some twenty probes a statement. Now a waiting statement asks, for at most a tenth of an average statement's worth; the idle probe stays where it costs a hundredth of what comes in. Where nodes check reads themselves, a replica unheard for a second is tried, as a miss is nearly free.

--- a/crates/benchlink/src/setup.rs
+++ b/crates/benchlink/src/setup.rs
@@ -97,6 +97,7 @@
         second_copies: pairs.read("policy_limits.second_copies")?,
         cancelling: pairs.read("policy_limits.cancelling")?,
         probes: pairs.read("policy_limits.probes")?,
+        probe_price: pairs.read_or("prices.probe", 0.0)?,
         retry_after: if pairs.read("policy_limits.retry_after")? {
             advice
         } else {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -122,6 +122,8 @@
     pub second_copies: bool,
     pub cancelling: bool,
     pub probes: bool,
+    /// What a probe costs, as a share of what an average statement is worth.
+    pub probe_price: f64,
     /// The longest advice to come back later that clients follow; 0 where none is passed on.
     pub retry_after: f64,
     /// The front's clock moves in steps of this.
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -14,6 +14,8 @@
 /// Health is looked over this often, also when nothing comes in; a lost primary is looked for at this pace.
 const BEAT_S: f64 = 0.05;
 const SEARCH_S: f64 = 0.1;
+/// A statement spends at most this share of an average one's worth on probes.
+const PROBE_SHARE: f64 = 0.1;
 /// A write that no member took is held for this share of its statement timeout.
 const HOLD_SHARE: f64 = 0.05;
 /// A node is silent once it owes this many answers by its own pace: with less, uneven work gives alarms.
@@ -43,7 +45,7 @@
     replication: Replication,
     cold: ColdStart,
     drain: Drain,
-    allowance: Allowance,
+    pub allowance: Allowance,
     pub routers: f64,
     /// When each customer was last heard, and its statements a second.
     usage: Vec<(f64, f64)>,
@@ -71,12 +73,13 @@
 type Rule = fn(&mut Instance, u32, f64, &mut dyn Outbox) -> bool;
 
 /// Gone through in this order for each touched statement until none fires.
-const STATEMENT_RULES: [Rule; 6] = [
+const STATEMENT_RULES: [Rule; 7] = [
     Instance::close_over,
     Instance::answer_last_moment,
     Instance::give_up_worthless,
     Instance::give_up_spent,
     Instance::send_next,
+    Instance::ask,
     Instance::copy_from_suspect,
 ];
 
@@ -156,7 +159,7 @@
     ) {
         let (mut s, kind) = (Statement::default(), self.workloads[workload]);
         (s.kind, s.group, s.session) = (kind, group, session);
-        (s.arrived, s.held_until, s.due) = (now, now, due);
+        (s.arrived, s.held_until, s.due, s.probed) = (now, now, due, NEVER);
         s.slo_end = now + (kind.slo + kind.slo_stretch * work).min(kind.timeout);
         s.served_as = [workload, customer];
         s.worth = kind.importance * self.within_quota(now, customer);
@@ -522,15 +525,18 @@
         fires
     }
 
-    /// A member unheard for a second; without a primary all writes of its group wait, so it is asked more often.
+    /// A member unheard for a second, where that is cheap against what this router takes in; else `ask` does.
     fn probe_unheard(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
-        let node = &self.nodes[&id];
-        let primary = self.groups[&node.group].primary.map(|p| &self.nodes[&p]);
-        let lost = primary.is_none_or(|p| p.suspected.is_some() || p.standing != Standing::Ready);
-        let wanted = lost && now - node.probed >= SEARCH_S || now - node.heard.max(node.probed) >= IDLE_S;
-        let fires = wanted && self.allowance.probes && !node.probing && node.standing == Standing::Ready;
+        let asked: f64 = self.groups.values().map(|g| g.asked.1).sum();
+        let cheap = self.nodes.len() as f64 * self.allowance.probe_price <= PROBE_SHARE * 0.1 * asked;
+        let unheard = now - self.nodes[&id].heard.max(self.nodes[&id].probed) >= IDLE_S;
+        cheap && unheard && self.probe(id, now, out)
+    }
+
+    fn probe(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
+        let node = self.nodes.get_mut(&id).expect("listed");
+        let fires = self.allowance.probes && !node.probing && node.standing == Standing::Ready;
         if fires {
-            let node = self.nodes.get_mut(&id).expect("listed");
             (node.probed, node.probing) = (now, true);
             out.probe(id);
         }
@@ -586,6 +592,19 @@
         false
     }
 
+    /// A statement that waits to know who leads, or a replica's position, asks for it, and spends on that at
+    /// most a small part of what it is worth: many routers that probed by the clock would cost more than they
+    /// serve. Harm: who asks nothing hears late of a new primary.
+    fn ask(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
+        let s = &self.statements[&stmt];
+        let Some(id) = self.unknown(s, now) else {
+            return false;
+        };
+        let s = self.statements.get_mut(&stmt).expect("open");
+        (s.probes, s.probed) = (s.probes + 1.0, now);
+        self.probe(id, now, out)
+    }
+
     /// What a suspect holds may never be answered. Harm: a node only slow for a moment does the work twice.
     fn copy_from_suspect(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
@@ -622,13 +641,13 @@
         match s.kind.currency {
             Currency::Primary if believed.is_none() => self.next_asked(s, now),
             Currency::Primary => primary,
-            Currency::OwnWrites if !self.marked(s, now) => self.rotate(stmt, now).or(primary),
+            Currency::OwnWrites if !self.marked(s, now) => self.spread(stmt, primary, now),
             // The design's relief: a replica known past the write, when the primary is full or slow.
             Currency::OwnWrites | Currency::Latest => {
                 let spare = primary.filter(|p| !self.slow(*p));
                 spare.or_else(|| self.rotate(stmt, now)).or(primary)
             }
-            Currency::Recent { .. } | Currency::Loose => self.rotate(stmt, now).or(primary),
+            Currency::Recent { .. } | Currency::Loose => self.spread(stmt, primary, now),
         }
     }
 
@@ -641,6 +660,49 @@
         self.nodes[&id].pace > 2.0 * self.pace(self.nodes[&id].group)
     }
 
+    /// A replica; the primary only when no probe may still tell of one.
+    fn spread(&mut self, stmt: u32, primary: Option<u32>, now: f64) -> Option<u32> {
+        let replica = self.rotate(stmt, now);
+        let s = &self.statements[&stmt];
+        let asking = || now - s.probed < BEAT_S && self.members(s.group).any(|m| m.1.probing);
+        let wait = || asking() || self.unknown(s, now).is_some();
+        replica.or_else(|| primary.filter(|_| !wait()))
+    }
+
+    fn members(&self, group: u16) -> impl Iterator<Item = (u32, &Node)> {
+        self.groups[&group].members.iter().map(|m| (*m, &self.nodes[m]))
+    }
+
+    /// The member to probe next for what a statement waits to know, if its worth bears the price.
+    fn unknown(&self, s: &Statement, now: f64) -> Option<u32> {
+        let dear = (s.probes + 1.0) * self.allowance.probe_price > PROBE_SHARE;
+        if dear || now - s.probed < SEARCH_S || s.live().next().is_some() {
+            return None;
+        }
+        let led = self.groups[&s.group].primary;
+        let lost = led
+            .is_none_or(|p| self.nodes[&p].suspected.is_some() || self.nodes[&p].standing != Standing::Ready);
+        let spreads = match s.kind.currency {
+            Currency::Recent { .. } => true,
+            Currency::OwnWrites => !self.marked(s, now),
+            _ => false,
+        };
+        let asks = |n: &Node| {
+            let known = if spreads { IDLE_S } else { SEARCH_S };
+            n.standing == Standing::Ready && !n.probing && now - n.probed >= known
+        };
+        let members = self.members(s.group).filter(|(_, n)| asks(n));
+        if spreads && !self.replication.checked {
+            let healthy = |m: &(u32, &Node)| Some(m.0) != led && m.1.suspected.is_none();
+            let stale = |m: &(u32, &Node)| healthy(m) && !self.current(s, m.0, now);
+            return members.filter(stale).map(|m| m.0).next();
+        }
+        let unasked = |n: &Node| (n.probed.max(n.denied), !n.listed_primary);
+        let search = members.filter(|_| lost && !spreads && s.kind.currency != Currency::Loose);
+        let next = search.min_by(|a, b| unasked(a.1).partial_cmp(&unasked(b.1)).expect("no NaN"));
+        next.map(|m| m.0)
+    }
+
     /// The next eligible replica from the group's counter, which wraps.
     fn rotate(&mut self, stmt: u32, now: f64) -> Option<u32> {
         let s = &self.statements[&stmt];
@@ -729,7 +791,7 @@
 
     /// Guards rule 4: in any window a cold node gets no more than its part of what warm nodes are seen to
     /// bear. All routers see their own part of that load, so their budgets add up, however uneven and however
-    /// far under one send a window each may be: what is left of a budget then goes to statements by their lot.
+    /// far under one send a window each may be: what is left under one goes to statements by their lot.
     pub fn bearable(&self, node: &Node, id: u32, s: &Statement, now: f64) -> bool {
         let warmth = node.warmth(&self.cold, now);
         if warmth >= 1.0 {
@@ -753,8 +815,11 @@
             Currency::Latest | Currency::OwnWrites => s.owed,
         };
         let leads = self.groups[&s.group].primary == Some(id) && node.claimed > node.denied;
-        // Where nodes check for themselves, a likely position will do: twice as far behind as last heard.
-        let likely = self.replication.checked && now - 2.0 * (node.heard - node.lsn) >= needed;
+        // Where nodes check for themselves, a likely position will do: twice as far behind as last heard, or
+        // not heard lately. A miss costs a moment, knowing all positions would cost probes.
+        let fresh = s.kind.currency != Currency::Latest && now - node.heard >= IDLE_S;
+        let likely = fresh || now - 2.0 * (node.heard - node.lsn) >= needed;
+        let likely = self.replication.checked && likely;
         leads || node.lsn >= needed || likely
     }
 
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -32,6 +32,9 @@
     pub worth: f64,
     /// Drawn by chance from 0 to 1: which statements go first where only a part of them may.
     pub lot: f64,
+    /// How many probes it asked for, and when it did last.
+    pub probes: f64,
+    pub probed: f64,
     pub executions: Vec<Execution>,
     pub held_until: f64,
     pub over: bool,
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -91,6 +91,7 @@
         second_copies: true,
         cancelling: true,
         probes: true,
+        probe_price: 0.03,
         retry_after: 1.0,
         step: 0.005,
     };
@@ -482,6 +483,21 @@
     );
 }
 
+/// Found at 280 routers: probes by the clock cost more than all statements were worth.
+#[test_case(0.03, &["probe 12"]; "a position that a waiting read needs is asked for")]
+#[test_case(0.2, &["execute 1 11"]; "not where the price is beyond what it is worth")]
+fn a_probe_is_asked_for_by_who_needs_it(price: f64, expected: &[&str]) {
+    let mut router = router(false);
+    router.allowance.probe_price = price;
+    for id in [B, C] {
+        router.nodes.get_mut(&id).unwrap().lsn = T - 5.0;
+    }
+    take(&mut router, T, 1, RECENT, 0, 0.0);
+    let mut seen = Seen::default();
+    router.settle(T, &mut seen);
+    assert_eq!(seen.0, expected);
+}
+
 #[test_case(1, 3.0; "within the quota")]
 #[test_case(60, 0.6; "far beyond it")]
 fn a_customer_beyond_its_quota_is_worth_less(times: u32, expected: f64) {
