--- a/crates/benchlink/src/codec.rs
+++ b/crates/benchlink/src/codec.rs
@@ -28,14 +28,9 @@
             return Ok(None);
         }
         if got < BATCH_HEADER {
-            return Err(format!(
-                "a batch's header ends after {got} of {BATCH_HEADER} bytes"
-            ));
+            return Err(format!("a batch's header ends after {got} of {BATCH_HEADER} bytes"));
         }
-        let mut fields = Fields {
-            bytes: &header,
-            at: 0,
-        };
+        let mut fields = Fields { bytes: &header, at: 0 };
         let (number, length, count) = (fields.u32(), fields.u32() as usize, fields.u32() as usize);
         let now = fields.f64() / 1e3;
         if !now.is_finite() {
@@ -51,12 +46,7 @@
         if got < length {
             return Err(format!("batch {number}: ends after {got} of {length} bytes"));
         }
-        Ok(Some(Batch {
-            number,
-            count,
-            now,
-            body,
-        }))
+        Ok(Some(Batch { number, count, now, body }))
     }
 
     /// The code of a record, and its fields.
@@ -71,10 +61,7 @@
         let from = offset as usize;
         let to = from.saturating_add((length as usize).saturating_mul(size));
         tail.get(from..to).ok_or_else(|| {
-            format!(
-                "bytes {from} to {to} lie outside the tail, which has {} bytes",
-                tail.len()
-            )
+            format!("bytes {from} to {to} lie outside the tail, which has {} bytes", tail.len())
         })
     }
 }
--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -21,10 +21,7 @@
     fn execute(&mut self, stmt: u32, node: u32, limit: f64) {
         // A negative limit has run out, but 0 would mean none at all.
         let limit = if limit > 0.0 { limit * 1e3 } else { -1.0 };
-        self.0.record(
-            90,
-            &[&stmt.to_le_bytes(), &node.to_le_bytes(), &limit.to_le_bytes()],
-        );
+        self.0.record(90, &[&stmt.to_le_bytes(), &node.to_le_bytes(), &limit.to_le_bytes()]);
     }
 
     fn cancel(&mut self, stmt: u32, execution: u8) {
@@ -32,8 +29,7 @@
     }
 
     fn reject(&mut self, stmt: u32, retry_after: f64) {
-        self.0
-            .record(130, &[&stmt.to_le_bytes(), &(retry_after * 1e3).to_le_bytes()]);
+        self.0.record(130, &[&stmt.to_le_bytes(), &(retry_after * 1e3).to_le_bytes()]);
     }
 
     fn abort(&mut self, stmt: u32) {
@@ -65,9 +61,7 @@
     let mut reply = Reply::default();
     while let Some(batch) = Batch::read(input)? {
         link.answer(&batch, &mut reply)?;
-        reply
-            .send(batch.number, output)
-            .map_err(|e| format!("batch {}: {e}", batch.number))?;
+        reply.send(batch.number, output).map_err(|e| format!("batch {}: {e}", batch.number))?;
     }
     Ok(())
 }
@@ -106,28 +100,18 @@
     }
 
     pub fn fault(
-        &mut self,
-        id: Option<u32>,
-        panic: Box<dyn std::any::Any + Send>,
-        reply: &mut Reply,
+        &mut self, id: Option<u32>, panic: Box<dyn std::any::Any + Send>, reply: &mut Reply,
     ) -> Result<(), String> {
         let text = panic.downcast_ref::<String>().map(String::as_str);
-        let text = text
-            .or_else(|| panic.downcast_ref::<&str>().copied())
-            .unwrap_or("the module panicked");
+        let text = text.or_else(|| panic.downcast_ref::<&str>().copied()).unwrap_or("the module panicked");
         reply.record(30, &[&id.unwrap_or(0).to_le_bytes()]);
         reply.text(110, text);
         Ok(())
     }
 
     fn event(
-        &mut self,
-        batch: &Batch,
-        code: u8,
-        mut f: Fields<'_>,
-        present: &mut Option<u32>,
-        spoken_to: &mut BTreeSet<u32>,
-        reply: &mut Reply,
+        &mut self, batch: &Batch, code: u8, mut f: Fields<'_>, present: &mut Option<u32>,
+        spoken_to: &mut BTreeSet<u32>, reply: &mut Reply,
     ) -> Result<(), String> {
         let now = batch.now;
         if code == 120 {
@@ -136,10 +120,8 @@
         }
         if code == 110 {
             let (number, span) = (f.u16(), f.span());
-            let list = self
-                .lists
-                .get_mut(usize::from(number))
-                .ok_or(format!("list number {number} is over 15"))?;
+            let list =
+                self.lists.get_mut(usize::from(number)).ok_or(format!("list number {number} is over 15"))?;
             *list = Some(batch.tail(span, ENTRY_BYTES)?.to_vec());
             return Ok(());
         }
@@ -192,17 +174,7 @@
                     return Err(format!("class {workload} is not in the settings"));
                 }
                 let work = if options & 1 == 1 { hint } else { 0.0 };
-                instance.arrived(
-                    now,
-                    stmt,
-                    workload,
-                    group,
-                    session,
-                    usize::from(customer),
-                    work,
-                    due,
-                    age,
-                );
+                instance.arrived(now, stmt, workload, group, session, usize::from(customer), work, due, age);
             }
             40 => instance.started(f.u32()),
             50 => {
@@ -214,22 +186,9 @@
                     _ => None,
                 };
                 let position = note / 4;
-                let lsn = if position > 0 {
-                    reading.origin + f64::from(position) / 1e3
-                } else {
-                    f64::NEG_INFINITY
-                };
-                instance.executed(
-                    now,
-                    stmt,
-                    execution,
-                    node,
-                    ending(outcome)?,
-                    took,
-                    over,
-                    role,
-                    lsn,
-                );
+                let lsn =
+                    if position > 0 { reading.origin + f64::from(position) / 1e3 } else { f64::NEG_INFINITY };
+                instance.executed(now, stmt, execution, node, ending(outcome)?, took, over, role, lsn);
                 if let (n, values) = f.report()
                     && n > 0
                 {
@@ -259,9 +218,8 @@
     /// down is sure not to be past it.
     fn report(&self, n: u8, values: [f32; 4]) -> (Option<bool>, f64) {
         let value = |column: Option<usize>| column.filter(|c| *c < usize::from(n)).map(|c| values[c]);
-        let lsn = value(self.position_column).map_or(f64::NEG_INFINITY, |x| {
-            self.origin + f64::from(x.next_down().max(0.0))
-        });
+        let lsn = value(self.position_column)
+            .map_or(f64::NEG_INFINITY, |x| self.origin + f64::from(x.next_down().max(0.0)));
         (value(self.role_column).map(|x| x >= 0.5), lsn)
     }
 }
--- a/crates/benchlink/src/tests.rs
+++ b/crates/benchlink/src/tests.rs
@@ -31,9 +31,7 @@
 }
 
 fn batch(now: f64, records: &[Vec<u8>], tail: &[u8]) -> Batch {
-    Batch::read(&mut &frame(1, now, records, tail)[..])
-        .unwrap()
-        .unwrap()
+    Batch::read(&mut &frame(1, now, records, tail)[..]).unwrap().unwrap()
 }
 
 const SETUP: &str = "classes.count=2
@@ -85,12 +83,7 @@
     list.extend(lines.to_le_bytes());
     list.extend(members);
     list.resize(EVENT_BYTES, 0);
-    let mut all = vec![
-        record("78 03000000"),
-        open,
-        list,
-        record("14 0000 01 2900000000000000"),
-    ];
+    let mut all = vec![record("78 03000000"), open, list, record("14 0000 01 2900000000000000")];
     all.extend(records.iter().map(|r| record(r)));
     let mut output = Vec::new();
     let input = frame(1, 45200.0, &all, &[SETUP.as_bytes(), &entry].concat());
@@ -105,11 +98,7 @@
 #[test]
 fn an_empty_batch_gets_an_empty_reply() {
     let mut output = Vec::new();
-    serve(
-        &mut &hex("01000000 00000000 00000000 00000000206ec040")[..],
-        &mut output,
-    )
-    .unwrap();
+    serve(&mut &hex("01000000 00000000 00000000 00000000206ec040")[..], &mut output).unwrap();
     assert_eq!(output, hex("01000000 00000000 00000000"));
 }
 
@@ -123,10 +112,7 @@
     assert_eq!((read.number, read.count, read.now), (1, 2, 8.41225));
     let (code, mut f) = read.record(1);
     assert_eq!((code, f.u32(), f.u16(), f.seconds()), (30, 0x5d3a_91c4, 0, 0.012));
-    assert_eq!(
-        (f.u64(), f.u16(), f.seconds()),
-        (0x91f0_3b7c_55d2_0a64, 0, 8.65225)
-    );
+    assert_eq!((f.u64(), f.u16(), f.seconds()), (0x91f0_3b7c_55d2_0a64, 0, 8.65225));
     assert_eq!((f.u8(), f.f32(), f.f32()), (1, 11.0, 412.5));
 }
 
@@ -157,15 +143,10 @@
 #[test]
 fn a_panic_is_told_as_in_the_worked_example() {
     let (mut reply, mut output) = (Reply::default(), Vec::new());
-    Link::default()
-        .fault(Some(3), Box::new("index out of range"), &mut reply)
-        .unwrap();
+    Link::default().fault(Some(3), Box::new("index out of range"), &mut reply).unwrap();
     reply.send(1, &mut output).unwrap();
     let fault = format!("6e 00000000 12000000 {}", "00".repeat(15));
-    assert_eq!(
-        output[12 + 24..],
-        hex(&(fault + "696e646578206f7574206f662072616e6765"))
-    );
+    assert_eq!(output[12 + 24..], hex(&(fault + "696e646578206f7574206f662072616e6765")));
 }
 
 #[test]
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -150,17 +150,11 @@
 impl Ending {
     /// The node itself answered.
     pub fn spoken(self) -> bool {
-        matches!(
-            self,
-            Ending::Completed | Ending::Missed | Ending::TurnedAway | Ending::Errored
-        )
+        matches!(self, Ending::Completed | Ending::Missed | Ending::TurnedAway | Ending::Errored)
     }
 
     pub fn proves_unrun(self) -> bool {
-        matches!(
-            self,
-            Ending::Missed | Ending::TurnedAway | Ending::Unconnected | Ending::Moot
-        )
+        matches!(self, Ending::Missed | Ending::TurnedAway | Ending::Unconnected | Ending::Moot)
     }
 }
 
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -91,15 +91,8 @@
 /// Inputs: they record facts and note what they touch.
 impl Instance {
     pub fn new(
-        seed: u64,
-        routers: usize,
-        workloads: Vec<Workload>,
-        quotas: Vec<Quota>,
-        fairness: Fairness,
-        replication: Replication,
-        cold: ColdStart,
-        drain: Drain,
-        allowance: Allowance,
+        seed: u64, routers: usize, workloads: Vec<Workload>, quotas: Vec<Quota>, fairness: Fairness,
+        replication: Replication, cold: ColdStart, drain: Drain, allowance: Allowance,
     ) -> Instance {
         let mut born = Instance::default();
         (born.chance, born.routers) = (fastrand::Rng::with_seed(seed), routers.max(1) as f64);
@@ -148,16 +141,8 @@
     }
 
     pub fn arrived(
-        &mut self,
-        now: f64,
-        stmt: u32,
-        workload: usize,
-        group: u16,
-        session: u64,
-        customer: usize,
-        work: f64,
-        due: f64,
-        write_age: f64,
+        &mut self, now: f64, stmt: u32, workload: usize, group: u16, session: u64, customer: usize,
+        work: f64, due: f64, write_age: f64,
     ) {
         let (mut s, kind) = (Statement::default(), self.workloads[workload]);
         (s.kind, s.group, s.session) = (kind, group, session);
@@ -203,16 +188,8 @@
 
     /// An execution ended. `lsn` is minus infinity where the answer told no position.
     pub fn executed(
-        &mut self,
-        now: f64,
-        stmt: u32,
-        execution: u8,
-        id: u32,
-        ending: Ending,
-        took: f64,
-        over: bool,
-        role: Option<Role>,
-        lsn: f64,
+        &mut self, now: f64, stmt: u32, execution: u8, id: u32, ending: Ending, took: f64, over: bool,
+        role: Option<Role>, lsn: f64,
     ) {
         let mut statement = self.statements.get_mut(&stmt);
         let committed = statement.as_ref().is_some_and(|s| s.writes()) && ending == Ending::Completed;
@@ -238,10 +215,7 @@
                 s.held_until = now + s.hold();
             }
             // An error may be the statement's own fault: it is the node's once another completes the same.
-            let elsewhere = s
-                .executions
-                .iter()
-                .filter(|e| ending == Ending::Completed && e.node != id);
+            let elsewhere = s.executions.iter().filter(|e| ending == Ending::Completed && e.node != id);
             for e in elsewhere.filter(|e| e.ended == Some(Ending::Errored)) {
                 self.nodes.get_mut(&e.node).expect("listed").faults += 1;
             }
@@ -383,11 +357,7 @@
     /// The share of its capacity that a node is sure to have by now, had it warmed as slowly as is allowed.
     pub fn warmth(&self, cold: &ColdStart, now: f64) -> f64 {
         let warmed = ((now - self.since) / cold.lasts).clamp(0.0, 1.0);
-        if self.since > 0.0 {
-            cold.share + (1.0 - cold.share) * warmed
-        } else {
-            1.0
-        }
+        if self.since > 0.0 { cold.share + (1.0 - cold.share) * warmed } else { 1.0 }
     }
 
     /// Guards rule 3: nothing new once told that the node drains or is gone. A draining primary may still
@@ -413,14 +383,10 @@
 
 /// The shares of a statement's workload and customer.
 fn shares_of<'a>(
-    shares: &'a mut [Vec<(f64, f64)>; 2],
-    s: &Statement,
+    shares: &'a mut [Vec<(f64, f64)>; 2], s: &Statement,
 ) -> impl Iterator<Item = &'a mut (f64, f64)> {
     let served_as = s.served_as;
-    shares
-        .iter_mut()
-        .zip(served_as)
-        .filter_map(|(all, i)| all.get_mut(i))
+    shares.iter_mut().zip(served_as).filter_map(|(all, i)| all.get_mut(i))
 }
 
 /// What serving one more of the worst-served adds to its share, against the same worth anywhere: the smaller
@@ -429,10 +395,7 @@
     let served = |s: &(f64, f64)| if s.0 > 0.0 { s.1 / s.0 } else { 1.0 };
     let worst = shares.iter().map(served).fold(f64::INFINITY, f64::min);
     let all: f64 = shares.iter().map(|s| s.0).sum();
-    shares
-        .get(index)
-        .filter(|s| served(s) <= worst)
-        .map_or(0.0, |s| all / s.0)
+    shares.get(index).filter(|s| served(s) <= worst).map_or(0.0, |s| all / s.0)
 }
 
 /// Settling.
@@ -473,10 +436,7 @@
         let left = if late { s.kind.late_worth } else { 1.0 };
         let [workload, customer] = [0, 1].map(|i| lift(&self.shares[i], s.served_as[i]));
         let lifted = workload * self.fairness.worst_workload + customer * self.fairness.worst_customer;
-        (
-            -(s.worth * left * (self.fairness.whole + lifted) * 1e3) as i64,
-            -(s.arrived * 1e6) as i64,
-        )
+        (-(s.worth * left * (self.fairness.whole + lifted) * 1e3) as i64, -(s.arrived * 1e6) as i64)
     }
 
     fn look_over(&mut self, now: f64, out: &mut dyn Outbox) {
@@ -500,9 +460,7 @@
             let group = self.groups.get_mut(id).expect("known");
             let members = group.members.iter().map(|m| (&self.nodes[m], *m));
             let claims = members.filter(|(n, _)| n.claimed > n.denied);
-            let last = claims
-                .max_by(|a, b| a.0.claimed.total_cmp(&b.0.claimed))
-                .map(|c| c.1);
+            let last = claims.max_by(|a, b| a.0.claimed.total_cmp(&b.0.claimed)).map(|c| c.1);
             if last != group.primary {
                 let before = group.primary;
                 out.log(&format!("{now:.3} group {id}: primary {before:?} -> {last:?}"));
@@ -526,10 +484,7 @@
         let owed = node.awaited * node.warmth(&self.cold, now) / node.pace.max(usual);
         let fires = node.suspected.is_none() && (owed > OWED_ANSWERS || node.faults >= FAULTS);
         if fires {
-            out.log(&format!(
-                "{now:.3} node {id}: suspect, {owed:.0} answers owed, {} faults",
-                node.faults
-            ));
+            out.log(&format!("{now:.3} node {id}: suspect, {owed:.0} answers owed, {} faults", node.faults));
             (node.suspected, node.trials, node.trial_at) = (Some(now), 0, now);
         }
         fires
@@ -579,11 +534,7 @@
     /// Nothing is out and nothing more may be sent, or it errs wherever it goes: more work for nothing.
     fn give_up_spent(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
-        let errors = s
-            .executions
-            .iter()
-            .filter(|e| e.ended == Some(Ending::Errored))
-            .count();
+        let errors = s.executions.iter().filter(|e| e.ended == Some(Ending::Errored)).count();
         let spent = s.executions.len() >= self.allowance.executions || !self.repeatable(s, None, now);
         let spent = spent || errors >= ERRORS;
         spent && s.live().next().is_none() && self.conclude(stmt, out)
@@ -742,15 +693,9 @@
         let asked = members.filter(|m| now - self.nodes[m].denied >= s.hold());
         let listed = |n: &Node| n.listed_primary && n.denied == NEVER;
         let rank = |m: &u32| {
-            if listed(&self.nodes[m]) {
-                f64::INFINITY
-            } else {
-                self.nodes[m].lsn
-            }
+            if listed(&self.nodes[m]) { f64::INFINITY } else { self.nodes[m].lsn }
         };
-        asked
-            .filter(|m| self.open(s, *m, now))
-            .max_by(|a, b| rank(a).total_cmp(&rank(b)))
+        asked.filter(|m| self.open(s, *m, now)).max_by(|a, b| rank(a).total_cmp(&rank(b)))
     }
 
     /// Whether a node may be chosen now: in health or on trial, with room, and not met in vain.
@@ -885,17 +830,9 @@
         let Some(s) = self.statements.remove(&stmt) else {
             return false;
         };
-        self.groups
-            .get_mut(&s.group)
-            .expect("known")
-            .waiting
-            .remove(&stmt);
-        let live = (0..)
-            .zip(&s.executions)
-            .filter(|e| e.1.ended.is_none())
-            .map(|e| (stmt, e.0));
-        self.cancels
-            .extend(live.filter(|_| self.allowance.cancelling && s.due.is_finite()));
+        self.groups.get_mut(&s.group).expect("known").waiting.remove(&stmt);
+        let live = (0..).zip(&s.executions).filter(|e| e.1.ended.is_none()).map(|e| (stmt, e.0));
+        self.cancels.extend(live.filter(|_| self.allowance.cancelling && s.due.is_finite()));
         true
     }
 }
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -89,11 +89,7 @@
 
 impl Execution {
     pub fn new(node: u32, sent: f64) -> Execution {
-        Execution {
-            node,
-            sent,
-            ended: None,
-        }
+        Execution { node, sent, ended: None }
     }
 }
 
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -42,23 +42,12 @@
 }
 
 fn workload(currency: Currency, repeat: Repeat, importance: f64) -> Workload {
-    Workload {
-        slo: 0.4,
-        slo_stretch: 0.0,
-        timeout: 2.0,
-        importance,
-        late_worth: 0.2,
-        repeat,
-        currency,
-    }
+    Workload { slo: 0.4, slo_stretch: 0.0, timeout: 2.0, importance, late_worth: 0.2, repeat, currency }
 }
 
 /// One group: A the primary, B and C replicas that stand at the present; nothing checked by the nodes.
 fn router(checked: bool) -> Instance {
-    let within = Repeat::Deduplicated {
-        within: Within::Group,
-        memory: 1.2,
-    };
+    let within = Repeat::Deduplicated { within: Within::Group, memory: 1.2 };
     let workloads = vec![
         workload(Currency::Primary, within, 6.0),
         workload(Currency::OwnWrites, Repeat::Idempotent, 1.0),
@@ -67,25 +56,10 @@
         workload(Currency::Latest, Repeat::Idempotent, 1.0),
         workload(Currency::Primary, Repeat::NonIdempotent, 6.0),
     ];
-    let fairness = Fairness {
-        whole: 1.0,
-        worst_workload: 0.0,
-        worst_customer: 0.0,
-    };
-    let replication = Replication {
-        checked,
-        carried: true,
-    };
-    let cold = ColdStart {
-        share: 0.2,
-        lasts: 10.0,
-        factor: 2.0,
-        window: 1.0,
-    };
-    let drain = Drain {
-        grace: 0.5,
-        only_draining: false,
-    };
+    let fairness = Fairness { whole: 1.0, worst_workload: 0.0, worst_customer: 0.0 };
+    let replication = Replication { checked, carried: true };
+    let cold = ColdStart { share: 0.2, lasts: 10.0, factor: 2.0, window: 1.0 };
+    let drain = Drain { grace: 0.5, only_draining: false };
     let allowance = Allowance {
         executions: 8,
         second_copies: true,
@@ -95,21 +69,8 @@
         retry_after: 1.0,
         step: 0.005,
     };
-    let quotas = vec![Quota {
-        per_s: 10.0,
-        beyond: 0.2,
-    }];
-    let mut router = Instance::new(
-        7,
-        2,
-        workloads,
-        quotas,
-        fairness,
-        replication,
-        cold,
-        drain,
-        allowance,
-    );
+    let quotas = vec![Quota { per_s: 10.0, beyond: 0.2 }];
+    let mut router = Instance::new(7, 2, workloads, quotas, fairness, replication, cold, drain, allowance);
     router.listing();
     for id in [A, B, C] {
         router.member(T, id, (G, 0), Standing::Ready, 0.0, id == A);
@@ -140,11 +101,7 @@
 }
 
 fn sent(node: u32, at: f64, ended: Option<Ending>) -> Execution {
-    Execution {
-        node,
-        sent: at,
-        ended,
-    }
+    Execution { node, sent: at, ended }
 }
 
 #[test_case(WRITE, 0, 0.0, A; "a write goes to the primary")]
@@ -235,23 +192,10 @@
     assert_eq!(settle(&mut router, T), ["execute 1 13", "execute 2 13"]);
     for stmt in [1, 2] {
         let none = f64::NEG_INFINITY;
-        router.executed(
-            T,
-            stmt,
-            0,
-            C,
-            Ending::Missed,
-            0.001,
-            false,
-            Some(Role::Replica),
-            none,
-        );
+        router.executed(T, stmt, 0, C, Ending::Missed, 0.001, false, Some(Role::Replica), none);
     }
     assert!(settle(&mut router, T).is_empty(), "held after the round");
-    assert!(
-        !settle(&mut router, T + 0.11).is_empty(),
-        "tried again after the hold"
-    );
+    assert!(!settle(&mut router, T + 0.11).is_empty(), "tried again after the hold");
 }
 
 /// Found on reading: held writes sat out their hold although the new primary was known.
@@ -260,9 +204,7 @@
     let mut router = router(false);
     router.nodes.get_mut(&A).unwrap().denied = T + 0.1;
     settle(&mut router, T + 0.1);
-    [A, B, C]
-        .iter()
-        .for_each(|id| router.nodes.get_mut(id).unwrap().denied = T + 0.1);
+    [A, B, C].iter().for_each(|id| router.nodes.get_mut(id).unwrap().denied = T + 0.1);
     take(&mut router, T + 0.1, 1, ONCE, 0, 0.0);
     assert!(settle(&mut router, T + 0.1).is_empty());
     router.reported(T + 0.15, B, Some(true), T + 0.14);
@@ -380,10 +322,7 @@
     let mut router = router(false);
     take(&mut router, T, 1, workload, 0, 0.0);
     push(&mut router, sent(A, T, Some(ending)));
-    assert_eq!(
-        router.repeatable(&router.statements[&1], Some(A), T + later),
-        expected
-    );
+    assert_eq!(router.repeatable(&router.statements[&1], Some(A), T + later), expected);
 }
 
 #[test_case(LOOSE, None, "reject 1"; "a read may always be tried again")]
@@ -396,16 +335,8 @@
     push(&mut router, sent(A, T, ended));
     let end = T + 2.0 - 0.01;
     let said = settle(&mut router, end);
-    assert_eq!(
-        said.iter()
-            .filter(|l| !l.starts_with("cancel"))
-            .collect::<Vec<_>>(),
-        [expected]
-    );
-    assert!(
-        settle(&mut router, end + 0.05).is_empty(),
-        "nothing is sent after it"
-    );
+    assert_eq!(said.iter().filter(|l| !l.starts_with("cancel")).collect::<Vec<_>>(), [expected]);
+    assert!(settle(&mut router, end + 0.05).is_empty(), "nothing is sent after it");
 }
 
 #[test]
@@ -414,17 +345,7 @@
     take(&mut router, T, 1, LOOSE, 0, 0.0);
     let executions = vec![sent(B, T, None), sent(C, T, None)];
     router.statements.get_mut(&1).unwrap().executions = executions;
-    router.executed(
-        T + 0.1,
-        1,
-        0,
-        B,
-        Ending::Completed,
-        0.1,
-        true,
-        Some(Role::Replica),
-        T,
-    );
+    router.executed(T + 0.1, 1, 0, B, Ending::Completed, 0.1, true, Some(Role::Replica), T);
     assert_eq!(settle(&mut router, T + 0.1), ["cancel 1 1"]);
 }
 
@@ -444,10 +365,7 @@
 fn drains(standing: Standing, later: f64, last_resort: bool, expected: bool) {
     let mut router = router(false);
     router.member(T, B, (G, 0), standing, 0.0, false);
-    let drain = Drain {
-        grace: 0.5,
-        only_draining: false,
-    };
+    let drain = Drain { grace: 0.5, only_draining: false };
     assert_eq!(router.nodes[&B].closed(&drain, last_resort, T + later), expected);
 }
 
@@ -478,10 +396,7 @@
     router.statements.get_mut(&1).unwrap().lot = drawn;
     router.groups.get_mut(&G).unwrap().asked = (T, 1.0);
     let statement = &router.statements[&1];
-    assert_eq!(
-        router.bearable(&router.nodes[&B], B, statement, T + 0.5),
-        expected
-    );
+    assert_eq!(router.bearable(&router.nodes[&B], B, statement, T + 0.5), expected);
 }
 
 /// Found at 280 routers: probes by the clock cost more than all statements were worth.
@@ -506,9 +421,7 @@
 fn errors_follow_the_node_or_the_statement(before: &[u32], ending: Ending, faults: u32, expected: &[&str]) {
     let mut router = router(false);
     take(&mut router, T, 1, LOOSE, 0, 0.0);
-    before
-        .iter()
-        .for_each(|id| push(&mut router, sent(*id, T, Some(Ending::Errored))));
+    before.iter().for_each(|id| push(&mut router, sent(*id, T, Some(Ending::Errored))));
     push(&mut router, sent(C, T, None));
     let over = ending == Ending::Completed;
     router.executed(T, 1, 1, C, ending, 0.1, over, Some(Role::Replica), T);
@@ -573,17 +486,7 @@
     let before = router.nodes[&B].room;
     router.statements.insert(1, Statement::default());
     for _ in 0..5 {
-        router.executed(
-            T,
-            1,
-            0,
-            B,
-            Ending::TurnedAway,
-            0.0,
-            false,
-            None,
-            f64::NEG_INFINITY,
-        );
+        router.executed(T, 1, 0, B, Ending::TurnedAway, 0.0, false, None, f64::NEG_INFINITY);
     }
     assert!((router.nodes[&B].room - before * 0.9).abs() < 1e-9);
 }
