Rooms in parts of an execution, given to the worthiest by lot

Now a room may be a part of an execution; a strained node gets the part of a router's statements that fits, the worthiest by lot. 'Full' counts as strain.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -117,7 +117,7 @@
             members.insert(self.chance.usize(0..=members.len()), id);
         }
         let node = self.nodes.entry(id).or_insert_with(|| {
-            let rooms = [ROOM, LEAST_ROOM].map(|room| (room / self.routers).max(1.0));
+            let rooms = [ROOM, LEAST_ROOM].map(|room| room / self.routers);
             // Until a node's own answers tell its pace, half of the shortest SLO time stands in.
             let slos = self.workloads.iter().map(|w| w.slo);
             let pace = slos.fold(f64::INFINITY, f64::min) / 2.0;
@@ -161,7 +161,7 @@
         s.fresh_age = write_age > 0.0 && write_age < MARK_S;
         self.schedule(due - 2.0 * self.allowance.step, stmt);
         self.schedule(s.slo_end, stmt);
-        s.lot = self.chance.f64();
+        s.lot = self.lot(workload);
         let asked = self.groups.entry(group).or_default();
         asked.waiting.insert(stmt);
         count(&mut asked.asked, now);
@@ -169,6 +169,23 @@
         self.touched_groups.insert(group);
     }
 
+    /// From 0 to 1, even over all statements: the worthier a workload, the lower its lots.
+    fn lot(&mut self, workload: usize) -> f64 {
+        let (mut before, mut all) = (0.0, 0.0);
+        let own = self.workloads[workload].importance;
+        let chance = self.chance.f64();
+        for (share, kind) in self.shares[0].iter().zip(&self.workloads) {
+            let count = share.0 / kind.importance.max(1e-9);
+            let part = if kind.importance > own {
+                1.0
+            } else {
+                f64::from(u8::from(kind.importance == own)) * chance
+            };
+            (before, all) = (before + count * part, all + count);
+        }
+        before / all
+    }
+
     /// What a customer sends beyond its quota is worth less; each router sees about its share of the traffic.
     fn within_quota(&mut self, now: f64, customer: usize) -> f64 {
         let Some((quota, usage)) = self.quotas.get(customer).zip(self.usage.get_mut(customer)) else {
@@ -331,7 +348,8 @@
                 self.strained(now, took, slo);
             }
             Ending::TimedOut => self.strained(now, took, slo),
-            Ending::TurnedAway => self.shrink(now),
+            // Who turns work away for want of room would have taken longer than anybody waits.
+            Ending::TurnedAway => self.strained(now, slo.unwrap_or(0.0), slo),
             Ending::Dropped => self.faults += 1,
             Ending::Unconnected => self.faults += FAULTS,
             Ending::Errored | Ending::Missed | Ending::Cancelled | Ending::Moot => {}
@@ -339,11 +357,13 @@
     }
 
     fn strained(&mut self, now: f64, took: f64, slo: Option<f64>) {
-        self.strain += (slo.map_or(self.strain, |slo| took / slo) - self.strain) * GAIN;
+        let gain = f64::max(GAIN, 1.0 - (-(now - self.strained_at) / MARK_S).exp());
+        self.strain += (slo.map_or(self.strain, |slo| took / slo) - self.strain) * gain;
+        self.strained_at = now;
         if self.strain > STRAIN {
             self.shrink(now);
         } else if self.out as f64 + 2.0 >= self.room {
-            self.room += 1.0 / self.room;
+            self.room += f64::min(1.0 / self.room, self.room);
         }
     }
 
@@ -706,7 +726,7 @@
         let met = s.executions.iter().any(|e| e.node == id && spent(e));
         let trial = node.on_trial(now) && s.kind.repeat != Repeat::NonIdempotent;
         let trusted = node.suspected.is_none() || trial || self.all_suspected(s.group);
-        !met && trusted && (node.out as f64) < node.room && self.permitted(s, id, now)
+        !met && trusted && self.has_room(s, id) && self.permitted(s, id, now)
     }
 
     /// A whole group that looks bad shares one trouble: suspicion alone never leaves it without a member.
@@ -752,7 +772,7 @@
 
     /// Guards rule 4: in any window a cold node gets no more than its part of what warm nodes are seen to
     /// bear. All routers see their own part of that load, so their budgets add up, however uneven and however
-    /// far under one send a window each may be: what is left under one goes to statements by their lot.
+    /// far under one send a window each may be.
     pub fn bearable(&self, node: &Node, id: u32, s: &Statement, now: f64) -> bool {
         let warmth = node.warmth(&self.cold, now);
         if warmth >= 1.0 {
@@ -761,12 +781,29 @@
         let (window, floor) = (self.cold.window, LEAST_ROOM / self.routers);
         let budget = (self.cold.factor * warmth * window * self.borne.1 / self.warm.max(1.0)).max(floor);
         let left = budget - node.sends.iter().filter(|at| now - **at < window).count() as f64;
-        // Another lot at each node, else a statement that one turns down would meet the same at its peers.
-        let lot = (s.lot + f64::from(id) * 0.618_033_988_75).fract();
-        let spared = left >= 1.0 || lot * self.groups[&s.group].asked.1 * window <= left;
+        let spared = left >= 1.0 || s.lot * self.asked(s.group, id) * window <= left;
         spared && (node.out as f64) < (node.room * warmth).max(1.0)
     }
 
+    /// Statements a second that would ask for this member if all were as good as another.
+    fn asked(&self, group: u16, id: u32) -> f64 {
+        let ready = self.members(group).filter(|m| m.1.standing == Standing::Ready).count().max(1);
+        let parts = if self.groups[&group].primary == Some(id) { ready.min(2) } else { ready };
+        self.groups[&group].asked.1 / parts as f64
+    }
+
+    /// With many routers each has room for a part of an execution: of what it would have out at the node on
+    /// average, at the strain seen there lately, the worthiest part goes. Guards against queues full of what
+    /// nobody waits for any more, which no count of one router's executions shows.
+    pub fn has_room(&self, s: &Statement, id: u32) -> bool {
+        let node = &self.nodes[&id];
+        if node.room >= 1.0 || node.strain <= STRAIN {
+            return (node.out as f64) < node.room.max(1.0);
+        }
+        let usual = self.asked(s.group, id) * node.strain * s.kind.slo;
+        node.out == 0 && s.lot * usual <= node.room
+    }
+
     /// Guards rule 5: a member not believed primary answers a read only from a position known to do.
     pub fn current(&self, s: &Statement, id: u32, now: f64) -> bool {
         let node = &self.nodes[&id];
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -64,6 +64,7 @@
     pub answers: f64,
     pub pace: f64,
     pub strain: f64,
+    pub strained_at: f64,
     pub room: f64,
     pub least_room: f64,
     pub cut: f64,
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -1,6 +1,6 @@
 //! Each test sets up just the state it needs, then calls one function.
 
-use crate::state::{Execution, Node, Statement};
+use crate::state::{Execution, Node};
 use crate::*;
 use test_case::test_case;
 
@@ -293,8 +293,8 @@
         (node.suspected, node.trial_at) = (Some(T - 9.0), T - 9.0);
     }
     router.nodes.get_mut(&A).unwrap().denied = T;
-    router.nodes.get_mut(&C).unwrap().room = 0.0;
-    router.nodes.get_mut(&A).unwrap().room = 0.0;
+    router.nodes.get_mut(&C).unwrap().out = 99;
+    router.nodes.get_mut(&A).unwrap().out = 99;
     take(&mut router, T, 1, workload, 0, 0.0);
     assert_eq!(router.choose(1, T), expected);
 }
@@ -354,7 +354,7 @@
     let mut router = router(false);
     take(&mut router, T, 1, LOOSE, 0, 0.0);
     router.statements.get_mut(&1).unwrap().kind.late_worth = 0.0;
-    router.nodes.values_mut().for_each(|n| n.room = 0.0);
+    router.nodes.values_mut().for_each(|n| n.out = 99);
     assert_eq!(settle(&mut router, T + 0.21), ["reject 1"]);
 }
 
@@ -391,9 +391,8 @@
     (router.borne, router.warm) = ((T, borne), 2.0);
     router.nodes.get_mut(&B).unwrap().sends = vec![T; already].into();
     take(&mut router, T, 1, LOOSE, 0, 0.0);
-    // The lot counts anew at each node: taken back to what it is at this one.
-    let drawn = (lot - f64::from(B) * 0.618_033_988_75).rem_euclid(1.0);
-    router.statements.get_mut(&1).unwrap().lot = drawn;
+
+    router.statements.get_mut(&1).unwrap().lot = lot;
     router.groups.get_mut(&G).unwrap().asked = (T, 1.0);
     let statement = &router.statements[&1];
     assert_eq!(router.bearable(&router.nodes[&B], B, statement, T + 0.5), expected);
@@ -444,7 +443,7 @@
     let mut router = router(false);
     router.nodes.get_mut(&A).unwrap().room = 1.0;
     for id in [B, C] {
-        router.nodes.get_mut(&id).unwrap().room = 0.0;
+        router.nodes.get_mut(&id).unwrap().out = 99;
     }
     take(&mut router, T, 1, LOOSE, 0, 0.0);
     take(&mut router, T, 2, WRITE, 0, 0.0);
@@ -484,9 +483,32 @@
 fn a_room_shrinks_once_a_jam() {
     let mut router = router(false);
     let before = router.nodes[&B].room;
-    router.statements.insert(1, Statement::default());
+    take(&mut router, T, 1, LOOSE, 0, 0.0);
     for _ in 0..5 {
         router.executed(T, 1, 0, B, Ending::TurnedAway, 0.0, false, None, f64::NEG_INFINITY);
     }
     assert!((router.nodes[&B].room - before * 0.9).abs() < 1e-9);
 }
+
+/// Found at 177 routers: one execution a router filled a node's queue with what nobody waited for any more.
+#[test_case(0.1, 0.9, true; "a node without strain takes all")]
+#[test_case(0.9, 0.1, true; "a strained one takes the lowest lots")]
+#[test_case(0.9, 0.9, false; "and leaves the others")]
+fn a_strained_node_has_room_for_a_part(strain: f64, lot: f64, expected: bool) {
+    let mut router = router(false);
+    let node = router.nodes.get_mut(&B).unwrap();
+    (node.room, node.strain) = (0.1, strain);
+    take(&mut router, T, 1, LOOSE, 0, 0.0);
+    router.groups.get_mut(&G).unwrap().asked = (T, 3.0);
+    router.statements.get_mut(&1).unwrap().lot = lot;
+    assert_eq!(router.has_room(&router.statements[&1], B), expected);
+}
+
+/// The worthiest workload's lots lie under those of the others.
+#[test]
+fn lots_go_by_worth() {
+    let mut router = router(false);
+    take(&mut router, T, 1, WRITE, 0, 0.0);
+    take(&mut router, T, 2, LOOSE, 0, 0.0);
+    assert!(router.statements[&2].lot >= 0.5);
+}
