Two unanswered in a row are a jam; copies while most of what is late stays out

A late answer is told from a lost one by what becomes of late executions: work is the statement's own, so what is only long beats its copy. A jam is told from losses by two unanswered in a row at a node.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -22,6 +22,8 @@
 const OWED_ANSWERS: f64 = 12.0;
 /// Faults, less one for each good answer, that make a node a suspect; not reaching it counts for all.
 const FAULTS: u32 = 3;
+/// An execution is overdue after so many times the pace: of answers that come at random, one in twenty is.
+const OVERDUE: f64 = 3.0;
 /// So many errors show that a statement errs by itself, whoever executes it.
 const ERRORS: usize = 2;
 /// A suspect's first trial comes after the one, and none waits longer than the other.
@@ -54,6 +56,8 @@
     /// Completions a second over all nodes, and how many warm nodes bear them.
     pub borne: (f64, f64),
     pub warm: f64,
+    /// The share of late executions that were never answered, lately.
+    pub in_vain: f64,
     pub fairness: Fairness,
     /// Importance asked for and met in time, by workload and by customer.
     pub shares: [Vec<(f64, f64)>; 2],
@@ -82,7 +86,7 @@
     Instance::give_up_spent,
     Instance::send_next,
     Instance::ask,
-    Instance::copy_from_suspect,
+    Instance::copy_overdue,
 ];
 
 /// Gone through for every node at each beat.
@@ -208,13 +212,20 @@
         &mut self, now: f64, stmt: u32, execution: u8, id: u32, ending: Ending, took: f64, over: bool,
         role: Option<Role>, lsn: f64,
     ) {
+        let ended =
+            |s: &Statement| s.executions.get(usize::from(execution)).is_some_and(|e| self.late(e, now));
+        if matches!(ending, Ending::Completed | Ending::TimedOut)
+            && self.statements.get(&stmt).is_some_and(ended)
+        {
+            self.learn(ending == Ending::Completed);
+        }
         let mut statement = self.statements.get_mut(&stmt);
         let committed = statement.as_ref().is_some_and(|s| s.writes()) && ending == Ending::Completed;
         if ending == Ending::Completed {
             count(&mut self.borne, now);
         }
         if let Some(node) = self.nodes.get_mut(&id) {
-            node.executed(now, ending, took, statement.as_ref().map(|s| s.kind.slo));
+            node.executed(now, ending, took, statement.as_ref().map(|s| s.kind.slo), self.in_vain > 0.5);
             // A commit is rounded up: the node is sure to stand only at what lies before.
             node.lsn = node.lsn.max(lsn - ROUNDING_S);
             match role {
@@ -332,7 +343,7 @@
         self.awaited_until = now;
     }
 
-    fn executed(&mut self, now: f64, ending: Ending, took: f64, slo: Option<f64>) {
+    fn executed(&mut self, now: f64, ending: Ending, took: f64, slo: Option<f64>, lossy: bool) {
         self.await_until(now);
         self.out = self.out.saturating_sub(1);
         if ending.spoken() {
@@ -345,32 +356,39 @@
                 (self.suspected, self.trials) = (self.suspected.filter(|_| self.faults >= FAULTS), 0);
                 self.answers += 1.0;
                 self.pace += (took - self.pace) * f64::max(GAIN, 1.0 / self.answers);
-                self.strained(now, took, slo);
+                self.missing = 0;
+                self.strained(now, slo.map_or(self.strain, |slo| took / slo));
             }
-            Ending::TimedOut => self.strained(now, took, slo),
             // Who turns work away for want of room would have taken longer than anybody waits.
-            Ending::TurnedAway => self.strained(now, slo.unwrap_or(0.0), slo),
+            Ending::TurnedAway => self.strained(now, 1.0),
             Ending::Dropped => self.faults += 1,
             Ending::Unconnected => self.faults += FAULTS,
+            Ending::TimedOut => self.unanswered(now, slo.map_or(0.0, |slo| took / slo), lossy),
             Ending::Errored | Ending::Missed | Ending::Cancelled | Ending::Moot => {}
         }
     }
 
-    fn strained(&mut self, now: f64, took: f64, slo: Option<f64>) {
+    /// What one more answer tells of the queue. Where answers come seldom each counts for more; room is cut once
+    /// for all that was out at one time: one jam is one sign, however many statements met it.
+    fn strained(&mut self, now: f64, share: f64) {
         let gain = f64::max(GAIN, 1.0 - (-(now - self.strained_at) / MARK_S).exp());
-        self.strain += (slo.map_or(self.strain, |slo| took / slo) - self.strain) * gain;
+        self.strain += (share - self.strain) * gain;
         self.strained_at = now;
-        if self.strain > STRAIN {
-            self.shrink(now);
-        } else if self.out as f64 + 2.0 >= self.room {
-            self.room += f64::min(1.0 / self.room, self.room);
+        if self.strain <= STRAIN {
+            let more =
+                if self.out as f64 + 2.0 >= self.room { f64::min(1.0 / self.room, self.room) } else { 0.0 };
+            self.room += more;
+        } else if now - self.cut >= self.pace {
+            (self.room, self.cut) = ((self.room * (1.0 - gain.min(0.5))).max(self.least_room), now);
         }
     }
 
-    /// Once for all that was out at one time: one jam is one sign, however many statements met it.
-    fn shrink(&mut self, now: f64) {
-        if now - self.cut >= self.pace {
-            (self.room, self.cut) = ((self.room * 0.9).max(self.least_room), now);
+    /// Nothing came back in this share of the SLO time. One by itself may be a lost answer, where late ones
+    /// mostly stay out; two in a row are a jam.
+    fn unanswered(&mut self, now: f64, share: f64, lossy: bool) {
+        self.missing += 1;
+        if share > self.strain && (self.missing > 1 || !lossy) {
+            self.strained(now, share);
         }
     }
 
@@ -532,15 +550,15 @@
 /// Rules for a statement.
 impl Instance {
     /// The client has its answer: what is still out would be work for nobody.
-    fn close_over(&mut self, stmt: u32, _now: f64, _out: &mut dyn Outbox) -> bool {
-        self.statements[&stmt].over && self.forget(stmt)
+    fn close_over(&mut self, stmt: u32, now: f64, _out: &mut dyn Outbox) -> bool {
+        self.statements[&stmt].over && self.forget(stmt, now)
     }
 
     /// Guards rule 1: whatever else is going on, the answer is out before the client's time is up.
     fn answer_last_moment(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
         let late = now >= s.due - 2.0 * self.allowance.step - ROUNDING_S;
-        late && self.conclude(stmt, out)
+        late && self.conclude(stmt, now, out)
     }
 
     /// Nothing it could still get is worth anything, or nothing sent now would be back in time.
@@ -548,7 +566,7 @@
         let s = &self.statements[&stmt];
         let sent = s.live().next().is_some();
         let needed = if sent { 0.0 } else { self.needed(s) };
-        now + needed >= s.last_use() && self.conclude(stmt, out)
+        now + needed >= s.last_use() && self.conclude(stmt, now, out)
     }
 
     /// Nothing is out and nothing more may be sent, or it errs wherever it goes: more work for nothing.
@@ -557,7 +575,7 @@
         let errors = s.executions.iter().filter(|e| e.ended == Some(Ending::Errored)).count();
         let spent = s.executions.len() >= self.allowance.executions || !self.repeatable(s, None, now);
         let spent = spent || errors >= ERRORS;
-        spent && s.live().next().is_none() && self.conclude(stmt, out)
+        spent && s.live().next().is_none() && self.conclude(stmt, now, out)
     }
 
     fn send_next(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
@@ -592,16 +610,13 @@
         self.probe(id, now, out)
     }
 
-    /// What a suspect holds may never be answered. Harm: a node only slow for a moment does the work twice.
-    fn copy_from_suspect(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
+    /// All that is out is overdue: a second copy where a repeat is harmless or dropped, whether answers got
+    /// lost or the node hangs or slows. Harm: a node only slow for a moment does the work twice.
+    fn copy_overdue(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
-        let live: Vec<&Execution> = s.live().collect();
-        let [only] = live[..] else { return false };
-        let trial = 2.0 * self.pace(s.group);
-        let stuck = |at: f64| only.sent <= at || now - only.sent > trial;
-        let fires = self.allowance.second_copies && self.nodes[&only.node].suspected.is_some_and(stuck);
-        // Never one that it is out at: `open` sees to that.
-        let other = if fires { self.choose(stmt, now) } else { None };
+        let fires = s.live().next().is_some() && s.live().all(|e| self.overdue(e, now));
+        let useful = fires && self.allowance.second_copies && now + self.needed(s) < s.last_use();
+        let other = if useful { self.choose(stmt, now) } else { None };
         other.is_some_and(|node| self.execute(stmt, node, now, out))
     }
 }
@@ -721,14 +736,39 @@
     /// Whether a node may be chosen now: in health or on trial, with room, and not met in vain.
     fn open(&self, s: &Statement, id: u32, now: f64) -> bool {
         let node = &self.nodes[&id];
-        let again = |e: &Execution| e.ended == Some(Ending::Missed) && now - e.sent > s.hold();
-        let spent = |e: &Execution| e.ended.is_none() || !s.writes() && !again(e);
-        let met = s.executions.iter().any(|e| e.node == id && spent(e));
+        let leads = self.groups[&s.group].primary == Some(id);
+        let again = |e: &Execution| match e.ended {
+            // Only the primary will do for some: what it answered may have got lost on the way.
+            None => leads && self.overdue(e, now),
+            Some(Ending::Missed) => s.writes() || now - e.sent > s.hold(),
+            Some(_) => s.writes(),
+        };
+        let met = s.executions.iter().any(|e| e.node == id && !again(e));
         let trial = node.on_trial(now) && s.kind.repeat != Repeat::NonIdempotent;
         let trusted = node.suspected.is_none() || trial || self.all_suspected(s.group);
         !met && trusted && self.has_room(s, id) && self.permitted(s, id, now)
     }
 
+    /// It may never be answered: sent to what is a suspect now, or late while what is late mostly stays out.
+    fn overdue(&self, e: &Execution, now: f64) -> bool {
+        let (node, usual) = (&self.nodes[&e.node], self.pace(self.nodes[&e.node].group));
+        let stuck = node.suspected.is_some_and(|at| e.sent <= at || now - e.sent > 2.0 * usual);
+        stuck || self.in_vain > 0.5 && self.late(e, now)
+    }
+
+    /// Out for several times the pace of a node that shows no strain: in a jam all is late.
+    fn late(&self, e: &Execution, now: f64) -> bool {
+        let node = &self.nodes[&e.node];
+        let strained = node.strain > 2.0 * STRAIN || node.suspected.is_some();
+        !strained && now - e.sent > OVERDUE * node.pace.max(self.pace(node.group))
+    }
+
+    /// Whether a late execution was answered in the end. Work is the statement's own, so one that is only long
+    /// beats its copy; a lost answer never comes. Only this parts the two, and copies of what is long are dear.
+    fn learn(&mut self, answered: bool) {
+        self.in_vain += (f64::from(u8::from(!answered)) - self.in_vain) * 2.0 * GAIN;
+    }
+
     /// A whole group that looks bad shares one trouble: suspicion alone never leaves it without a member.
     fn all_suspected(&self, group: u16) -> bool {
         let mut members = self.groups[&group].members.iter().map(|m| &self.nodes[m]);
@@ -848,7 +888,7 @@
     }
 
     /// The one way to a final answer of ours: a rejection only where trying again is harmless, else an abort.
-    fn conclude(&mut self, stmt: u32, out: &mut dyn Outbox) -> bool {
+    fn conclude(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
         let known = match s.kind.repeat {
             Repeat::Deduplicated { within, .. } => within == Within::Anywhere,
@@ -860,14 +900,21 @@
         } else {
             out.abort(stmt);
         }
-        self.forget(stmt)
+        self.forget(stmt, now)
     }
 
-    fn forget(&mut self, stmt: u32) -> bool {
+    fn forget(&mut self, stmt: u32, now: f64) -> bool {
         let Some(s) = self.statements.remove(&stmt) else {
             return false;
         };
         self.groups.get_mut(&s.group).expect("known").waiting.remove(&stmt);
+        for e in s.live() {
+            if self.late(e, now) {
+                self.learn(false);
+            }
+            let node = self.nodes.get_mut(&e.node).expect("listed");
+            node.unanswered(now, (now - e.sent) / s.kind.slo, self.in_vain > 0.5);
+        }
         let live = (0..).zip(&s.executions).filter(|e| e.1.ended.is_none()).map(|e| (stmt, e.0));
         self.cancels.extend(live.filter(|_| self.allowance.cancelling && s.due.is_finite()));
         true
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -64,6 +64,8 @@
     pub answers: f64,
     pub pace: f64,
     pub strain: f64,
+    /// Executions that ended without an answer since the last one that completed.
+    pub missing: u32,
     pub strained_at: f64,
     pub room: f64,
     pub least_room: f64,
