--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -388,7 +388,7 @@
     fn unanswered(&mut self, now: f64, share: f64, lossy: bool) {
         self.missing += 1;
         if share > self.strain && (self.missing > 1 || !lossy) {
-            self.strained(now, share);
+            self.strained(now, share.min(1.0));
         }
     }
 
@@ -746,7 +746,7 @@
         let met = s.executions.iter().any(|e| e.node == id && !again(e));
         let trial = node.on_trial(now) && s.kind.repeat != Repeat::NonIdempotent;
         let trusted = node.suspected.is_none() || trial || self.all_suspected(s.group);
-        !met && trusted && self.has_room(s, id) && self.permitted(s, id, now)
+        !met && trusted && self.has_room(s, id, now) && self.permitted(s, id, now)
     }
 
     /// It may never be answered: sent to what is a suspect now, or late while what is late mostly stays out.
@@ -835,12 +835,14 @@
     /// With many routers each has room for a part of an execution: of what it would have out at the node on
     /// average, at the strain seen there lately, the worthiest part goes. Guards against queues full of what
     /// nobody waits for any more, which no count of one router's executions shows.
-    pub fn has_room(&self, s: &Statement, id: u32) -> bool {
+    pub fn has_room(&self, s: &Statement, id: u32, now: f64) -> bool {
         let node = &self.nodes[&id];
-        if node.room >= 1.0 || node.strain <= STRAIN {
+        // No news is no strain: a node that was down must not stay out of use once it is back.
+        let strain = node.strain * (-(now - node.strained_at) / MARK_S).exp();
+        if node.room >= 1.0 || strain <= STRAIN {
             return (node.out as f64) < node.room.max(1.0);
         }
-        let usual = self.asked(s.group, id) * node.strain * s.kind.slo;
+        let usual = self.asked(s.group, id) * strain * s.kind.slo;
         node.out == 0 && s.lot * usual <= node.room
     }
 
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -498,11 +498,11 @@
 fn a_strained_node_has_room_for_a_part(strain: f64, lot: f64, expected: bool) {
     let mut router = router(false);
     let node = router.nodes.get_mut(&B).unwrap();
-    (node.room, node.strain) = (0.1, strain);
+    (node.room, node.strain, node.strained_at) = (0.1, strain, T);
     take(&mut router, T, 1, LOOSE, 0, 0.0);
     router.groups.get_mut(&G).unwrap().asked = (T, 3.0);
     router.statements.get_mut(&1).unwrap().lot = lot;
-    assert_eq!(router.has_room(&router.statements[&1], B), expected);
+    assert_eq!(router.has_room(&router.statements[&1], B, T), expected);
 }
 
 /// The worthiest workload's lots lie under those of the others.
