--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -24,6 +24,8 @@
 const FAULTS: u32 = 3;
 /// An execution is overdue after so many times the pace: of answers that come at random, one in twenty is.
 const OVERDUE: f64 = 3.0;
+/// Strain that no further answer confirms fades over this.
+const FADE_S: f64 = 10.0;
 /// So many errors show that a statement errs by itself, whoever executes it.
 const ERRORS: usize = 2;
 /// A suspect's first trial comes after the one, and none waits longer than the other.
@@ -838,7 +840,7 @@
     pub fn has_room(&self, s: &Statement, id: u32, now: f64) -> bool {
         let node = &self.nodes[&id];
         // No news is no strain: a node that was down must not stay out of use once it is back.
-        let strain = node.strain * (-(now - node.strained_at) / MARK_S).exp();
+        let strain = node.strain * (-(now - node.strained_at) / FADE_S).exp();
         if node.room >= 1.0 || strain <= STRAIN {
             return (node.out as f64) < node.room.max(1.0);
         }
