--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -133,7 +133,7 @@
         node.stands(at, now);
         if since > node.since + ROUNDING_S {
             (node.since, node.drained) = (since, at == Standing::Draining);
-            (node.suspected, node.faults) = (None, 0);
+            (node.suspected, node.faults, node.strain, node.missing) = (None, 0, 0.0, 0);
         }
         self.touched_groups.insert(group);
     }
