Where a drain alone binds, a node called gone serves until it fails itself

So the node's own word decides; where gone binds it stays closed. Guards also against old lists. Harm: one failed connection more a router at a node that is gone.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -50,7 +50,7 @@
     quotas: Vec<Quota>,
     replication: Replication,
     cold: ColdStart,
-    drain: Drain,
+    pub drain: Drain,
     pub allowance: Allowance,
     pub routers: f64,
     /// When each customer was last heard, and its statements a second.
@@ -406,10 +406,18 @@
         match self.standing {
             Standing::Ready => false,
             Standing::Draining => !last_resort || now - self.told > drain.grace / 2.0,
-            Standing::Gone => !(drain.only_draining && !self.drained && last_resort),
+            Standing::Gone => {
+                !drain.only_draining || self.drained || self.suspected.is_some() && !last_resort
+            }
         }
     }
 
+    /// Guards against a list that is wrong: where a drain alone binds, a node that is called gone without one
+    /// counts as in service until it fails itself. Harm: one failed connection more at a node that is gone.
+    fn in_service(&self, drain: &Drain) -> bool {
+        self.standing == Standing::Ready || !self.closed(drain, false, f64::INFINITY)
+    }
+
     /// A suspect is tried by one execution at a time, each trial later than the one before.
     fn on_trial(&self, now: f64) -> bool {
         now - self.trial_at >= (TRIAL_S * 2f64.powi(self.trials)).min(TRIAL_MAX_S)
@@ -483,7 +491,7 @@
         for id in self.nodes.keys().copied().collect::<Vec<u32>>() {
             while NODE_RULES.iter().any(|r| r(self, id, now, out)) {}
         }
-        let ready = self.nodes.values().filter(|n| n.standing == Standing::Ready);
+        let ready = self.nodes.values().filter(|n| n.in_service(&self.drain));
         self.warm = ready.map(|n| n.warmth(&self.cold, now)).sum();
         self.touched_groups.extend(self.groups.keys());
         let sent = self.statements.iter().filter(|s| s.1.live().next().is_some());
@@ -540,7 +548,7 @@
 
     fn probe(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let node = self.nodes.get_mut(&id).expect("listed");
-        let fires = self.allowance.probes && !node.probing && node.standing == Standing::Ready;
+        let fires = self.allowance.probes && !node.probing && node.in_service(&self.drain);
         if fires {
             (node.probed, node.probing) = (now, true);
             out.probe(id);
@@ -684,8 +692,8 @@
             return None;
         }
         let led = self.groups[&s.group].primary;
-        let lost = led
-            .is_none_or(|p| self.nodes[&p].suspected.is_some() || self.nodes[&p].standing != Standing::Ready);
+        let lost =
+            led.is_none_or(|p| self.nodes[&p].suspected.is_some() || !self.nodes[&p].in_service(&self.drain));
         let spreads = match s.kind.currency {
             Currency::Recent { .. } => true,
             Currency::OwnWrites => !self.marked(s, now),
@@ -693,7 +701,7 @@
         };
         let asks = |n: &Node| {
             let known = if spreads { IDLE_S } else { SEARCH_S };
-            n.standing == Standing::Ready && !n.probing && now - n.probed >= known
+            n.in_service(&self.drain) && !n.probing && now - n.probed >= known
         };
         let members = self.members(s.group).filter(|(_, n)| asks(n));
         if spreads && !self.replication.checked {
@@ -774,7 +782,7 @@
     /// A whole group that looks bad shares one trouble: suspicion alone never leaves it without a member.
     fn all_suspected(&self, group: u16) -> bool {
         let mut members = self.groups[&group].members.iter().map(|m| &self.nodes[m]);
-        members.all(|n| n.standing != Standing::Ready || n.suspected.is_some())
+        members.all(|n| !n.in_service(&self.drain) || n.suspected.is_some())
     }
 }
 
@@ -829,7 +837,7 @@
 
     /// Statements a second that would ask for this member if all were as good as another.
     fn asked(&self, group: u16, id: u32) -> f64 {
-        let ready = self.members(group).filter(|m| m.1.standing == Standing::Ready).count().max(1);
+        let ready = self.members(group).filter(|m| m.1.in_service(&self.drain)).count().max(1);
         let parts = if self.groups[&group].primary == Some(id) { ready.min(2) } else { ready };
         self.groups[&group].asked.1 / parts as f64
     }
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -369,6 +369,22 @@
     assert_eq!(router.nodes[&B].closed(&drain, last_resort, T + later), expected);
 }
 
+/// Found on a day on which the list called every node gone while all served: reads piled up on the primary.
+#[test_case(true, None, Some(B); "a drain alone binds: it serves on")]
+#[test_case(true, Some(T), None; "but not once it fails itself")]
+#[test_case(false, None, None; "where gone binds it stays closed")]
+fn called_gone_without_a_drain(only_draining: bool, suspected: Option<f64>, expected: Option<u32>) {
+    let mut router = router(false);
+    router.drain.only_draining = only_draining;
+    router.listing();
+    router.listed(T, true);
+    router.nodes.get_mut(&C).unwrap().drained = true;
+    router.nodes.get_mut(&B).unwrap().suspected = suspected;
+    router.nodes.get_mut(&A).unwrap().out = 99;
+    take(&mut router, T, 1, LOOSE, 0, 0.0);
+    assert_eq!(router.choose(1, T), expected);
+}
+
 #[test]
 fn a_whole_list_without_a_node_tells_that_it_is_gone() {
     let mut router = router(false);
