Who was out of reach counts as cold from then on

A router that met a failed or cut connection now budgets the node as if it had just started, whatever the list says. Should also guard against flapping that the list does not follow. Harm: a node that only has no connection to spare is spared for some seconds.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -49,7 +49,7 @@
     workloads: Vec<Workload>,
     quotas: Vec<Quota>,
     replication: Replication,
-    cold: ColdStart,
+    pub cold: ColdStart,
     pub drain: Drain,
     pub allowance: Allowance,
     pub routers: f64,
@@ -363,8 +363,9 @@
             }
             // Who turns work away for want of room would have taken longer than anybody waits.
             Ending::TurnedAway => self.strained(now, 1.0),
-            Ending::Dropped => self.faults += 1,
-            Ending::Unconnected => self.faults += FAULTS,
+            // Who is out of reach may be starting anew, whatever the list tells: it counts as cold from now on.
+            Ending::Dropped => (self.faults, self.fell) = (self.faults + 1, now),
+            Ending::Unconnected => (self.faults, self.fell) = (self.faults + FAULTS, now),
             Ending::TimedOut => self.unanswered(now, slo.map_or(0.0, |slo| took / slo), lossy),
             Ending::Errored | Ending::Missed | Ending::Cancelled | Ending::Moot => {}
         }
@@ -396,8 +397,9 @@
 
     /// The share of its capacity that a node is sure to have by now, had it warmed as slowly as is allowed.
     pub fn warmth(&self, cold: &ColdStart, now: f64) -> f64 {
-        let warmed = ((now - self.since) / cold.lasts).clamp(0.0, 1.0);
-        if self.since > 0.0 { cold.share + (1.0 - cold.share) * warmed } else { 1.0 }
+        let since = self.since.max(self.fell);
+        let warmed = ((now - since) / cold.lasts).clamp(0.0, 1.0);
+        if since > 0.0 { cold.share + (1.0 - cold.share) * warmed } else { 1.0 }
     }
 
     /// Guards rule 3: nothing new once told that the node drains or is gone. A draining primary may still
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -49,6 +49,8 @@
     pub told: f64,
     pub drained: bool,
     pub since: f64,
+    /// When it was last out of reach.
+    pub fell: f64,
     pub listed_primary: bool,
     pub roll: u64,
     /// Lower bound of its position: it only grows, also across a restart.
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -444,6 +444,15 @@
     assert_eq!(router.nodes[&B].faults, faults);
 }
 
+/// Found in an incident: nodes that restarted unannounced were pushed over within a second of their start.
+#[test_case(Ending::Unconnected, true; "out of reach")]
+#[test_case(Ending::Errored, false; "an error")]
+fn who_was_out_of_reach_may_be_cold(ending: Ending, expected: bool) {
+    let mut router = router(false);
+    router.executed(T, 99, 0, B, ending, 0.1, false, None, f64::NEG_INFINITY);
+    assert_eq!(router.nodes[&B].warmth(&router.cold, T + 1.0) < 1.0, expected);
+}
+
 #[test_case(1, 3.0; "within the quota")]
 #[test_case(60, 0.6; "far beyond it")]
 fn a_customer_beyond_its_quota_is_worth_less(times: u32, expected: f64) {
