--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -221,13 +221,15 @@
         {
             self.learn(ending == Ending::Completed);
         }
-        let mut statement = self.statements.get_mut(&stmt);
-        let committed = statement.as_ref().is_some_and(|s| s.writes()) && ending == Ending::Completed;
+        let committed = self.statements.get(&stmt).is_some_and(|s| s.writes()) && ending == Ending::Completed;
         if ending == Ending::Completed {
             count(&mut self.borne, now);
         }
+        let usual = self.nodes.get(&id).map_or(0.0, |n| self.asked(n.group, id) * n.pace);
+        let mut statement = self.statements.get_mut(&stmt);
         if let Some(node) = self.nodes.get_mut(&id) {
-            node.executed(now, ending, took, statement.as_ref().map(|s| s.kind.slo), self.in_vain > 0.5);
+            let slo = statement.as_ref().map(|s| s.kind.slo);
+            node.executed(now, ending, took, slo, usual, self.in_vain > 0.5);
             // A commit is rounded up: the node is sure to stand only at what lies before.
             node.lsn = node.lsn.max(lsn - ROUNDING_S);
             match role {
@@ -345,7 +347,7 @@
         self.awaited_until = now;
     }
 
-    fn executed(&mut self, now: f64, ending: Ending, took: f64, slo: Option<f64>, lossy: bool) {
+    fn executed(&mut self, now: f64, ending: Ending, took: f64, slo: Option<f64>, usual: f64, lossy: bool) {
         self.await_until(now);
         self.out = self.out.saturating_sub(1);
         if ending.spoken() {
@@ -359,39 +361,39 @@
                 self.answers += 1.0;
                 self.pace += (took - self.pace) * f64::max(GAIN, 1.0 / self.answers);
                 self.missing = 0;
-                self.strained(now, slo.map_or(self.strain, |slo| took / slo));
+                self.strained(now, slo.map_or(self.strain, |slo| took / slo), usual);
             }
             // Who turns work away for want of room would have taken longer than anybody waits.
-            Ending::TurnedAway => self.strained(now, 1.0),
+            Ending::TurnedAway => self.strained(now, 1.0, usual),
             // Who is out of reach may be starting anew, whatever the list tells: it counts as cold from now on.
             Ending::Dropped => (self.faults, self.fell) = (self.faults + 1, now),
             Ending::Unconnected => (self.faults, self.fell) = (self.faults + FAULTS, now),
-            Ending::TimedOut => self.unanswered(now, slo.map_or(0.0, |slo| took / slo), lossy),
+            Ending::TimedOut => self.unanswered(now, slo.map_or(0.0, |slo| took / slo), usual, lossy),
             Ending::Errored | Ending::Missed | Ending::Cancelled | Ending::Moot => {}
         }
     }
 
-    /// What one more answer tells of the queue. Where answers come seldom each counts for more; room is cut once
-    /// for all that was out at one time: one jam is one sign, however many statements met it.
-    fn strained(&mut self, now: f64, share: f64) {
+    /// What one more answer tells of the queue, where `usual` are out on average. Where answers come seldom each
+    /// counts for more; room grows only where it is used, and is cut once for all that was out at one time: one
+    /// jam is one sign, however many statements met it.
+    fn strained(&mut self, now: f64, share: f64, usual: f64) {
         let gain = f64::max(GAIN, 1.0 - (-(now - self.strained_at) / MARK_S).exp());
         self.strain += (share - self.strain) * gain;
         self.strained_at = now;
-        if self.strain <= STRAIN {
-            let more =
-                if self.out as f64 + 2.0 >= self.room { f64::min(1.0 / self.room, self.room) } else { 0.0 };
-            self.room += more;
-        } else if now - self.cut >= self.pace {
+        let used = if self.room < 1.0 { self.room < 2.0 * usual } else { self.out as f64 + 2.0 >= self.room };
+        if self.strain <= STRAIN && used {
+            self.room += f64::min(1.0 / self.room, self.room);
+        } else if self.strain > STRAIN && now - self.cut >= self.pace {
             (self.room, self.cut) = ((self.room * (1.0 - gain.min(0.5))).max(self.least_room), now);
         }
     }
 
     /// Nothing came back in this share of the SLO time. One by itself may be a lost answer, where late ones
     /// mostly stay out; two in a row are a jam.
-    fn unanswered(&mut self, now: f64, share: f64, lossy: bool) {
+    fn unanswered(&mut self, now: f64, share: f64, usual: f64, lossy: bool) {
         self.missing += 1;
         if share > self.strain && (self.missing > 1 || !lossy) {
-            self.strained(now, share.min(1.0));
+            self.strained(now, share.min(1.0), usual);
         }
     }
 
@@ -926,8 +928,9 @@
             if self.late(e, now) {
                 self.learn(false);
             }
+            let usual = self.asked(s.group, e.node) * self.nodes[&e.node].pace;
             let node = self.nodes.get_mut(&e.node).expect("listed");
-            node.unanswered(now, (now - e.sent) / s.kind.slo, self.in_vain > 0.5);
+            node.unanswered(now, (now - e.sent) / s.kind.slo, usual, self.in_vain > 0.5);
         }
         let live = (0..).zip(&s.executions).filter(|e| e.1.ended.is_none()).map(|e| (stmt, e.0));
         self.cancels.extend(live.filter(|_| self.allowance.cancelling && s.due.is_finite()));
