--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -3,7 +3,7 @@
 //! the rules and sends what they conclude through an `Outbox`. The types of both directions are in `lib.rs`;
 //! docs/design.md tells the mechanism. Inputs record facts; sends pass `permitted`, answers `conclude`.
 
-use crate::state::{Execution, Group, NEVER, Node, Statement};
+use crate::state::{Execution, Group, NEVER, Node, Statement, shares_of};
 use crate::{Allowance, ColdStart, Currency, Drain, Ending, Fairness, Outbox, Quota};
 use crate::{Repeat, Replication, Role, Standing, Within, Workload};
 use std::collections::{BTreeMap, BTreeSet};
@@ -28,11 +28,9 @@
 const FADE_S: f64 = 10.0;
 /// So many errors show that a statement errs by itself, whoever executes it.
 const ERRORS: usize = 2;
-/// A suspect's first trial comes after the one, and none waits longer than the other.
+/// A suspect's first trial comes after this, and none after more than eight times as long.
 const TRIAL_S: f64 = 0.5;
-const TRIAL_MAX_S: f64 = 4.0;
-/// Executions out at a node, from all routers, before its room is learnt, and the least that it is left with:
-/// when everything is slow at once, less room makes nothing faster and leaves cores idle.
+/// Executions out at a node, from all routers, before its room is learnt, and the least it is left with.
 const ROOM: f64 = 16.0;
 const LEAST_ROOM: f64 = 4.0;
 /// Room grows while answers take less than this share of their SLO time, and shrinks beyond.
@@ -74,18 +72,16 @@
     touched_groups: BTreeSet<u16>,
     roll: u64,
     beat: Option<f64>,
-    cancels: Vec<(u32, u8)>,
 }
 
 /// A condition and an effect on one statement or node: true when it fired.
 type Rule = fn(&mut Instance, u32, f64, &mut dyn Outbox) -> bool;
 
 /// Gone through in this order for each touched statement until none fires.
-const STATEMENT_RULES: [Rule; 7] = [
+const STATEMENT_RULES: [Rule; 6] = [
     Instance::close_over,
     Instance::answer_last_moment,
-    Instance::give_up_worthless,
-    Instance::give_up_spent,
+    Instance::give_up,
     Instance::send_next,
     Instance::ask,
     Instance::copy_overdue,
@@ -115,8 +111,9 @@
         self.roll += 1;
     }
 
-    pub fn member(&mut self, now: f64, id: u32, place: (u16, u8), at: Standing, since: f64, leads: bool) {
-        let (group, zone) = place;
+    pub fn member(
+        &mut self, now: f64, id: u32, (group, zone): (u16, u8), at: Standing, since: f64, leads: bool,
+    ) {
         let members = &mut self.groups.entry(group).or_default().members;
         if !members.contains(&id) {
             // Routers that all began their rotation at one member would meet there.
@@ -125,8 +122,7 @@
         let node = self.nodes.entry(id).or_insert_with(|| {
             let rooms = [ROOM, LEAST_ROOM].map(|room| room / self.routers);
             // Until a node's own answers tell its pace, half of the shortest SLO time stands in.
-            let slos = self.workloads.iter().map(|w| w.slo);
-            let pace = slos.fold(f64::INFINITY, f64::min) / 2.0;
+            let pace = self.workloads.iter().map(|w| w.slo).fold(f64::INFINITY, f64::min) / 2.0;
             Node::new(group, zone, rooms.into(), (pace, PRIOR))
         });
         (node.roll, node.listed_primary) = (self.roll, leads);
@@ -165,8 +161,8 @@
             _ => known,
         };
         s.fresh_age = write_age > 0.0 && write_age < MARK_S;
-        self.schedule(due - 2.0 * self.allowance.step, stmt);
-        self.schedule(s.slo_end, stmt);
+        let moments = [due - 2.0 * self.allowance.step, s.slo_end];
+        self.timers.extend(moments.map(|at| ((at.max(0.0) * 1e6) as u64, stmt)));
         s.lot = self.lot(workload);
         let asked = self.groups.entry(group).or_default();
         asked.waiting.insert(stmt);
@@ -177,17 +173,13 @@
 
     /// From 0 to 1, even over all statements: the worthier a workload, the lower its lots.
     fn lot(&mut self, workload: usize) -> f64 {
+        let (own, chance) = (self.workloads[workload].importance, self.chance.f64());
         let (mut before, mut all) = (0.0, 0.0);
-        let own = self.workloads[workload].importance;
-        let chance = self.chance.f64();
         for (share, kind) in self.shares[0].iter().zip(&self.workloads) {
             let count = share.0 / kind.importance.max(1e-9);
-            let part = if kind.importance > own {
-                1.0
-            } else {
-                f64::from(u8::from(kind.importance == own)) * chance
-            };
-            (before, all) = (before + count * part, all + count);
+            before +=
+                count * if kind.importance == own { chance } else { (kind.importance > own) as u8 as f64 };
+            all += count;
         }
         before / all
     }
@@ -198,8 +190,7 @@
             return 1.0;
         };
         count(usage, now);
-        let beyond = usage.1 * self.routers > quota.per_s;
-        if beyond { quota.beyond } else { 1.0 }
+        if usage.1 * self.routers > quota.per_s { quota.beyond } else { 1.0 }
     }
 
     /// A stream began: it is the client's, and its statement no longer has a deadline.
@@ -214,15 +205,14 @@
         &mut self, now: f64, stmt: u32, execution: u8, id: u32, ending: Ending, took: f64, over: bool,
         role: Option<Role>, lsn: f64,
     ) {
-        let ended =
-            |s: &Statement| s.executions.get(usize::from(execution)).is_some_and(|e| self.late(e, now));
-        if matches!(ending, Ending::Completed | Ending::TimedOut)
-            && self.statements.get(&stmt).is_some_and(ended)
-        {
-            self.learn(ending == Ending::Completed);
-        }
-        let committed = self.statements.get(&stmt).is_some_and(|s| s.writes()) && ending == Ending::Completed;
-        if ending == Ending::Completed {
+        let (done, index) = (ending == Ending::Completed, usize::from(execution));
+        let open = self.statements.get(&stmt);
+        let known = open.and_then(|s| s.executions.get(index)).is_some_and(|e| self.late(e, now));
+        let committed = done && open.is_some_and(Statement::writes);
+        if known && (done || ending == Ending::TimedOut) {
+            self.in_vain += (f64::from(u8::from(!done)) - self.in_vain) * 2.0 * GAIN;
+        }
+        if done {
             count(&mut self.borne, now);
         }
         let usual = self.nodes.get(&id).map_or(0.0, |n| self.asked(n.group, id) * n.pace);
@@ -240,20 +230,19 @@
             self.touched_groups.insert(node.group);
         }
         if let Some(s) = &mut statement {
-            if let Some(e) = s.executions.get_mut(usize::from(execution)) {
+            if let Some(e) = s.executions.get_mut(index) {
                 e.ended = Some(ending);
             }
             if s.writes() && matches!(ending, Ending::TurnedAway | Ending::Unconnected | Ending::Errored) {
                 s.held_until = now + s.hold();
             }
             // An error may be the statement's own fault: it is the node's once another completes the same.
-            let elsewhere = s.executions.iter().filter(|e| ending == Ending::Completed && e.node != id);
-            for e in elsewhere.filter(|e| e.ended == Some(Ending::Errored)) {
+            let blamed = |e: &&Execution| done && e.node != id && e.ended == Some(Ending::Errored);
+            for e in s.executions.iter().filter(blamed) {
                 self.nodes.get_mut(&e.node).expect("listed").faults += 1;
             }
             s.over |= over;
-            let in_time = ending == Ending::Completed && now <= s.slo_end;
-            let met = if in_time { s.worth } else { 0.0 };
+            let met = if done && now <= s.slo_end { s.worth } else { 0.0 };
             shares_of(&mut self.shares, s).for_each(|share| share.1 += met);
             if committed && s.session != 0 {
                 let session = self.sessions.entry(s.session).or_insert((now, lsn));
@@ -264,9 +253,7 @@
     }
 
     pub fn probed(&mut self, now: f64, id: u32, answered: bool, primary: Option<bool>, lsn: f64) {
-        let Some(node) = self.nodes.get_mut(&id) else {
-            return;
-        };
+        let Some(node) = self.nodes.get_mut(&id) else { return };
         node.probing = false;
         node.faults += u32::from(!answered);
         if answered {
@@ -278,9 +265,7 @@
     /// A load report, some time old: its position still holds.
     pub fn reported(&mut self, now: f64, id: u32, primary: Option<bool>, lsn: f64) {
         // A position ahead of the clock is a broken report, not a fresher copy.
-        let Some(node) = self.nodes.get_mut(&id) else {
-            return;
-        };
+        let Some(node) = self.nodes.get_mut(&id) else { return };
         let lsn = if lsn <= now { lsn } else { NEVER };
         node.lsn = node.lsn.max(lsn);
         match primary {
@@ -292,17 +277,12 @@
         self.touched_groups.insert(node.group);
     }
 
-    /// The client left, or its time was up.
     pub fn abandoned(&mut self, stmt: u32) {
         if let Some(s) = self.statements.get_mut(&stmt) {
             s.over = true;
             self.touched.insert(stmt);
         }
     }
-
-    fn schedule(&mut self, at: f64, stmt: u32) {
-        self.timers.insert(((at.max(0.0) * 1e6) as u64, stmt));
-    }
 }
 
 impl Statement {
@@ -311,42 +291,13 @@
         HOLD_SHARE * self.kind.timeout
     }
 
-    fn writes(&self) -> bool {
-        self.kind.currency == Currency::Primary
-    }
-
-    fn live(&self) -> impl Iterator<Item = &Execution> {
-        self.executions.iter().filter(|e| e.ended.is_none())
-    }
-
-    fn may_have_run(&self) -> impl Iterator<Item = &Execution> {
-        let ran = |e: &&Execution| !e.ended.is_some_and(Ending::proves_unrun);
-        self.executions.iter().filter(ran)
-    }
-
     /// The moment from which an answer earns nothing.
     fn last_use(&self) -> f64 {
-        let (late, on_time) = (self.kind.late_worth > 0.0, self.slo_end.min(self.due));
-        if late { self.due } else { on_time }
+        if self.kind.late_worth > 0.0 { self.due } else { self.slo_end.min(self.due) }
     }
 }
 
 impl Node {
-    /// From draining to gone is no news: the grace runs from the first word.
-    fn stands(&mut self, at: Standing, now: f64) {
-        if self.standing == Standing::Ready && at != Standing::Ready {
-            self.told = now;
-        }
-        self.standing = at;
-        self.drained |= at == Standing::Draining;
-    }
-
-    /// Waiting for executions that are out adds up from the last answer on, each from its own send.
-    fn await_until(&mut self, now: f64) {
-        self.awaited += self.out as f64 * (now - self.awaited_until);
-        self.awaited_until = now;
-    }
-
     fn executed(&mut self, now: f64, ending: Ending, took: f64, slo: Option<f64>, usual: f64, lossy: bool) {
         self.await_until(now);
         self.out = self.out.saturating_sub(1);
@@ -365,7 +316,7 @@
             }
             // Who turns work away for want of room would have taken longer than anybody waits.
             Ending::TurnedAway => self.strained(now, 1.0, usual),
-            // Who is out of reach may be starting anew, whatever the list tells: it counts as cold from now on.
+            // Who is out of reach may be starting anew, whatever the list tells: it counts as cold from now.
             Ending::Dropped => (self.faults, self.fell) = (self.faults + 1, now),
             Ending::Unconnected => (self.faults, self.fell) = (self.faults + FAULTS, now),
             Ending::TimedOut => self.unanswered(now, slo.map_or(0.0, |slo| took / slo), usual, lossy),
@@ -373,9 +324,8 @@
         }
     }
 
-    /// What one more answer tells of the queue, where `usual` are out on average. Where answers come seldom each
-    /// counts for more; room grows only where it is used, and is cut once for all that was out at one time: one
-    /// jam is one sign, however many statements met it.
+    /// What one more answer tells of the queue; where they come seldom each counts for more. Room grows only
+    /// where it is used (`usual` are out on average), and is cut once a jam, however many statements met it.
     fn strained(&mut self, now: f64, share: f64, usual: f64) {
         let gain = f64::max(GAIN, 1.0 - (-(now - self.strained_at) / MARK_S).exp());
         self.strain += (share - self.strain) * gain;
@@ -407,12 +357,11 @@
     /// Guards rule 3: nothing new once told that the node drains or is gone. A draining primary may still
     /// take what no other member can for half of the grace, as it hands over only at its end.
     pub fn closed(&self, drain: &Drain, last_resort: bool, now: f64) -> bool {
+        let fails = self.suspected.is_some() && !last_resort;
         match self.standing {
             Standing::Ready => false,
             Standing::Draining => !last_resort || now - self.told > drain.grace / 2.0,
-            Standing::Gone => {
-                !drain.only_draining || self.drained || self.suspected.is_some() && !last_resort
-            }
+            Standing::Gone => self.drained || fails || !drain.only_draining,
         }
     }
 
@@ -421,11 +370,6 @@
     fn in_service(&self, drain: &Drain) -> bool {
         self.standing == Standing::Ready || !self.closed(drain, false, f64::INFINITY)
     }
-
-    /// A suspect is tried by one execution at a time, each trial later than the one before.
-    fn on_trial(&self, now: f64) -> bool {
-        now - self.trial_at >= (TRIAL_S * 2f64.powi(self.trials)).min(TRIAL_MAX_S)
-    }
 }
 
 /// One more: a rate a second over about the last `MARK_S`, as of the last event.
@@ -433,16 +377,7 @@
     *rate = (now, rate.1 * (-(now - rate.0) / MARK_S).exp() + 1.0 / MARK_S);
 }
 
-/// The shares of a statement's workload and customer.
-fn shares_of<'a>(
-    shares: &'a mut [Vec<(f64, f64)>; 2], s: &Statement,
-) -> impl Iterator<Item = &'a mut (f64, f64)> {
-    let served_as = s.served_as;
-    shares.iter_mut().zip(served_as).filter_map(|(all, i)| all.get_mut(i))
-}
-
-/// What serving one more of the worst-served adds to its share, against the same worth anywhere: the smaller
-/// its part of all that is asked, the more. Else the least important gets nothing in a jam.
+/// What serving one more of the worst-served adds: else the least important gets nothing in a jam.
 fn lift(shares: &[(f64, f64)], index: usize) -> f64 {
     let served = |s: &(f64, f64)| if s.0 > 0.0 { s.1 / s.0 } else { 1.0 };
     let worst = shares.iter().map(served).fold(f64::INFINITY, f64::min);
@@ -450,7 +385,6 @@
     shares.get(index).filter(|s| served(s) <= worst).map_or(0.0, |s| all / s.0)
 }
 
-/// Settling.
 impl Instance {
     /// Goes through the rules for all that was touched or has come due, until none fires.
     pub fn settle(&mut self, now: f64, out: &mut dyn Outbox) {
@@ -474,9 +408,6 @@
             let mut fires = |r: &Rule| self.statements.contains_key(&stmt) && r(self, stmt, now, out);
             while STATEMENT_RULES.iter().any(&mut fires) {}
         }
-        for (stmt, execution) in std::mem::take(&mut self.cancels) {
-            out.cancel(stmt, execution);
-        }
         if let Some(first) = self.timers.first() {
             out.wake((first.0 as f64 / 1e6 - now).clamp(0.0, BEAT_S));
         }
@@ -514,8 +445,7 @@
             let claims = members.filter(|(n, _)| n.claimed > n.denied);
             let last = claims.max_by(|a, b| a.0.claimed.total_cmp(&b.0.claimed)).map(|c| c.1);
             if last != group.primary {
-                let before = group.primary;
-                out.log(&format!("{now:.3} group {id}: primary {before:?} -> {last:?}"));
+                out.log(&format!("{now:.3} group {id}: primary {:?} -> {last:?}", group.primary));
                 group.primary = last;
                 let held = group.waiting.iter().filter(|_| last.is_some());
                 held.for_each(|w| self.statements.get_mut(w).expect("open").held_until = now);
@@ -524,11 +454,10 @@
     }
 }
 
-/// Rules for a node.
+/// Rules for a node, then for a statement.
 impl Instance {
-    /// A node that takes work and answers nothing looks idle and fast; its own pace says what it owes.
-    /// Errors, drops and failed connections come back fast and free a slot: both would draw more work. Harm:
-    /// a node that is only slow for a moment is spared until its next answer.
+    /// A node that answers nothing looks idle, one that fails fast looks free: both would draw more work. Its
+    /// own pace says what it owes. Harm: one only slow for a moment is spared until its next answer.
     fn suspect(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let usual = self.pace(self.nodes[&id].group);
         let node = self.nodes.get_mut(&id).expect("listed");
@@ -559,13 +488,9 @@
         }
         fires
     }
-}
 
-/// Rules for a statement.
-impl Instance {
-    /// The client has its answer: what is still out would be work for nobody.
-    fn close_over(&mut self, stmt: u32, now: f64, _out: &mut dyn Outbox) -> bool {
-        self.statements[&stmt].over && self.forget(stmt, now)
+    fn close_over(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
+        self.statements[&stmt].over && self.forget(stmt, now, out)
     }
 
     /// Guards rule 1: whatever else is going on, the answer is out before the client's time is up.
@@ -575,21 +500,15 @@
         late && self.conclude(stmt, now, out)
     }
 
-    /// Nothing it could still get is worth anything, or nothing sent now would be back in time.
-    fn give_up_worthless(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
+    /// Nothing it could still get is worth anything, is back in time or may be sent, or it errs everywhere.
+    fn give_up(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
         let sent = s.live().next().is_some();
-        let needed = if sent { 0.0 } else { self.needed(s) };
-        now + needed >= s.last_use() && self.conclude(stmt, now, out)
-    }
-
-    /// Nothing is out and nothing more may be sent, or it errs wherever it goes: more work for nothing.
-    fn give_up_spent(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
-        let s = &self.statements[&stmt];
         let errors = s.executions.iter().filter(|e| e.ended == Some(Ending::Errored)).count();
-        let spent = s.executions.len() >= self.allowance.executions || !self.repeatable(s, None, now);
-        let spent = spent || errors >= ERRORS;
-        spent && s.live().next().is_none() && self.conclude(stmt, now, out)
+        let spent = s.executions.len() >= self.allowance.executions || errors >= ERRORS;
+        let spent = spent || !self.repeatable(s, None, now);
+        let late = now + if sent { 0.0 } else { self.needed(s) } >= s.last_use();
+        (late || spent && !sent) && self.conclude(stmt, now, out)
     }
 
     fn send_next(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
@@ -605,20 +524,15 @@
         group.waiting.insert(stmt);
         if s.writes() && group.primary.is_none() {
             s.held_until = now + s.hold();
-            let until = s.held_until;
-            self.schedule(until, stmt);
         }
         false
     }
 
-    /// A statement that waits to know who leads, or a replica's position, asks for it, and spends on that at
-    /// most a small part of what it is worth: many routers that probed by the clock would cost more than they
-    /// serve. Harm: who asks nothing hears late of a new primary.
+    /// What waits to know who leads, or a replica's position, asks for it at a small part of its worth: many
+    /// routers that probed by the clock would cost more than they serve. Harm: who asks nothing hears late.
     fn ask(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
-        let Some(id) = self.unknown(s, now) else {
-            return false;
-        };
+        let Some(id) = self.unknown(s, now) else { return false };
         let s = self.statements.get_mut(&stmt).expect("open");
         (s.probes, s.probed) = (s.probes + 1.0, now);
         self.probe(id, now, out)
@@ -630,8 +544,7 @@
         let s = &self.statements[&stmt];
         let fires = s.live().next().is_some() && s.live().all(|e| self.overdue(e, now));
         let useful = fires && self.allowance.second_copies && now + self.needed(s) < s.last_use();
-        let other = if useful { self.choose(stmt, now) } else { None };
-        other.is_some_and(|node| self.execute(stmt, node, now, out))
+        useful && self.choose(stmt, now).is_some_and(|node| self.execute(stmt, node, now, out))
     }
 }
 
@@ -639,8 +552,7 @@
 impl Instance {
     /// The best that members of a group show.
     fn pace(&self, group: u16) -> f64 {
-        let paces = self.groups[&group].members.iter().map(|m| self.nodes[m].pace);
-        paces.fold(f64::INFINITY, f64::min)
+        self.members(group).map(|m| m.1.pace).fold(f64::INFINITY, f64::min)
     }
 
     /// Within two paces, six in seven answers that come at random are back. Never more than half the SLO
@@ -657,32 +569,33 @@
         match s.kind.currency {
             Currency::Primary if believed.is_none() => self.next_asked(s, now),
             Currency::Primary => primary,
-            Currency::OwnWrites if !self.marked(s, now) => self.spread(stmt, primary, now),
             // The design's relief: a replica known past the write, when the primary is full or slow.
-            Currency::OwnWrites | Currency::Latest => {
-                let spare = primary.filter(|p| !self.slow(*p));
+            _ if self.pinned(s, now) => {
+                // Slow: its peers answer in half the time, in a jam or on a shared machine.
+                let spare = primary.filter(|p| self.nodes[p].pace <= 2.0 * self.pace(s.group));
                 spare.or_else(|| self.rotate(stmt, now)).or(primary)
             }
-            Currency::Recent { .. } | Currency::Loose => self.spread(stmt, primary, now),
+            _ => self.spread(stmt, primary, now),
         }
     }
 
-    pub fn marked(&self, s: &Statement, now: f64) -> bool {
-        s.fresh_age || self.sessions.get(&s.session).is_some_and(|t| now - t.0 < MARK_S)
-    }
-
-    /// Its peers answer in half the time: a jam that room has not yet taken down, or a shared machine.
-    pub fn slow(&self, id: u32) -> bool {
-        self.nodes[&id].pace > 2.0 * self.pace(self.nodes[&id].group)
+    /// Whether it goes to the primary first.
+    fn pinned(&self, s: &Statement, now: f64) -> bool {
+        match s.kind.currency {
+            Currency::Primary | Currency::Latest => true,
+            Currency::OwnWrites => {
+                s.fresh_age || self.sessions.get(&s.session).is_some_and(|t| now - t.0 < MARK_S)
+            }
+            Currency::Recent { .. } | Currency::Loose => false,
+        }
     }
 
     /// A replica; the primary only when no probe may still tell of one.
     fn spread(&mut self, stmt: u32, primary: Option<u32>, now: f64) -> Option<u32> {
         let replica = self.rotate(stmt, now);
         let s = &self.statements[&stmt];
-        let asking = || now - s.probed < BEAT_S && self.members(s.group).any(|m| m.1.probing);
-        let wait = || asking() || self.unknown(s, now).is_some();
-        replica.or_else(|| primary.filter(|_| !wait()))
+        let asked = || now - s.probed < BEAT_S && self.members(s.group).any(|m| m.1.probing);
+        replica.or_else(|| primary.filter(|_| !asked() && self.unknown(s, now).is_none()))
     }
 
     fn members(&self, group: u16) -> impl Iterator<Item = (u32, &Node)> {
@@ -695,27 +608,18 @@
         if dear || now - s.probed < SEARCH_S || s.live().next().is_some() {
             return None;
         }
-        let led = self.groups[&s.group].primary;
-        let lost =
-            led.is_none_or(|p| self.nodes[&p].suspected.is_some() || !self.nodes[&p].in_service(&self.drain));
-        let spreads = match s.kind.currency {
-            Currency::Recent { .. } => true,
-            Currency::OwnWrites => !self.marked(s, now),
-            _ => false,
-        };
-        let asks = |n: &Node| {
-            let known = if spreads { IDLE_S } else { SEARCH_S };
-            n.in_service(&self.drain) && !n.probing && now - n.probed >= known
+        let trusted = |n: &Node| n.suspected.is_none() && n.in_service(&self.drain);
+        let led = self.groups[&s.group].primary.filter(|p| trusted(&self.nodes[p]));
+        let (pinned, loose) = (self.pinned(s, now), s.kind.currency == Currency::Loose);
+        let known = if pinned { led.is_some() } else { self.replication.checked || loose };
+        let idle = if pinned { SEARCH_S } else { IDLE_S };
+        let asks = |(id, n): &(u32, &Node)| {
+            let tells = pinned || Some(*id) != led && trusted(n) && !self.current(s, *id, now);
+            !known && tells && n.in_service(&self.drain) && !n.probing && now - n.probed >= idle
         };
-        let members = self.members(s.group).filter(|(_, n)| asks(n));
-        if spreads && !self.replication.checked {
-            let healthy = |m: &(u32, &Node)| Some(m.0) != led && m.1.suspected.is_none();
-            let stale = |m: &(u32, &Node)| healthy(m) && !self.current(s, m.0, now);
-            return members.filter(stale).map(|m| m.0).next();
-        }
         let unasked = |n: &Node| (n.probed.max(n.denied), !n.listed_primary);
-        let search = members.filter(|_| lost && !spreads && s.kind.currency != Currency::Loose);
-        let next = search.min_by(|a, b| unasked(a.1).partial_cmp(&unasked(b.1)).expect("no NaN"));
+        let members = self.members(s.group).filter(asks);
+        let next = members.min_by(|a, b| unasked(a.1).partial_cmp(&unasked(b.1)).expect("no NaN"));
         next.map(|m| m.0)
     }
 
@@ -732,19 +636,15 @@
         Some(chosen)
     }
 
-    /// No primary is known: the listed one first, then whoever has most of the log. What the members answered
-    /// to one write is known to all: after one round, or half its executions, it waits for a claim.
+    /// No primary is known: the listed one first, then who has most of the log, for a round at most.
     fn next_asked(&self, s: &Statement, now: f64) -> Option<u32> {
-        if s.executions.len() * 2 >= self.allowance.executions {
-            return None;
-        }
         let members = self.groups[&s.group].members.iter().copied();
         let asked = members.filter(|m| now - self.nodes[m].denied >= s.hold());
-        let listed = |n: &Node| n.listed_primary && n.denied == NEVER;
-        let rank = |m: &u32| {
-            if listed(&self.nodes[m]) { f64::INFINITY } else { self.nodes[m].lsn }
-        };
-        asked.filter(|m| self.open(s, *m, now)).max_by(|a, b| rank(a).total_cmp(&rank(b)))
+        let rank =
+            |m: &u32| (self.nodes[m].listed_primary && self.nodes[m].denied == NEVER, self.nodes[m].lsn);
+        let early = s.executions.len() * 2 < self.allowance.executions;
+        let able = asked.filter(|m| early && self.open(s, *m, now));
+        able.max_by(|a, b| rank(a).partial_cmp(&rank(b)).expect("no NaN"))
     }
 
     /// Whether a node may be chosen now: in health or on trial, with room, and not met in vain.
@@ -758,8 +658,12 @@
             Some(_) => s.writes(),
         };
         let met = s.executions.iter().any(|e| e.node == id && !again(e));
-        let trial = node.on_trial(now) && s.kind.repeat != Repeat::NonIdempotent;
-        let trusted = node.suspected.is_none() || trial || self.all_suspected(s.group);
+        // A suspect is tried by one execution at a time, each trial later than the one before.
+        let due = now - node.trial_at >= TRIAL_S * 2f64.powi(node.trials.min(3));
+        let trial = due && s.kind.repeat != Repeat::NonIdempotent;
+        // A whole group that looks bad shares one trouble: suspicion alone never leaves it without a member.
+        let bad = |m: (u32, &Node)| m.1.suspected.is_some() || !m.1.in_service(&self.drain);
+        let trusted = node.suspected.is_none() || trial || self.members(s.group).all(bad);
         !met && trusted && self.has_room(s, id, now) && self.permitted(s, id, now)
     }
 
@@ -770,24 +674,13 @@
         stuck || self.in_vain > 0.5 && self.late(e, now)
     }
 
-    /// Out for several times the pace of a node that shows no strain: in a jam all is late.
+    /// Out for several times the pace of a node without strain: in a jam all is late. Work is the statement's
+    /// own: what is only long beats its copy, a lost answer never comes. `in_vain` counts which it is.
     fn late(&self, e: &Execution, now: f64) -> bool {
         let node = &self.nodes[&e.node];
         let strained = node.strain > 2.0 * STRAIN || node.suspected.is_some();
         !strained && now - e.sent > OVERDUE * node.pace.max(self.pace(node.group))
     }
-
-    /// Whether a late execution was answered in the end. Work is the statement's own, so one that is only long
-    /// beats its copy; a lost answer never comes. Only this parts the two, and copies of what is long are dear.
-    fn learn(&mut self, answered: bool) {
-        self.in_vain += (f64::from(u8::from(!answered)) - self.in_vain) * 2.0 * GAIN;
-    }
-
-    /// A whole group that looks bad shares one trouble: suspicion alone never leaves it without a member.
-    fn all_suspected(&self, group: u16) -> bool {
-        let mut members = self.groups[&group].members.iter().map(|m| &self.nodes[m]);
-        members.all(|n| !n.in_service(&self.drain) || n.suspected.is_some())
-    }
 }
 
 /// Guards: every send passes `permitted`, every final answer of ours `conclude`.
@@ -808,9 +701,7 @@
 
     /// Guards rule 2: what may have run is repeated only where its repeat is harmless or dropped.
     pub fn repeatable(&self, s: &Statement, to: Option<u32>, now: f64) -> bool {
-        let Some(first) = s.may_have_run().next() else {
-            return true;
-        };
+        let Some(first) = s.may_have_run().next() else { return true };
         match s.kind.repeat {
             Repeat::Idempotent => true,
             Repeat::NonIdempotent => false,
@@ -824,9 +715,8 @@
         }
     }
 
-    /// Guards rule 4: in any window a cold node gets no more than its part of what warm nodes are seen to
-    /// bear. All routers see their own part of that load, so their budgets add up, however uneven and however
-    /// far under one send a window each may be.
+    /// Guards rule 4: in any window a cold node gets its part of what warm nodes are seen to bear, no more.
+    /// Each router sees its own part of that, so the budgets add up, however far under one send they may be.
     pub fn bearable(&self, node: &Node, id: u32, s: &Statement, now: f64) -> bool {
         let warmth = node.warmth(&self.cold, now);
         if warmth >= 1.0 {
@@ -846,9 +736,8 @@
         self.groups[&group].asked.1 / parts as f64
     }
 
-    /// With many routers each has room for a part of an execution: of what it would have out at the node on
-    /// average, at the strain seen there lately, the worthiest part goes. Guards against queues full of what
-    /// nobody waits for any more, which no count of one router's executions shows.
+    /// Of many routers each has room for a part of an execution: of what it would have out on average at the
+    /// node's strain, the worthiest part goes. Guards against queues full of what nobody waits for any more.
     pub fn has_room(&self, s: &Statement, id: u32, now: f64) -> bool {
         let node = &self.nodes[&id];
         // No news is no strain: a node that was down must not stay out of use once it is back.
@@ -869,12 +758,10 @@
             Currency::Latest | Currency::OwnWrites => s.owed,
         };
         let leads = self.groups[&s.group].primary == Some(id) && node.claimed > node.denied;
-        // Where nodes check for themselves, a likely position will do: twice as far behind as last heard, or
-        // not heard lately. A miss costs a moment, knowing all positions would cost probes.
+        // Where nodes check, a likely position will do, or one unheard lately: a miss is cheap, a probe is not.
         let fresh = s.kind.currency != Currency::Latest && now - node.heard >= IDLE_S;
         let likely = fresh || now - 2.0 * (node.heard - node.lsn) >= needed;
-        let likely = self.replication.checked && likely;
-        leads || node.lsn >= needed || likely
+        leads || node.lsn >= needed || self.replication.checked && likely
     }
 
     fn execute(&mut self, stmt: u32, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
@@ -896,9 +783,7 @@
             (node.trial_at, node.trials) = (now, node.trials + 1);
         }
         node.sends.push_back(now);
-        while node.sends.front().is_some_and(|at| now - at > self.cold.window) {
-            node.sends.pop_front();
-        }
+        node.sends.retain(|at| now - at < self.cold.window);
         out.execute(stmt, id, limit);
         true
     }
@@ -916,24 +801,21 @@
         } else {
             out.abort(stmt);
         }
-        self.forget(stmt, now)
+        self.forget(stmt, now, out)
     }
 
-    fn forget(&mut self, stmt: u32, now: f64) -> bool {
-        let Some(s) = self.statements.remove(&stmt) else {
-            return false;
-        };
+    fn forget(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
+        let Some(s) = self.statements.remove(&stmt) else { return false };
         self.groups.get_mut(&s.group).expect("known").waiting.remove(&stmt);
-        for e in s.live() {
-            if self.late(e, now) {
-                self.learn(false);
-            }
+        for (execution, e) in (0..).zip(&s.executions).filter(|e| e.1.ended.is_none()) {
+            self.in_vain += (1.0 - self.in_vain) * if self.late(e, now) { 2.0 * GAIN } else { 0.0 };
             let usual = self.asked(s.group, e.node) * self.nodes[&e.node].pace;
             let node = self.nodes.get_mut(&e.node).expect("listed");
             node.unanswered(now, (now - e.sent) / s.kind.slo, usual, self.in_vain > 0.5);
+            if self.allowance.cancelling && s.due.is_finite() {
+                out.cancel(stmt, execution);
+            }
         }
-        let live = (0..).zip(&s.executions).filter(|e| e.1.ended.is_none()).map(|e| (stmt, e.0));
-        self.cancels.extend(live.filter(|_| self.allowance.cancelling && s.due.is_finite()));
         true
     }
 }
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -1,7 +1,7 @@
-//! What an instance remembers, grouped by how long it lives. Records only: what follows from them is in
+//! What an instance remembers, grouped by how long it lives: records, and how they are kept. What follows is in
 //! `policy.rs`.
 
-use crate::{Ending, Standing, Workload};
+use crate::{Currency, Ending, Standing, Workload};
 use std::collections::{BTreeSet, VecDeque};
 
 /// The time of what has not happened, and the position of what told none.
@@ -98,7 +98,37 @@
     }
 }
 
+impl Statement {
+    pub fn writes(&self) -> bool {
+        self.kind.currency == Currency::Primary
+    }
+
+    pub fn live(&self) -> impl Iterator<Item = &Execution> {
+        self.executions.iter().filter(|e| e.ended.is_none())
+    }
+
+    pub fn may_have_run(&self) -> impl Iterator<Item = &Execution> {
+        let ran = |e: &&Execution| !e.ended.is_some_and(Ending::proves_unrun);
+        self.executions.iter().filter(ran)
+    }
+}
+
 impl Node {
+    /// From draining to gone is no news: the grace runs from the first word.
+    pub fn stands(&mut self, at: Standing, now: f64) {
+        if self.standing == Standing::Ready && at != Standing::Ready {
+            self.told = now;
+        }
+        self.standing = at;
+        self.drained |= at == Standing::Draining;
+    }
+
+    /// Waiting for executions that are out adds up from the last answer on, each from its own send.
+    pub fn await_until(&mut self, now: f64) {
+        self.awaited += self.out as f64 * (now - self.awaited_until);
+        self.awaited_until = now;
+    }
+
     pub fn new(group: u16, zone: u8, rooms: (f64, f64), prior: (f64, f64)) -> Node {
         let ((room, least_room), (pace, answers)) = (rooms, prior);
         let (lsn, heard, probed, cut) = (NEVER, NEVER, NEVER, NEVER);
@@ -120,3 +150,11 @@
         }
     }
 }
+
+/// The shares of a statement's workload and customer.
+pub fn shares_of<'a>(
+    shares: &'a mut [Vec<(f64, f64)>; 2], s: &Statement,
+) -> impl Iterator<Item = &'a mut (f64, f64)> {
+    let served_as = s.served_as;
+    shares.iter_mut().zip(served_as).filter_map(|(all, i)| all.get_mut(i))
+}
