--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -758,7 +758,7 @@
             Currency::Latest | Currency::OwnWrites => s.owed,
         };
         let leads = self.groups[&s.group].primary == Some(id) && node.claimed > node.denied;
-        // Where nodes check, a likely position will do, or one unheard lately: a miss is cheap, a probe is not.
+        // Where nodes check, a likely position will do, or one unheard lately: a miss is cheap.
         let fresh = s.kind.currency != Currency::Latest && now - node.heard >= IDLE_S;
         let likely = fresh || now - 2.0 * (node.heard - node.lsn) >= needed;
         leads || node.lsn >= needed || self.replication.checked && likely
