Cold budgets go by chance alone and over all that waits

Now the chance for a cold node is drawn apart from worth and shared over what waits as well as what comes. Should also guard take-overs at a cold primary. Harm: a cold node takes no worthier statements than it gets. Tests fail without.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -106,7 +106,7 @@
         born
     }
 
-    /// A list begins; `member` follows for each entry, then `listed`.
+    /// A list begins: `member` for each entry, then `listed`.
     pub fn listing(&mut self) {
         self.roll += 1;
     }
@@ -163,7 +163,8 @@
         s.fresh_age = write_age > 0.0 && write_age < MARK_S;
         let moments = [due - 2.0 * self.allowance.step, s.slo_end];
         self.timers.extend(moments.map(|at| ((at.max(0.0) * 1e6) as u64, stmt)));
-        s.lot = self.lot(workload);
+        s.chance = self.chance.f64();
+        s.lot = self.lot(workload, s.chance);
         let asked = self.groups.entry(group).or_default();
         asked.waiting.insert(stmt);
         count(&mut asked.asked, now);
@@ -172,9 +173,8 @@
     }
 
     /// From 0 to 1, even over all statements: the worthier a workload, the lower its lots.
-    fn lot(&mut self, workload: usize) -> f64 {
-        let (own, chance) = (self.workloads[workload].importance, self.chance.f64());
-        let (mut before, mut all) = (0.0, 0.0);
+    fn lot(&self, workload: usize, chance: f64) -> f64 {
+        let (own, mut before, mut all) = (self.workloads[workload].importance, 0.0, 0.0);
         for (share, kind) in self.shares[0].iter().zip(&self.workloads) {
             let count = share.0 / kind.importance.max(1e-9);
             before +=
@@ -262,9 +262,8 @@
         }
     }
 
-    /// A load report, some time old: its position still holds.
     pub fn reported(&mut self, now: f64, id: u32, primary: Option<bool>, lsn: f64) {
-        // A position ahead of the clock is a broken report, not a fresher copy.
+        // A report is old but its position still holds; one ahead of the clock is broken.
         let Some(node) = self.nodes.get_mut(&id) else { return };
         let lsn = if lsn <= now { lsn } else { NEVER };
         node.lsn = node.lsn.max(lsn);
@@ -725,7 +724,9 @@
         let (window, floor) = (self.cold.window, LEAST_ROOM / self.routers);
         let budget = (self.cold.factor * warmth * window * self.borne.1 / self.warm.max(1.0)).max(floor);
         let left = budget - node.sends.iter().filter(|at| now - **at < window).count() as f64;
-        let spared = left >= 1.0 || s.lot * self.asked(s.group, id) * window <= left;
+        // What waits comes all at once, and is mostly of one worth: by worth it would go all together.
+        let asks = self.asked(s.group, id) * window + self.groups[&s.group].waiting.len() as f64;
+        let spared = left >= 1.0 || s.chance * asks <= left;
         spared && (node.out as f64) < (node.room * warmth).max(1.0)
     }
 
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -1,4 +1,4 @@
-//! What an instance remembers, grouped by how long it lives: records, and how they are kept. What follows is in
+//! What an instance remembers, grouped by how long it lives: records and how they are kept. The rest is in
 //! `policy.rs`.
 
 use crate::{Currency, Ending, Standing, Workload};
@@ -30,7 +30,9 @@
     /// Its session wrote within the mark's time, here or elsewhere.
     pub fresh_age: bool,
     pub worth: f64,
-    /// Drawn by chance from 0 to 1: which statements go first where only a part of them may.
+    /// Drawn from 0 to 1 by chance alone, and so that the worthier come first: which statements go where only
+    /// a part of them may.
+    pub chance: f64,
     pub lot: f64,
     /// How many probes it asked for, and when it did last.
     pub probes: f64,
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -408,7 +408,7 @@
     router.nodes.get_mut(&B).unwrap().sends = vec![T; already].into();
     take(&mut router, T, 1, LOOSE, 0, 0.0);
 
-    router.statements.get_mut(&1).unwrap().lot = lot;
+    router.statements.get_mut(&1).unwrap().chance = lot;
     router.groups.get_mut(&G).unwrap().asked = (T, 1.0);
     let statement = &router.statements[&1];
     assert_eq!(router.bearable(&router.nodes[&B], B, statement, T + 0.5), expected);
@@ -453,6 +453,20 @@
     assert_eq!(router.nodes[&B].warmth(&router.cold, T + 1.0) < 1.0, expected);
 }
 
+/// Found in a hunt: the writes held while a group was down, all with low lots, pushed it over when back.
+#[test]
+fn what_waited_for_a_cold_node_does_not_go_all_at_once() {
+    let mut router = router(false);
+    router.routers = 40.0;
+    (router.borne, router.warm) = ((T, 1.0), 2.0);
+    router.member(T, A, (G, 0), Standing::Ready, T, true);
+    for stmt in 1..9 {
+        take(&mut router, T, stmt, WRITE, 0, 0.0);
+        router.statements.get_mut(&stmt).unwrap().chance = f64::from(stmt) / 9.0;
+    }
+    assert!(settle(&mut router, T + 0.5).is_empty());
+}
+
 #[test_case(1, 3.0; "within the quota")]
 #[test_case(60, 0.6; "far beyond it")]
 fn a_customer_beyond_its_quota_is_worth_less(times: u32, expected: f64) {
