--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -24,6 +24,8 @@
 const FAULTS: u32 = 3;
 /// An execution is overdue after so many times the pace: of answers that come at random, one in twenty is.
 const OVERDUE: f64 = 3.0;
+/// Of what a cold node may be sent, this part: its machine may be shared, and what it bears then is less.
+const COLD_PART: f64 = 0.5;
 /// Strain that no further answer confirms fades over this.
 const FADE_S: f64 = 10.0;
 /// So many errors show that a statement errs by itself, whoever executes it.
@@ -722,8 +724,8 @@
             return true;
         }
         let (window, floor) = (self.cold.window, LEAST_ROOM / self.routers);
-        let budget = (self.cold.factor * warmth * window * self.borne.1 / self.warm.max(1.0)).max(floor);
-        let left = budget - node.sends.iter().filter(|at| now - **at < window).count() as f64;
+        let budget = COLD_PART * self.cold.factor * warmth * window * self.borne.1 / self.warm.max(1.0);
+        let left = budget.max(floor) - node.sends.iter().filter(|at| now - **at < window).count() as f64;
         // What waited goes at once, so all its time's statements share; by worth, writes would go together.
         let asks = self.asked(s.group, id) * window.max(now - s.arrived);
         let spared = left >= 1.0 || s.chance * asks <= left;
