One lot a statement again, shared over the time it waited

With the time waited counted, lots ordered by worth pass no more than the budget; the second number is not needed.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -165,8 +165,7 @@
         s.fresh_age = write_age > 0.0 && write_age < MARK_S;
         let moments = [due - 2.0 * self.allowance.step, s.slo_end];
         self.timers.extend(moments.map(|at| ((at.max(0.0) * 1e6) as u64, stmt)));
-        s.chance = self.chance.f64();
-        s.lot = self.lot(workload, s.chance);
+        s.lot = self.lot(workload);
         let asked = self.groups.entry(group).or_default();
         asked.waiting.insert(stmt);
         count(&mut asked.asked, now);
@@ -175,8 +174,9 @@
     }
 
     /// From 0 to 1, even over all statements: the worthier a workload, the lower its lots.
-    fn lot(&self, workload: usize, chance: f64) -> f64 {
-        let (own, mut before, mut all) = (self.workloads[workload].importance, 0.0, 0.0);
+    fn lot(&mut self, workload: usize) -> f64 {
+        let (own, chance) = (self.workloads[workload].importance, self.chance.f64());
+        let (mut before, mut all) = (0.0, 0.0);
         for (share, kind) in self.shares[0].iter().zip(&self.workloads) {
             let count = share.0 / kind.importance.max(1e-9);
             before +=
@@ -287,7 +287,6 @@
 }
 
 impl Statement {
-    /// A small part of its time, after which what turned it away is asked again.
     fn hold(&self) -> f64 {
         HOLD_SHARE * self.kind.timeout
     }
@@ -726,10 +725,9 @@
         let (window, floor) = (self.cold.window, LEAST_ROOM / self.routers);
         let budget = COLD_PART * self.cold.factor * warmth * window * self.borne.1 / self.warm.max(1.0);
         let left = budget.max(floor) - node.sends.iter().filter(|at| now - **at < window).count() as f64;
-        // What waited goes at once, so all its time's statements share; by worth, writes would go together.
+        // What waited would go all at once: it shares with all that came meanwhile.
         let asks = self.asked(s.group, id) * window.max(now - s.arrived);
-        let spared = left >= 1.0 || s.chance * asks <= left;
-        spared && (node.out as f64) < (node.room * warmth).max(1.0)
+        (left >= 1.0 || s.lot * asks <= left) && (node.out as f64) < (node.room * warmth).max(1.0)
     }
 
     /// Statements a second that would ask for this member if all were as good as another.
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -30,9 +30,7 @@
     /// Its session wrote within the mark's time, here or elsewhere.
     pub fresh_age: bool,
     pub worth: f64,
-    /// Drawn from 0 to 1 by chance alone, and so that the worthier come first: which statements go where only
-    /// a part of them may.
-    pub chance: f64,
+    /// Drawn by chance from 0 to 1: which statements go first where only a part of them may.
     pub lot: f64,
     /// How many probes it asked for, and when it did last.
     pub probes: f64,
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -408,7 +408,7 @@
     router.nodes.get_mut(&B).unwrap().sends = vec![T; already].into();
     take(&mut router, T, 1, LOOSE, 0, 0.0);
 
-    router.statements.get_mut(&1).unwrap().chance = lot;
+    router.statements.get_mut(&1).unwrap().lot = lot;
     router.groups.get_mut(&G).unwrap().asked = (T, 1.0);
     let statement = &router.statements[&1];
     assert_eq!(router.bearable(&router.nodes[&B], B, statement, T + 0.5), expected);
@@ -462,7 +462,7 @@
     router.member(T, A, (G, 0), Standing::Ready, T, true);
     for stmt in 1..9 {
         take(&mut router, T, stmt, WRITE, 0, 0.0);
-        router.statements.get_mut(&stmt).unwrap().chance = 0.2;
+        router.statements.get_mut(&stmt).unwrap().lot = 0.2;
     }
     assert!(settle(&mut router, T + 1.6).is_empty());
 }
