--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -24,7 +24,7 @@
 const FAULTS: u32 = 3;
 /// An execution is overdue after so many times the pace: of answers that come at random, one in twenty is.
 const OVERDUE: f64 = 3.0;
-/// Of what a cold node may be sent, this part: its machine may be shared, and what it bears then is less.
+/// The part of a cold budget under one send that is used: rooms do not see there that a machine is shared.
 const COLD_PART: f64 = 0.5;
 /// Strain that no further answer confirms fades over this.
 const FADE_S: f64 = 10.0;
@@ -723,11 +723,11 @@
             return true;
         }
         let (window, floor) = (self.cold.window, LEAST_ROOM / self.routers);
-        let budget = COLD_PART * self.cold.factor * warmth * window * self.borne.1 / self.warm.max(1.0);
+        let budget = self.cold.factor * warmth * window * self.borne.1 / self.warm.max(1.0);
         let left = budget.max(floor) - node.sends.iter().filter(|at| now - **at < window).count() as f64;
         // What waited would go all at once: it shares with all that came meanwhile.
         let asks = self.asked(s.group, id) * window.max(now - s.arrived);
-        (left >= 1.0 || s.lot * asks <= left) && (node.out as f64) < (node.room * warmth).max(1.0)
+        (left >= 1.0 || s.lot * asks <= COLD_PART * left) && (node.out as f64) < (node.room * warmth).max(1.0)
     }
 
     /// Statements a second that would ask for this member if all were as good as another.
