What is needed to be back is at most half of the client's own time

Guards also against workloads whose time is short against their work; harm: in a jam some come back too late.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -555,10 +555,10 @@
         self.members(group).map(|m| m.1.pace).fold(f64::INFINITY, f64::min)
     }
 
-    /// Within two paces, six in seven answers that come at random are back. Never more than half the SLO
-    /// time: nodes that are all slow, or whose pace is not known yet, must still be tried.
+    /// Within two paces, six in seven answers that come at random are back. Never more than half of its time:
+    /// nodes that are slow, or of no known pace, must still be tried, and for clients that soon lose patience.
     fn needed(&self, s: &Statement) -> f64 {
-        (2.0 * self.pace(s.group)).min(s.kind.slo / 2.0)
+        (2.0 * self.pace(s.group)).min(s.kind.slo.min(s.last_use() - s.arrived) / 2.0)
     }
 
     /// The design's steps 1 to 5.
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -508,6 +508,14 @@
     assert_eq!(settle(&mut router, T + later), expected);
 }
 
+/// Found in an incident: clients that wait for half of the SLO time only were turned away by idle nodes.
+#[test]
+fn a_client_of_little_patience_is_served_at_once() {
+    let mut router = router(false);
+    router.arrived(T, 1, LOOSE, G, 0, 9, 0.0, T + 0.19, 0.0);
+    assert_eq!(settle(&mut router, T), ["execute 1 12"]);
+}
+
 /// Found by a test of the adapter: a fresh router, its nodes' pace unknown, turned away what it had just got.
 #[test]
 fn nodes_of_unknown_pace_are_tried() {
