--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -330,7 +330,7 @@
         let gain = f64::max(GAIN, 1.0 - (-(now - self.strained_at) / MARK_S).exp());
         self.strain += (share - self.strain) * gain;
         self.strained_at = now;
-        let used = if self.room < 1.0 { self.room < 2.0 * usual } else { self.out as f64 + 2.0 >= self.room };
+        let used = if self.room < 1.0 { self.room < usual } else { self.out as f64 + 2.0 >= self.room };
         if self.strain <= STRAIN && used {
             self.room += f64::min(1.0 / self.room, self.room);
         } else if self.strain > STRAIN && now - self.cut >= self.pace {
