--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -462,7 +462,7 @@
     router.member(T, A, (G, 0), Standing::Ready, T, true);
     for stmt in 1..9 {
         take(&mut router, T, stmt, WRITE, 0, 0.0);
-        router.statements.get_mut(&stmt).unwrap().lot = 0.2;
+        router.statements.get_mut(&stmt).unwrap().lot = 0.1;
     }
     assert!(settle(&mut router, T + 1.6).is_empty());
 }
