An answer tells no position ahead of the clock

Reports had this guard, answers did not: a broken position would have let stale reads through until the clock got there. Also sums a router's traffic only for nodes unheard. With a test that fails without.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -224,8 +224,8 @@
         if let Some(node) = self.nodes.get_mut(&id) {
             let slo = statement.as_ref().map(|s| s.kind.slo);
             node.executed(now, ending, took, slo, usual, self.in_vain > IN_VAIN);
-            // A commit is rounded up: the node is sure to stand only at what lies before.
-            node.lsn = node.lsn.max(lsn - ROUNDING_S);
+            // A commit is rounded up: the node is sure to stand only at what lies before, never ahead of now.
+            node.lsn = node.lsn.max(if lsn <= now + ROUNDING_S { lsn - ROUNDING_S } else { NEVER });
             match role {
                 Some(Role::Primary) => node.claimed = node.claimed.max(now),
                 Some(Role::Replica) => node.denied = now,
@@ -474,10 +474,10 @@
 
     /// A member unheard for a second, where that is cheap against what this router takes in; else `ask` does.
     fn probe_unheard(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
-        let asked: f64 = self.groups.values().map(|g| g.asked.1).sum();
-        let cheap = self.nodes.len() as f64 * self.allowance.probe_price <= PROBE_SHARE * 0.1 * asked;
         let unheard = now - self.nodes[&id].heard.max(self.nodes[&id].probed) >= IDLE_S;
-        cheap && unheard && self.probe(id, now, out)
+        let asked = || self.groups.values().map(|g| g.asked.1).sum::<f64>() * PROBE_SHARE * 0.1;
+        let cheap = unheard && self.nodes.len() as f64 * self.allowance.probe_price <= asked();
+        cheap && self.probe(id, now, out)
     }
 
     fn probe(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -549,6 +549,15 @@
     assert_eq!(router.nodes[&B].lsn, T);
 }
 
+/// A broken answer: a position ahead of the clock would let stale reads through until the clock gets there.
+#[test_case(T + 1.0, T + 0.999; "at the present")]
+#[test_case(T + 9.0, T; "ahead of the clock")]
+fn an_answer_tells_no_position_ahead_of_the_clock(lsn: f64, expected: f64) {
+    let mut router = router(false);
+    router.executed(T + 1.0, 99, 0, B, Ending::Completed, 0.1, true, Some(Role::Replica), lsn);
+    assert!((router.nodes[&B].lsn - expected).abs() < 1e-9);
+}
+
 /// Found in an incident: what was sent in the last moment of its SLO time came back late and held a core
 /// meanwhile.
 #[test_case(0.15, &["execute 1 11"]; "two paces are left")]
