--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -211,11 +211,9 @@
     ) {
         let (done, index) = (ending == Ending::Completed, usize::from(execution));
         let open = self.statements.get(&stmt);
-        let known = open.and_then(|s| s.executions.get(index)).is_some_and(|e| self.late(e, now));
+        let late = open.and_then(|s| s.executions.get(index)).is_some_and(|e| self.late(e, now));
         let committed = done && open.is_some_and(Statement::writes);
-        if known && (done || ending == Ending::TimedOut) {
-            self.in_vain += (f64::from(u8::from(!done)) - self.in_vain) * 2.0 * GAIN;
-        }
+        self.learn(late && (done || ending == Ending::TimedOut), !done);
         if done {
             count(&mut self.borne, now);
         }
@@ -267,9 +265,8 @@
     }
 
     pub fn reported(&mut self, now: f64, id: u32, primary: Option<bool>, lsn: f64) {
-        // A report is old but its position still holds; one ahead of the clock is broken.
         let Some(node) = self.nodes.get_mut(&id) else { return };
-        let lsn = if lsn <= now { lsn } else { NEVER };
+        let lsn = if lsn <= now { lsn } else { NEVER }; // Ahead of the clock it is broken; an old one holds.
         node.lsn = node.lsn.max(lsn);
         match primary {
             // A primary stands at the present, so its own position dates the claim, however late the report.
@@ -369,7 +366,7 @@
     /// Guards against a list that is wrong: where a drain alone binds, a node that is called gone without one
     /// counts as in service until it fails itself. Harm: one failed connection more at a node that is gone.
     fn in_service(&self, drain: &Drain) -> bool {
-        self.standing == Standing::Ready || !self.closed(drain, false, f64::INFINITY)
+        !self.closed(drain, false, f64::INFINITY)
     }
 }
 
@@ -570,9 +567,9 @@
         match s.kind.currency {
             Currency::Primary if believed.is_none() => self.next_asked(s, now),
             Currency::Primary => primary,
-            // The design's relief: a replica known past the write, when the primary is full or slow.
+            // The design's relief: a replica known past the write, when the primary is full or its peers
+            // answer in half the time.
             _ if self.pinned(s, now) => {
-                // Slow: its peers answer in half the time, in a jam or on a shared machine.
                 let spare = primary.filter(|p| self.nodes[p].pace <= 2.0 * self.pace(s.group));
                 spare.or_else(|| self.rotate(stmt, now)).or(primary)
             }
@@ -638,13 +635,11 @@
 
     /// No primary is known: the listed one first, then who has most of the log, for a round at most.
     fn next_asked(&self, s: &Statement, now: f64) -> Option<u32> {
-        let members = self.groups[&s.group].members.iter().copied();
-        let asked = members.filter(|m| now - self.nodes[m].denied >= s.hold());
-        let rank =
-            |m: &u32| (self.nodes[m].listed_primary && self.nodes[m].denied == NEVER, self.nodes[m].lsn);
         let early = s.executions.len() * 2 < self.allowance.executions;
-        let able = asked.filter(|m| early && self.open(s, *m, now));
-        able.max_by(|a, b| rank(a).partial_cmp(&rank(b)).expect("no NaN"))
+        let able = |(id, n): &(u32, &Node)| early && now - n.denied >= s.hold() && self.open(s, *id, now);
+        let rank = |n: &Node| (n.listed_primary && n.denied == NEVER, n.lsn);
+        let best = self.members(s.group).filter(able);
+        best.max_by(|a, b| rank(a.1).partial_cmp(&rank(b.1)).expect("no NaN")).map(|m| m.0)
     }
 
     /// Whether a node may be chosen now: in health or on trial, with room, and not met in vain.
@@ -674,6 +669,12 @@
         stuck || self.in_vain > IN_VAIN && self.late(e, now)
     }
 
+    fn learn(&mut self, late: bool, in_vain: bool) {
+        if late {
+            self.in_vain += (f64::from(u8::from(in_vain)) - self.in_vain) * 2.0 * GAIN;
+        }
+    }
+
     /// Out for several times the pace of a node without strain: in a jam all is late. Work is the statement's
     /// own: what is only long beats its copy, a lost answer never comes. `in_vain` counts which it is.
     fn late(&self, e: &Execution, now: f64) -> bool {
@@ -784,7 +785,7 @@
             (node.trial_at, node.trials) = (now, node.trials + 1);
         }
         node.sends.push_back(now);
-        node.sends.retain(|at| now - at < self.cold.window);
+        while node.sends.pop_front_if(|at| now - *at >= self.cold.window).is_some() {}
         out.execute(stmt, id, limit);
         true
     }
@@ -809,7 +810,7 @@
         let Some(s) = self.statements.remove(&stmt) else { return false };
         self.groups.get_mut(&s.group).expect("known").waiting.remove(&stmt);
         for (execution, e) in (0..).zip(&s.executions).filter(|e| e.1.ended.is_none()) {
-            self.in_vain += (1.0 - self.in_vain) * if self.late(e, now) { 2.0 * GAIN } else { 0.0 };
+            self.learn(self.late(e, now), true);
             let usual = self.asked(s.group, e.node) * self.nodes[&e.node].pace;
             let node = self.nodes.get_mut(&e.node).expect("listed");
             node.unanswered(now, (now - e.sent) / s.kind.slo, usual, self.in_vain > IN_VAIN);
