--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -1,7 +1,7 @@
 //! Hosting of the instances: each decoded field goes straight into a call of the instance it is for.
 
 use crate::codec::{Batch, ENTRY_BYTES, Fields, Reply};
-use crate::setup::{self, Reading};
+use badgerstream_provision::{Pairs, Reading};
 use badgerstream_routing::{Ending, Instance, Outbox, Role, Standing};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
@@ -129,7 +129,7 @@
         if code == 10 {
             let (seed, span) = (f.u64(), f.span());
             let text = std::str::from_utf8(batch.tail(span, 1)?).map_err(|e| format!("the settings: {e}"))?;
-            let (instance, reading) = setup::instance(seed, text)?;
+            let (instance, reading) = badgerstream_provision::instance(seed, &Pairs::from_lines(text))?;
             if reading.subscribes {
                 subscribe(id, reply);
             }
@@ -170,7 +170,7 @@
                 let (stmt, customer, hint) = (f.u32(), f.u16(), f.seconds());
                 let (session, workload, due) = (f.u64(), usize::from(f.u16()), f.seconds());
                 let (options, group, age) = (f.u8(), f.f32() as u16, f64::from(f.f32()) / 1e3);
-                if workload >= reading.workloads {
+                if workload >= reading.workloads.len() {
                     return Err(format!("class {workload} is not in the settings"));
                 }
                 let work = if options & 1 == 1 { hint } else { 0.0 };
@@ -192,14 +192,14 @@
                 if let (n, values) = f.report()
                     && n > 0
                 {
-                    let (primary, lsn) = reading.report(n, values);
+                    let (primary, lsn) = report(reading, n, values);
                     instance.reported(now, node, primary, lsn);
                 }
             }
             60 => instance.abandoned(f.u32()),
             80 => {
                 let (_, node, outcome, (n, values)) = (f.seconds(), f.u32(), f.u16(), f.report());
-                let (primary, lsn) = reading.report(n, values);
+                let (primary, lsn) = report(reading, n, values);
                 instance.probed(now, node, ending(outcome)? == Ending::Completed, primary, lsn);
             }
             100 => {
@@ -213,15 +213,13 @@
     }
 }
 
-impl Reading {
-    /// Role and position of a load report. The position is rounded to an f32, perhaps upwards: the next one
-    /// down is sure not to be past it.
-    fn report(&self, n: u8, values: [f32; 4]) -> (Option<bool>, f64) {
-        let value = |column: Option<usize>| column.filter(|c| *c < usize::from(n)).map(|c| values[c]);
-        let lsn = value(self.position_column)
-            .map_or(f64::NEG_INFINITY, |x| self.origin + f64::from(x.next_down().max(0.0)));
-        (value(self.role_column).map(|x| x >= 0.5), lsn)
-    }
+/// Role and position of a load report. The position is rounded to an f32, perhaps upwards: the next one
+/// down is sure not to be past it.
+fn report(reading: &Reading, n: u8, values: [f32; 4]) -> (Option<bool>, f64) {
+    let value = |column: Option<usize>| column.filter(|c| *c < usize::from(n)).map(|c| values[c]);
+    let lsn = value(reading.position_column)
+        .map_or(f64::NEG_INFINITY, |x| reading.origin + f64::from(x.next_down().max(0.0)));
+    (value(reading.role_column).map(|x| x >= 0.5), lsn)
 }
 
 fn subscribe(id: u32, reply: &mut Reply) {
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -3,7 +3,6 @@
 
 mod codec;
 mod link;
-mod setup;
 #[cfg(test)]
 mod tests;
 
--- a/crates/benchlink/src/tests.rs
+++ b/crates/benchlink/src/tests.rs
@@ -2,7 +2,7 @@
 
 use crate::codec::{Batch, EVENT_BYTES, Fields, Reply};
 use crate::link::{Link, serve};
-use crate::setup;
+use badgerstream_provision::{Pairs, instance};
 use test_case::test_case;
 
 fn hex(text: &str) -> Vec<u8> {
@@ -205,6 +205,6 @@
 #[test_case("siblings=2", "siblings=many", "setting siblings cannot be read: \"many\""; "unreadable")]
 #[test_case("repeat=pure", "repeat=often", "setting classes.0.repeat is unknown: \"often\""; "unknown choice")]
 fn bad_settings(from: &str, to: &str, expected: &str) {
-    let problem = setup::instance(1, &SETUP.replace(from, to)).err().unwrap();
+    let problem = instance(1, &Pairs::from_lines(&SETUP.replace(from, to))).err().unwrap();
     assert_eq!(problem, expected);
 }
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,16 @@
+//! The platform's protocols as state machines that are fed bytes: PostgreSQL's version 3 towards clients and
+//! nodes, HTTP towards discovery. No sockets and no decisions here; a driver reads, feeds and writes.
+
+pub mod client;
+pub mod close;
+pub mod comment;
+pub mod discovery;
+pub mod message;
+pub mod node;
+pub mod ring;
+
+pub use close::Close;
+pub use ring::Ring;
+
+#[cfg(test)]
+mod tests;
--- a/crates/benchlink/src/setup.rs
+++ b/crates/provision/src/instance.rs
@@ -1,37 +1,11 @@
-//! Reading of the path=value pairs that an instance is born with, into the types of `badgerstream-routing`.
+//! An instance from the pairs that it is born with.
 
+use crate::pairs::{Pairs, parse};
 use badgerstream_routing::{
     Allowance, ColdStart, Currency, Drain, Fairness, Instance, Quota, Repeat, Replication, Within, Workload,
 };
-use std::collections::BTreeMap;
-use std::str::FromStr;
 
-/// The pairs of one instance's settings; unknown ones are passed over.
-struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
-
-impl<'a> Pairs<'a> {
-    fn text(&self, path: &str) -> Result<&'a str, String> {
-        self.0.get(path).copied().ok_or_else(|| format!("setting {path} is missing"))
-    }
-
-    fn read<T: FromStr>(&self, path: &str) -> Result<T, String> {
-        parse(path, self.text(path)?)
-    }
-
-    fn read_or<T: FromStr>(&self, path: &str, absent: T) -> Result<T, String> {
-        self.0.get(path).map_or(Ok(absent), |text| parse(path, text))
-    }
-
-    fn seconds(&self, path: &str) -> Result<f64, String> {
-        Ok(self.read::<f64>(path)? / 1e3)
-    }
-}
-
-fn parse<T: FromStr>(path: &str, text: &str) -> Result<T, String> {
-    text.parse().map_err(|_| format!("setting {path} cannot be read: {text:?}"))
-}
-
-/// What the link itself must know of an instance to read its events.
+/// What a front itself must know to read what it is told for an instance.
 pub struct Reading {
     /// Seconds on the clock from which positions count.
     pub origin: f64,
@@ -40,12 +14,11 @@
     pub role_column: Option<usize>,
     /// The list must be subscribed to.
     pub subscribes: bool,
-    pub workloads: usize,
+    pub workloads: Vec<Workload>,
 }
 
 /// A new instance from its settings.
-pub fn instance(seed: u64, text: &str) -> Result<(Instance, Reading), String> {
-    let pairs = Pairs(text.lines().filter_map(|line| line.split_once('=')).collect());
+pub fn instance(seed: u64, pairs: &Pairs) -> Result<(Instance, Reading), String> {
     let count: usize = pairs.read("classes.count")?;
     let needs: Vec<&str> = pairs.text("domain.needs_by_class")?.split(',').collect();
     let bounds: Vec<&str> = pairs.text("domain.max_age_ms")?.split(',').collect();
@@ -54,7 +27,7 @@
         let need = needs.get(i).ok_or_else(|| format!("setting domain.needs_by_class has no entry {i}"))?;
         let bound = bounds.get(i).ok_or_else(|| format!("setting domain.max_age_ms has no entry {i}"))?;
         let bound = parse::<f64>("domain.max_age_ms", bound)? / 1e3;
-        workloads.push(workload(&pairs, i, need, bound)?);
+        workloads.push(workload(pairs, i, need, bound)?);
     }
     let beyond = pairs.read_or("over_share_worth", 1.0)?;
     let customers: usize = pairs.read_or("tenants.count", 0)?;
@@ -92,10 +65,10 @@
     let columns: Vec<&str> = pairs.text("load_info.columns")?.split(',').collect();
     let reading = Reading {
         origin: pairs.seconds("domain.origin_time_ms")?,
-        position_column: columns.iter().position(|c| *c == "x0"),
-        role_column: columns.iter().position(|c| *c == "x1"),
+        position_column: columns.iter().position(|c| *c == crate::POSITION),
+        role_column: columns.iter().position(|c| *c == crate::ROLE),
         subscribes: pairs.text("discovery")? == "on_request",
-        workloads: count,
+        workloads: workloads.clone(),
     };
     let routers = pairs.read("siblings")?;
     let instance =
--- /dev/null
+++ b/crates/provision/src/lib.rs
@@ -0,0 +1,17 @@
+//! What a router is handed at start, turned into the types of `badgerstream-routing`: one reading for every
+//! front. Lines of path=value and nested JSON come to the same pairs.
+
+mod instance;
+mod pairs;
+mod start;
+
+pub use instance::{Reading, instance};
+pub use pairs::Pairs;
+pub use start::Provision;
+
+/// The figures of a load report that tell a node's position and role.
+pub const POSITION: &str = "x0";
+pub const ROLE: &str = "x1";
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/router/src/decide.rs
@@ -0,0 +1,321 @@
+//! The way into the decisions, for every front: facts in, final answers and orders out. It owns the clock,
+//! the statements' numbers and the Instance, and knows no protocol: `S` is whatever a front executes, `A`
+//! whatever an execution brings back.
+
+use async_channel::{Receiver, Sender, bounded};
+use async_executor::Task;
+use badgerstream_routing::{Ending, Instance, Outbox, Role};
+use futures_lite::future;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Never goes back. It starts at Unix time, so that positions and births told by others share it.
+pub struct Clock {
+    anchor: f64,
+    start: Instant,
+}
+
+impl Clock {
+    pub fn new() -> Clock {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { anchor: since.as_secs_f64(), start: Instant::now() }
+    }
+
+    pub fn now(&self) -> f64 {
+        self.anchor + self.start.elapsed().as_secs_f64()
+    }
+}
+
+/// The one final answer of a statement.
+#[derive(Debug, PartialEq)]
+pub enum Final<A> {
+    Completed(A),
+    /// Trying again is harmless, after so many seconds.
+    Rejected(f64),
+    Aborted,
+}
+
+/// What the front has to do; the task of an execution is handed back, and dropped when it is cancelled.
+pub enum Order<S> {
+    Execute { stmt: u32, execution: u8, node: u32, limit: f64, statement: Rc<S> },
+    Probe { node: u32 },
+}
+
+struct Taken<S, A> {
+    statement: Rc<S>,
+    answer: Sender<Final<A>>,
+    executions: u8,
+}
+
+struct Running {
+    node: u32,
+    sent: f64,
+    task: Option<Task<()>>,
+}
+
+struct Inner<S, A> {
+    instance: Instance,
+    clock: Clock,
+    numbered: u32,
+    /// Lives until the final answer.
+    taken: HashMap<u32, Taken<S, A>>,
+    /// Lives until the execution's end, which may come after its statement's.
+    running: HashMap<(u32, u8), Running>,
+}
+
+pub struct Desk<S: 'static, A: 'static> {
+    inner: RefCell<Inner<S, A>>,
+    told: (Sender<()>, Receiver<()>),
+}
+
+/// A statement that was taken. Dropped before its answer, its client has gone.
+pub struct Ticket<S: 'static, A: 'static> {
+    desk: Rc<Desk<S, A>>,
+    stmt: u32,
+    answer: Receiver<Final<A>>,
+}
+
+impl<S: 'static, A: 'static> Ticket<S, A> {
+    pub async fn answer(&self) -> Final<A> {
+        self.answer.recv().await.unwrap_or(Final::Aborted)
+    }
+}
+
+impl<S: 'static, A: 'static> Drop for Ticket<S, A> {
+    fn drop(&mut self) {
+        let stmt = self.stmt;
+        let mut inner = self.desk.inner.borrow_mut();
+        if inner.taken.remove(&stmt).is_some() {
+            inner.instance.abandoned(stmt);
+            self.desk.touch();
+        }
+    }
+}
+
+/// An execution that is out. Dropped without a word, its connection's end is all that is known.
+pub struct Out<S: 'static, A: 'static> {
+    desk: Rc<Desk<S, A>>,
+    key: (u32, u8),
+}
+
+impl<S: 'static, A: 'static> Out<S, A> {
+    /// It ended. `lsn` is minus infinity where none was told, a report tells role and position.
+    pub fn ended(
+        self, ending: Ending, role: Option<Role>, lsn: f64, report: Option<(Option<bool>, f64)>,
+        answer: Option<A>,
+    ) {
+        self.desk.executed(self.key, ending, role, lsn, report, answer);
+    }
+}
+
+impl<S: 'static, A: 'static> Drop for Out<S, A> {
+    fn drop(&mut self) {
+        self.desk.executed(self.key, Ending::Dropped, None, f64::NEG_INFINITY, None, None);
+    }
+}
+
+impl<S: 'static, A: 'static> Desk<S, A> {
+    pub fn new(instance: Instance, clock: Clock) -> Rc<Desk<S, A>> {
+        let (taken, running) = (HashMap::new(), HashMap::new());
+        let inner = Inner { instance, clock, numbered: 0, taken, running };
+        Rc::new(Desk { inner: RefCell::new(inner), told: bounded(1) })
+    }
+
+    /// Tells the instance a fact; it settles once all that is ready now has been told.
+    pub fn tell<T>(&self, fact: impl FnOnce(&mut Instance, f64) -> T) -> T {
+        let mut inner = self.inner.borrow_mut();
+        let now = inner.clock.now();
+        let told = fact(&mut inner.instance, now);
+        self.touch();
+        told
+    }
+
+    fn touch(&self) {
+        // A full channel says the same.
+        let _ = self.told.0.try_send(());
+    }
+
+    /// Takes a statement whose last byte has just arrived. `wait` is how long its client waits, `after` the
+    /// position that it must see.
+    pub fn arrived(
+        self: &Rc<Self>, statement: S, workload: usize, group: u16, session: u64, customer: usize, wait: f64,
+        after: Option<f64>,
+    ) -> Ticket<S, A> {
+        let mut inner = self.inner.borrow_mut();
+        let now = inner.clock.now();
+        inner.numbered = inner.numbered.wrapping_add(1);
+        let stmt = inner.numbered;
+        // 0 would mean that nothing was written; a commit that is rounded up may lie just ahead.
+        let age = after.map_or(0.0, |at| (now - at).max(1e-6));
+        inner.instance.arrived(now, stmt, workload, group, session, customer, 0.0, now + wait, age);
+        let (sender, answer) = bounded(1);
+        let taken = Taken { statement: Rc::new(statement), answer: sender, executions: 0 };
+        inner.taken.insert(stmt, taken);
+        self.touch();
+        Ticket { desk: self.clone(), stmt, answer }
+    }
+
+    pub fn out(self: &Rc<Self>, stmt: u32, execution: u8) -> Out<S, A> {
+        Out { desk: self.clone(), key: (stmt, execution) }
+    }
+
+    /// Whether what let an execution go still holds, for one that had to wait for its connection: a drain
+    /// counts from the first byte, the age of data from the last.
+    pub fn still_stands(&self, stmt: u32, node: u32) -> bool {
+        let inner = self.inner.borrow();
+        let (now, instance) = (inner.clock.now(), &inner.instance);
+        let Some(known) = instance.nodes.get(&node) else { return false };
+        let current = instance.statements.get(&stmt).is_some_and(|s| instance.current(s, node, now));
+        current && !known.closed(&instance.drain, true, now)
+    }
+
+    /// Every end of an execution comes through here, once.
+    fn executed(
+        &self, key: (u32, u8), ending: Ending, role: Option<Role>, lsn: f64,
+        report: Option<(Option<bool>, f64)>, answer: Option<A>,
+    ) {
+        let mut inner = self.inner.borrow_mut();
+        let Some(running) = inner.running.remove(&key) else { return };
+        let (now, (stmt, execution)) = (inner.clock.now(), key);
+        if let (Ending::Completed, Some(answer)) = (ending, answer)
+            && let Some(taken) = inner.taken.remove(&stmt)
+        {
+            let _ = taken.answer.try_send(Final::Completed(answer));
+        }
+        let over = !inner.taken.contains_key(&stmt);
+        let (node, took) = (running.node, now - running.sent);
+        inner.instance.executed(now, stmt, execution, node, ending, took, over, role, lsn);
+        if let Some((primary, lsn)) = report {
+            inner.instance.reported(now, node, primary, lsn);
+        }
+        self.touch();
+        drop(inner);
+        if let Some(task) = running.task {
+            task.detach();
+        }
+    }
+
+    /// Settles whenever something was told or the instance asked to be woken.
+    pub async fn run(self: Rc<Self>, carry: impl Fn(Order<S>) -> Task<()>) {
+        let mut timer = async_io::Timer::never();
+        loop {
+            // What else is ready at this moment is told first.
+            future::yield_now().await;
+            let _ = self.told.1.try_recv();
+            if let Some(after) = self.settle(&carry) {
+                timer.set_after(after);
+            }
+            let told = async {
+                let _ = self.told.1.recv().await;
+            };
+            let woken = async {
+                (&mut timer).await;
+            };
+            future::or(told, woken).await;
+        }
+    }
+
+    /// One settling, and what it asks for; tells when the next is due, if nothing is told before.
+    fn settle(self: &Rc<Self>, carry: &impl Fn(Order<S>) -> Task<()>) -> Option<Duration> {
+        let mut asked = Asked::default();
+        let mut inner = self.inner.borrow_mut();
+        let now = inner.clock.now();
+        inner.instance.settle(now, &mut asked);
+        drop(inner);
+        for line in asked.lines {
+            tracing::info!("{line}");
+        }
+        for action in asked.actions {
+            match action {
+                Action::Execute(stmt, node, limit) => self.execute(now, stmt, node, limit, carry),
+                Action::Cancel(stmt, execution) => self.cancel(stmt, execution),
+                Action::Conclude(stmt, last) => self.conclude(stmt, last),
+                Action::Probe(node) => carry(Order::Probe { node }).detach(),
+            }
+        }
+        asked.wake.map(|after| Duration::from_secs_f64(after.clamp(0.0, 3600.0)))
+    }
+
+    fn execute(&self, now: f64, stmt: u32, node: u32, limit: f64, carry: &impl Fn(Order<S>) -> Task<()>) {
+        let mut inner = self.inner.borrow_mut();
+        let Some(taken) = inner.taken.get_mut(&stmt) else { return };
+        let (execution, statement) = (taken.executions, taken.statement.clone());
+        taken.executions += 1;
+        inner.running.insert((stmt, execution), Running { node, sent: now, task: None });
+        drop(inner);
+        let task = carry(Order::Execute { stmt, execution, node, limit, statement });
+        if let Some(running) = self.inner.borrow_mut().running.get_mut(&(stmt, execution)) {
+            running.task = Some(task);
+        }
+    }
+
+    fn cancel(&self, stmt: u32, execution: u8) {
+        let mut inner = self.inner.borrow_mut();
+        let Some(running) = inner.running.remove(&(stmt, execution)) else { return };
+        let (now, took) = (inner.clock.now(), inner.clock.now() - running.sent);
+        let (ending, lsn) = (Ending::Cancelled, f64::NEG_INFINITY);
+        inner.instance.executed(now, stmt, execution, running.node, ending, took, true, None, lsn);
+        self.touch();
+        // The task goes with what it holds, its connection first of all; it may tell, so nothing is borrowed.
+        drop(inner);
+        drop(running);
+    }
+
+    fn conclude(&self, stmt: u32, last: Final<A>) {
+        if let Some(taken) = self.inner.borrow_mut().taken.remove(&stmt) {
+            let _ = taken.answer.try_send(last);
+        }
+    }
+}
+
+enum Action<A> {
+    Execute(u32, u32, f64),
+    Cancel(u32, u8),
+    Conclude(u32, Final<A>),
+    Probe(u32),
+}
+
+/// Nothing is carried out while the instance is borrowed.
+struct Asked<A> {
+    actions: Vec<Action<A>>,
+    lines: Vec<String>,
+    wake: Option<f64>,
+}
+
+impl<A> Default for Asked<A> {
+    fn default() -> Asked<A> {
+        Asked { actions: Vec::new(), lines: Vec::new(), wake: None }
+    }
+}
+
+impl<A> Outbox for Asked<A> {
+    fn execute(&mut self, stmt: u32, node: u32, limit: f64) {
+        self.actions.push(Action::Execute(stmt, node, limit));
+    }
+
+    fn cancel(&mut self, stmt: u32, execution: u8) {
+        self.actions.push(Action::Cancel(stmt, execution));
+    }
+
+    fn reject(&mut self, stmt: u32, retry_after: f64) {
+        self.actions.push(Action::Conclude(stmt, Final::Rejected(retry_after)));
+    }
+
+    fn abort(&mut self, stmt: u32) {
+        self.actions.push(Action::Conclude(stmt, Final::Aborted));
+    }
+
+    fn probe(&mut self, node: u32) {
+        self.actions.push(Action::Probe(node));
+    }
+
+    fn wake(&mut self, after: f64) {
+        self.wake = Some(self.wake.map_or(after, |before| before.min(after)));
+    }
+
+    fn log(&mut self, line: &str) {
+        self.lines.push(line.to_string());
+    }
+}
--- /dev/null
+++ b/crates/router/src/ending.rs
@@ -0,0 +1,26 @@
+//! What the end of an execution means to the decisions: the one place where the ways in which a connection can
+//! end, and the codes of errors, become an [`Ending`].
+
+use badgerstream_protocol::Close;
+use badgerstream_routing::Ending;
+
+/// The connection ended under an execution. Unless its last byte was `written`, the node never began.
+pub fn of_close(close: Close, written: bool) -> Ending {
+    match (close, written) {
+        (Close::TimedOut, true) => Ending::TimedOut,
+        (Close::Cancelled, true) => Ending::Cancelled,
+        (Close::TimedOut | Close::Cancelled | Close::Withdrawn | Close::NoDescriptor, false) => Ending::Moot,
+        (Close::TurnedAway, false) => Ending::TurnedAway,
+        (_, false) => Ending::Unconnected,
+        (_, true) => Ending::Dropped,
+    }
+}
+
+/// The node answered with an error.
+pub fn of_error(code: [u8; 5]) -> Ending {
+    match &code {
+        b"25006" | b"72000" => Ending::Missed,
+        b"53300" => Ending::TurnedAway,
+        _ => Ending::Errored,
+    }
+}
--- /dev/null
+++ b/crates/router/src/execute.rs
@@ -0,0 +1,76 @@
+//! One execution on a node's connection, and one probe.
+
+use crate::decide::{Desk, Order};
+use crate::ending;
+use crate::pool::{Connection, Pool};
+use crate::watch::Roster;
+use async_io::Timer;
+use badgerstream_protocol::Close;
+use badgerstream_protocol::comment::Statement;
+use badgerstream_protocol::node::{Answer, vital};
+use badgerstream_routing::{Ending, Role};
+use futures_lite::future;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// A row as the node gave it.
+pub type Row = Vec<u8>;
+pub type Router = Desk<Statement, Row>;
+
+pub async fn carry(desk: Rc<Router>, pool: Rc<Pool>, roster: Rc<Roster>, order: Order<Statement>) {
+    match order {
+        Order::Execute { stmt, execution, node, limit, statement } => {
+            execute(desk, pool, roster, stmt, execution, node, limit, statement).await;
+        }
+        Order::Probe { node } => crate::probe::probe(desk, pool, roster, node).await,
+    }
+}
+
+#[allow(clippy::too_many_arguments)]
+async fn execute(
+    desk: Rc<Router>, pool: Rc<Pool>, roster: Rc<Roster>, stmt: u32, execution: u8, node: u32, limit: f64,
+    statement: Rc<Statement>,
+) {
+    let out = desk.out(stmt, execution);
+    let limit = Duration::from_secs_f64(limit.clamp(0.0, 86_400.0));
+    let (until, written) = (Instant::now() + limit, Cell::new(false));
+    let run = async {
+        let (mut connection, waited) = pool.take(node, roster.dial(node)).await?;
+        if waited && !desk.still_stands(stmt, node) {
+            pool.put(node, connection);
+            return Err(Close::Withdrawn);
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        let answer = connection.query(&statement.for_node(left.as_secs_f64()), &written).await?;
+        Ok((connection, answer))
+    };
+    let late = async {
+        Timer::at(until).await;
+        Err(Close::TimedOut)
+    };
+    // An answer that is there together with the limit counts.
+    let ended: Result<(Connection, Answer), Close> = future::or(run, late).await;
+    match ended {
+        Ok((connection, answer)) => {
+            pool.put(node, connection);
+            let role = answer.primary.map(|leads| if leads { Role::Primary } else { Role::Replica });
+            let lsn = answer.as_of.unwrap_or(f64::NEG_INFINITY);
+            let report = answer.vitals.as_deref().map(report);
+            match answer.row {
+                Ok(row) => out.ended(Ending::Completed, role, lsn, report, Some(row)),
+                Err(code) => out.ended(ending::of_error(code), role, lsn, report, None),
+            }
+        }
+        Err(close) => {
+            tracing::debug!("node {node}: execution ended, {close}, written {}", written.get());
+            out.ended(ending::of_close(close, written.get()), None, f64::NEG_INFINITY, None, None);
+        }
+    }
+}
+
+/// Role and position that a load report tells.
+pub fn report(vitals: &str) -> (Option<bool>, f64) {
+    let role = vital(vitals, badgerstream_provision::ROLE).map(|told| told >= 0.5);
+    (role, vital(vitals, badgerstream_provision::POSITION).unwrap_or(f64::NEG_INFINITY))
+}
--- /dev/null
+++ b/crates/router/src/main.rs
@@ -0,0 +1,157 @@
+//! badgerstream: routes the statements of a replicated store's clients.
+
+mod budget;
+mod client;
+mod decide;
+mod ending;
+mod execute;
+mod listen;
+mod pool;
+mod probe;
+mod shutdown;
+mod spawn;
+mod watch;
+mod wire;
+
+use async_io::Async;
+use badgerstream_provision::Provision;
+use lexopt::prelude::*;
+use std::net::TcpListener;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+const USAGE: &str = "\
+badgerstream routes the statements of a replicated store's clients
+
+usage: badgerstream serve          serve, as told by the file that RELAY_CONFIG names
+       badgerstream check FILE     say what is wrong with such a file, without serving
+       badgerstream version        print the version
+       badgerstream help           print this";
+
+fn main() -> ExitCode {
+    match command() {
+        Ok(Command::Serve) => report(start().and_then(|provision| serve(&provision))),
+        Ok(Command::Check(file)) => report(check(&file).map(|()| println!("{file} can be served"))),
+        Ok(Command::Version) => {
+            println!("badgerstream {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        Ok(Command::Help) => {
+            println!("{USAGE}");
+            ExitCode::SUCCESS
+        }
+        Err(problem) => {
+            eprintln!("badgerstream: {problem}\n{USAGE}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+enum Command {
+    Serve,
+    Check(String),
+    Version,
+    Help,
+}
+
+fn command() -> Result<Command, lexopt::Error> {
+    let mut arguments = lexopt::Parser::from_env();
+    let mut command = None;
+    while let Some(argument) = arguments.next()? {
+        match (argument, &command) {
+            (Short('h') | Long("help"), _) => return Ok(Command::Help),
+            (Short('V') | Long("version"), _) => return Ok(Command::Version),
+            (Value(word), None) => {
+                command = Some(match word.string()?.as_str() {
+                    "serve" => Command::Serve,
+                    "check" => Command::Check(arguments.value()?.string()?),
+                    "version" => Command::Version,
+                    "help" => Command::Help,
+                    other => return Err(format!("there is no sub-command {other:?}").into()),
+                });
+            }
+            (argument, _) => return Err(argument.unexpected()),
+        }
+    }
+    command.ok_or_else(|| "a sub-command is missing".into())
+}
+
+fn report(done: Result<(), String>) -> ExitCode {
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("badgerstream: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<Provision, String> {
+    let file = std::env::var("RELAY_CONFIG").map_err(|_| "the variable RELAY_CONFIG is missing")?;
+    read(&file)
+}
+
+fn read(file: &str) -> Result<Provision, String> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
+    Provision::read(&text).map_err(|e| format!("{file}: {e}"))
+}
+
+fn check(file: &str) -> Result<(), String> {
+    router(&read(file)?).map(drop).map_err(|e| format!("{file}: {e}"))
+}
+
+/// What the file comes to before anything is opened.
+struct Ready {
+    desk: Rc<execute::Router>,
+    roster: Rc<watch::Roster>,
+    names: Rc<client::Names>,
+    seq: u64,
+    dial_limit: f64,
+    node_idle_limit: f64,
+}
+
+fn router(provision: &Provision) -> Result<Ready, String> {
+    let pairs = &provision.pairs;
+    let (mut instance, reading) = badgerstream_provision::instance(provision.seed, pairs)?;
+    let clock = decide::Clock::new();
+    let zones = pairs.text("zones")?.split(',').map(str::to_string).collect();
+    let roster = watch::Roster::new(zones);
+    let seq =
+        roster.list(&mut instance, clock.now(), &provision.known).map_err(|e| format!("/known: {e}"))?;
+    let names = client::Names::new(pairs.names("classes")?, reading.workloads, pairs.names("tenants")?);
+    Ok(Ready {
+        desk: decide::Desk::new(instance, clock),
+        roster,
+        names: Rc::new(names),
+        seq,
+        dial_limit: pairs.seconds("policy_limits.dial_timeout_ms")?,
+        node_idle_limit: pairs.seconds("policy_limits.keepalive_ms")?,
+    })
+}
+
+fn serve(provision: &Provision) -> Result<(), String> {
+    let level = tracing_subscriber::EnvFilter::try_from_env("BADGERSTREAM_LOG")
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
+    tracing_subscriber::fmt().with_env_filter(level).with_ansi(false).with_writer(std::io::stderr).init();
+    let Ready { desk, roster, names, seq, dial_limit, node_idle_limit } = router(provision)?;
+    let address = provision.listen;
+    let listener = Async::<TcpListener>::bind(address).map_err(|e| format!("listening on {address}: {e}"))?;
+    let (tasks, budget) = (spawn::Tasks::default(), budget::Budget::new(provision.descriptors));
+    let pool = pool::Pool::new(tasks.clone(), budget.clone(), dial_limit, node_idle_limit);
+    let clients = listen::Clients::new();
+    let carry = {
+        let (tasks, desk, pool, roster) = (tasks.clone(), desk.clone(), pool.clone(), roster.clone());
+        move |order| {
+            let work = execute::carry(desk.clone(), pool.clone(), roster.clone(), order);
+            tasks.spawn("an execution", work)
+        }
+    };
+    tasks.spawn("the decisions", desk.clone().run(carry)).detach();
+    tasks.spawn("discovery", watch::watch(desk.clone(), roster, provision.discovery, seq)).detach();
+    tasks.spawn("the pool", pool.clone().retire()).detach();
+    let accept = listen::listen(listener, tasks.clone(), desk, names, clients.clone(), pool, budget);
+    tasks.spawn("the listener", accept).detach();
+    tracing::info!("{} serves on {address}", provision.name);
+    async_io::block_on(tasks.run(shutdown::shutdown(clients)));
+    Ok(())
+}
--- /dev/null
+++ b/crates/router/src/pool.rs
@@ -0,0 +1,213 @@
+//! Connections to nodes: one statement at a time each, the last used first.
+
+use crate::budget::{Budget, Lease};
+use crate::spawn::Tasks;
+use crate::wire;
+use async_channel::{Sender, bounded};
+use async_executor::Task;
+use async_io::{Async, Timer};
+use badgerstream_protocol::node::{Answer, Heard, Node};
+use badgerstream_protocol::{Close, Ring, message};
+use futures_lite::future;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// An idle connection is retired at this share of the time after which its node closes it.
+const RETIRED_AT: f64 = 0.5;
+
+pub struct Connection {
+    stream: Rc<Async<TcpStream>>,
+    machine: Node,
+    input: Ring,
+    output: Ring,
+    address: SocketAddr,
+    /// Given back with the connection.
+    _lease: Lease,
+}
+
+impl Connection {
+    /// Sends a query and waits for its answer. `written` is set once its last byte is with the system: until
+    /// then the node cannot have begun.
+    pub async fn query(&mut self, text: &str, written: &Cell<bool>) -> Result<Answer, Close> {
+        self.machine.execute(&mut self.output, text);
+        wire::write(&self.stream, &mut self.output).await?;
+        written.set(true);
+        loop {
+            if let Some(Heard::Answer(answer)) = self.machine.next(&mut self.input)? {
+                return Ok(answer);
+            }
+            if let Err(close) = wire::read(&self.stream, &mut self.input).await {
+                return self.machine.ended().ok_or(close);
+            }
+        }
+    }
+
+    /// Whether nothing has come since it fell idle, its end least of all.
+    fn quiet(&mut self) -> bool {
+        self.input.is_empty() && wire::read_now(&self.stream, &mut self.input) == Ok(false)
+    }
+}
+
+struct Idle {
+    number: u64,
+    connection: Connection,
+    since: Instant,
+    /// Notices at once when the node closes it.
+    watch: Task<()>,
+}
+
+type Waiting = Sender<Result<Connection, Close>>;
+
+#[derive(Default)]
+struct Stand {
+    idle: Vec<Idle>,
+    waiting: VecDeque<Waiting>,
+}
+
+pub struct Pool {
+    nodes: RefCell<HashMap<u32, Stand>>,
+    numbered: Cell<u64>,
+    tasks: Tasks,
+    budget: Rc<Budget>,
+    dial_limit: Duration,
+    idle_limit: Duration,
+}
+
+impl Pool {
+    pub fn new(tasks: Tasks, budget: Rc<Budget>, dial_limit: f64, node_idle_limit: f64) -> Rc<Pool> {
+        Rc::new(Pool {
+            nodes: RefCell::default(),
+            numbered: Cell::new(0),
+            tasks,
+            budget,
+            dial_limit: Duration::from_secs_f64(dial_limit),
+            idle_limit: Duration::from_secs_f64(node_idle_limit * RETIRED_AT),
+        })
+    }
+
+    /// How long a node may take to let a connection in, or to answer a probe.
+    pub fn dial_limit(&self) -> Duration {
+        self.dial_limit
+    }
+
+    /// An idle connection, else the first that is opened or falls idle. True with it if it had to be waited
+    /// for.
+    pub async fn take(self: &Rc<Self>, node: u32, address: SocketAddr) -> Result<(Connection, bool), Close> {
+        while let Some(mut idle) = self.last_idle(node) {
+            drop(idle.watch);
+            if idle.connection.address == address && idle.connection.quiet() {
+                return Ok((idle.connection, false));
+            }
+        }
+        let (waiting, connection) = bounded(1);
+        self.nodes.borrow_mut().entry(node).or_default().waiting.push_back(waiting.clone());
+        let (pool, own) = (self.clone(), waiting);
+        let dial = async move {
+            match pool.dial(address).await {
+                Ok(connection) => pool.put(node, connection),
+                Err(close) => pool.dial_failed(node, &own, close),
+            }
+        };
+        self.tasks.spawn("a connection's opening", dial).detach();
+        let connection = connection.recv().await.unwrap_or(Err(Close::Refused))?;
+        Ok((connection, true))
+    }
+
+    fn last_idle(&self, node: u32) -> Option<Idle> {
+        self.nodes.borrow_mut().get_mut(&node)?.idle.pop()
+    }
+
+    async fn dial(self: &Rc<Self>, address: SocketAddr) -> Result<Connection, Close> {
+        let lease = self.budget.for_node().or_else(|| {
+            // What stands idle elsewhere goes first.
+            self.close_idlest();
+            self.budget.for_node()
+        });
+        let lease = lease.ok_or(Close::NoDescriptor)?;
+        let opened = async {
+            let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Close::Refused)?;
+            let _ = stream.get_ref().set_nodelay(true);
+            let (mut input, mut output) = (Ring::new(message::LONGEST), Ring::new(message::LONGEST));
+            let mut machine = Node::start(&mut output);
+            wire::write(&stream, &mut output).await?;
+            while machine.next(&mut input)? != Some(Heard::Ready) {
+                wire::read(&stream, &mut input).await?;
+            }
+            let stream = Rc::new(stream);
+            Ok(Connection { stream, machine, input, output, address, _lease: lease })
+        };
+        let late = async {
+            Timer::after(self.dial_limit).await;
+            Err(Close::Silent)
+        };
+        future::or(opened, late).await
+    }
+
+    /// Tells who asked for it, unless another connection has come first.
+    fn dial_failed(&self, node: u32, own: &Waiting, close: Close) {
+        let mut nodes = self.nodes.borrow_mut();
+        let waiting = &mut nodes.entry(node).or_default().waiting;
+        if let Some(at) = waiting.iter().position(|w| w.same_channel(own)) {
+            waiting.remove(at);
+            let _ = own.try_send(Err(close));
+        }
+    }
+
+    /// A connection that is free again: to the first who waits for one, else it stands idle.
+    pub fn put(self: &Rc<Self>, node: u32, mut connection: Connection) {
+        if !connection.input.is_empty() {
+            return;
+        }
+        let mut nodes = self.nodes.borrow_mut();
+        let stand = nodes.entry(node).or_default();
+        while let Some(waiting) = stand.waiting.pop_front() {
+            match waiting.try_send(Ok(connection)) {
+                Ok(()) => return,
+                // Who waited has been cancelled.
+                Err(back) => match back.into_inner() {
+                    Ok(back) => connection = back,
+                    Err(_) => return,
+                },
+            }
+        }
+        let number = self.numbered.get() + 1;
+        self.numbered.set(number);
+        let (pool, stream) = (Rc::downgrade(self), connection.stream.clone());
+        let watch = self.tasks.spawn("an idle connection", async move {
+            let _ = stream.readable().await;
+            if let Some(pool) = pool.upgrade() {
+                pool.ended_idle(node, number);
+            }
+        });
+        stand.idle.push(Idle { number, connection, since: Instant::now(), watch });
+    }
+
+    fn ended_idle(&self, node: u32, number: u64) {
+        let mut nodes = self.nodes.borrow_mut();
+        let Some(stand) = nodes.get_mut(&node) else { return };
+        if let Some(at) = stand.idle.iter().position(|i| i.number == number) {
+            let idle = stand.idle.remove(at);
+            idle.watch.detach();
+        }
+    }
+
+    /// Closes the connection that has been idle for longest, if there is one.
+    pub fn close_idlest(&self) -> bool {
+        let mut nodes = self.nodes.borrow_mut();
+        let oldest = nodes.values_mut().filter(|s| !s.idle.is_empty()).min_by_key(|s| s.idle[0].since);
+        oldest.map(|stand| stand.idle.remove(0)).is_some()
+    }
+
+    /// Retires what stood idle for long, for as long as the router runs.
+    pub async fn retire(self: Rc<Self>) {
+        loop {
+            Timer::after(self.idle_limit / 8).await;
+            for stand in self.nodes.borrow_mut().values_mut() {
+                stand.idle.retain(|idle| idle.since.elapsed() < self.idle_limit);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/probe.rs
@@ -0,0 +1,35 @@
+//! One probe of a node: its load report, by `SHOW vitals`.
+
+use crate::execute::{Router, report};
+use crate::pool::Pool;
+use crate::watch::Roster;
+use async_io::Timer;
+use badgerstream_protocol::Close;
+use futures_lite::future;
+use std::cell::Cell;
+use std::rc::Rc;
+
+pub async fn probe(desk: Rc<Router>, pool: Rc<Pool>, roster: Rc<Roster>, node: u32) {
+    let asked = async {
+        let (mut connection, _) = pool.take(node, roster.dial(node)).await?;
+        let answer = connection.query("SHOW vitals", &Cell::new(false)).await?;
+        pool.put(node, connection);
+        Ok(answer)
+    };
+    let late = async {
+        Timer::after(pool.dial_limit()).await;
+        Err(Close::TimedOut)
+    };
+    let told = match future::or(asked, late).await {
+        Ok(answer) => answer.row.ok().map(|row| {
+            let value = row.get(answer.value).unwrap_or_default();
+            report(std::str::from_utf8(value).unwrap_or_default())
+        }),
+        Err(close) => {
+            tracing::debug!("node {node}: probe ended, {close}");
+            None
+        }
+    };
+    let (primary, lsn) = told.unwrap_or((None, f64::NEG_INFINITY));
+    desk.tell(|instance, now| instance.probed(now, node, told.is_some(), primary, lsn));
+}
--- /dev/null
+++ b/crates/router/src/spawn.rs
@@ -0,0 +1,24 @@
+//! Tasks of the one thread. A defect in one must not end the others.
+
+use async_executor::{LocalExecutor, Task};
+use futures_lite::FutureExt;
+use std::future::Future;
+use std::panic::AssertUnwindSafe;
+use std::rc::Rc;
+
+#[derive(Clone, Default)]
+pub struct Tasks(Rc<LocalExecutor<'static>>);
+
+impl Tasks {
+    pub fn spawn(&self, what: &'static str, task: impl Future<Output = ()> + 'static) -> Task<()> {
+        self.0.spawn(async move {
+            if AssertUnwindSafe(task).catch_unwind().await.is_err() {
+                tracing::error!("{what} has panicked; its connection is closed");
+            }
+        })
+    }
+
+    pub async fn run<T>(&self, until: impl Future<Output = T>) -> T {
+        self.0.run(until).await
+    }
+}
--- /dev/null
+++ b/crates/router/src/watch.rs
@@ -0,0 +1,130 @@
+//! Discovery: the list of nodes as it was handed over, then as the watch tells its changes.
+
+use crate::execute::Router;
+use crate::wire;
+use async_io::{Async, Timer};
+use badgerstream_protocol::{Close, Ring, discovery};
+use badgerstream_routing::Instance;
+use futures_lite::future;
+use serde_json::Value;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Two empty lines that did not come: the watch hangs. What it has to tell binds after 6 s.
+const SILENT: Duration = Duration::from_millis(4500);
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Numbers for the names that discovery uses, and where each node is reached.
+#[derive(Default)]
+pub struct Roster {
+    nodes: RefCell<HashMap<String, u32>>,
+    dials: RefCell<Vec<SocketAddr>>,
+    zones: RefCell<Vec<String>>,
+}
+
+impl Roster {
+    pub fn new(zones: Vec<String>) -> Rc<Roster> {
+        Rc::new(Roster { zones: RefCell::new(zones), ..Roster::default() })
+    }
+
+    pub fn dial(&self, node: u32) -> SocketAddr {
+        self.dials.borrow()[node as usize]
+    }
+
+    fn node(&self, name: &str, dial: SocketAddr) -> u32 {
+        let (mut nodes, mut dials) = (self.nodes.borrow_mut(), self.dials.borrow_mut());
+        if let Some(node) = nodes.get(name) {
+            dials[*node as usize] = dial;
+            return *node;
+        }
+        let node = dials.len() as u32;
+        nodes.insert(name.to_string(), node);
+        dials.push(dial);
+        node
+    }
+
+    fn zone(&self, name: &str) -> u8 {
+        let mut zones = self.zones.borrow_mut();
+        let place = zones.iter().position(|z| z == name).unwrap_or_else(|| {
+            zones.push(name.to_string());
+            zones.len() - 1
+        });
+        place.min(usize::from(u8::MAX)) as u8
+    }
+
+    /// Tells the instance a list; its version, or why it can't be read.
+    pub fn list(&self, instance: &mut Instance, now: f64, told: &Value) -> Result<u64, Close> {
+        instance.listing();
+        let (seq, whole) = discovery::list(told, |name, dial, zone, group, standing, since, leads| {
+            let (node, zone) = (self.node(name, dial), self.zone(zone));
+            instance.member(now, node, (group, zone), standing, since, leads);
+        })?;
+        instance.listed(now, whole);
+        Ok(seq)
+    }
+}
+
+/// Watches for as long as the router runs; the last list stays in use whatever happens to the watch.
+pub async fn watch(desk: Rc<Router>, roster: Rc<Roster>, address: SocketAddr, mut seq: u64) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let before = seq;
+        let close = follow(&desk, &roster, address, &mut seq, &mut pause).await;
+        tracing::info!("discovery: the watch has ended at version {seq} (opened at {before}): {close}");
+        Timer::after(pause).await;
+        pause = (2 * pause).min(LONGEST_PAUSE);
+    }
+}
+
+async fn follow(
+    desk: &Router, roster: &Roster, address: SocketAddr, seq: &mut u64, pause: &mut Duration,
+) -> Close {
+    let (mut input, mut output) = (Ring::new(1 << 16), Ring::new(1 << 12));
+    let mut machine = discovery::Watch::default();
+    output.push(discovery::request(address, *seq).as_bytes());
+    let opened = async {
+        let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Close::Refused)?;
+        wire::write(&stream, &mut output).await?;
+        Ok(stream)
+    };
+    let stream = match future::or(opened, silent()).await {
+        Ok(stream) => stream,
+        Err(close) => return close,
+    };
+    loop {
+        match machine.next(&mut input) {
+            Ok(Some(line)) => {
+                *pause = FIRST_PAUSE;
+                match told(desk, roster, &line) {
+                    Ok(told) => *seq = told.unwrap_or(*seq),
+                    Err(close) => return close,
+                }
+            }
+            Ok(None) => {
+                if let Err(close) = future::or(wire::read(&stream, &mut input), silent()).await {
+                    return close;
+                }
+            }
+            Err(close) => return close,
+        }
+    }
+}
+
+async fn silent<T>() -> Result<T, Close> {
+    Timer::after(SILENT).await;
+    Err(Close::Silent)
+}
+
+/// An empty line tells that nothing has changed.
+fn told(desk: &Router, roster: &Roster, line: &[u8]) -> Result<Option<u64>, Close> {
+    if line.iter().all(u8::is_ascii_whitespace) {
+        return Ok(None);
+    }
+    let list: Value =
+        serde_json::from_slice(line).map_err(|_| Close::Malformed("a line of discovery's is no JSON"))?;
+    desk.tell(|instance, now| roster.list(instance, now, &list)).map(Some)
+}
--- /dev/null
+++ b/crates/router/src/wire.rs
@@ -0,0 +1,43 @@
+//! Reading and writing between a socket and its rings.
+
+use async_io::Async;
+use badgerstream_protocol::{Close, Ring};
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+
+/// Reads what is there, at least one byte.
+pub async fn read(stream: &Async<TcpStream>, input: &mut Ring) -> Result<(), Close> {
+    let count = stream.read_with(|mut s| s.read(input.room())).await.map_err(|_| Close::Broken)?;
+    input.filled(count);
+    if count == 0 { Err(Close::Left) } else { Ok(()) }
+}
+
+/// What can be had without waiting: true if there were bytes.
+pub fn read_now(stream: &Async<TcpStream>, input: &mut Ring) -> Result<bool, Close> {
+    match stream.get_ref().read(input.room()) {
+        Ok(0) => Err(Close::Left),
+        Ok(count) => {
+            input.filled(count);
+            Ok(true)
+        }
+        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Ok(false),
+        Err(_) => Err(Close::Broken),
+    }
+}
+
+pub async fn write(stream: &Async<TcpStream>, output: &mut Ring) -> Result<(), Close> {
+    while !output.is_empty() {
+        // Most writes fit at once: the poller is asked only for those that do not.
+        let count = match stream.get_ref().write(output.front()) {
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
+                stream.write_with(|mut s| s.write(output.front())).await
+            }
+            told => told,
+        };
+        match count {
+            Ok(0) | Err(_) => return Err(Close::Broken),
+            Ok(count) => output.skip(count),
+        }
+    }
+    Ok(())
+}
