--- a/crates/benchlink/src/tests.rs
+++ b/crates/benchlink/src/tests.rs
@@ -2,7 +2,6 @@
 
 use crate::codec::{Batch, EVENT_BYTES, Fields, Reply};
 use crate::link::{Link, serve};
-use badgerstream_provision::{Pairs, instance};
 use test_case::test_case;
 
 fn hex(text: &str) -> Vec<u8> {
@@ -162,7 +161,7 @@
 fn a_restart_in_one_batch_forgets_all() {
     let stmt =
         "1e c4913a5d 0000 0000000000002840 0000000000000000 0000 0000000000bae640 00 00003041 00000000";
-    assert_eq!(codes(&hosted(&[stmt, "64"]).unwrap()), []);
+    assert!(codes(&hosted(&[stmt, "64"]).unwrap()).is_empty());
 }
 
 #[test_case("46 4d000000"; "a timer nobody set")]
@@ -200,11 +199,3 @@
     let problem = serve(&mut &hex(bytes)[..], &mut Vec::new()).unwrap_err();
     assert!(problem.contains(expected), "{problem}");
 }
-
-#[test_case("siblings=2\n", "", "setting siblings is missing"; "missing")]
-#[test_case("siblings=2", "siblings=many", "setting siblings cannot be read: \"many\""; "unreadable")]
-#[test_case("repeat=pure", "repeat=often", "setting classes.0.repeat is unknown: \"often\""; "unknown choice")]
-fn bad_settings(from: &str, to: &str, expected: &str) {
-    let problem = instance(1, &Pairs::from_lines(&SETUP.replace(from, to))).err().unwrap();
-    assert_eq!(problem, expected);
-}
--- a/crates/protocol/src/client.rs
+++ b/crates/protocol/src/client.rs
@@ -179,7 +179,7 @@
     }
 
     fn ready(&mut self, output: &mut Ring) {
-        put(output, b'Z', b"I".chunks(1).collect::<Vec<_>>().as_slice());
+        put(output, b'Z', &[b"I"]);
         self.0 = State::Idle;
     }
 }
--- a/crates/protocol/src/comment.rs
+++ b/crates/protocol/src/comment.rs
@@ -123,8 +123,7 @@
         rest
     };
     let comment = rest.strip_prefix(" /*").ok_or((SYNTAX, "the statement has no comment"))?;
-    let whole = comment.find("*/") == comment.len().checked_sub(2);
-    if !whole {
+    if comment.find("*/").is_none_or(|at| at + 2 != comment.len()) {
         return Err((SYNTAX, "the statement does not end with its comment"));
     }
     Ok((writes, key, comment))
--- /dev/null
+++ b/crates/protocol/src/tests/mod.rs
@@ -0,0 +1,43 @@
+//! What the tests of the state machines share: bytes as the other side would write them, fed in any pieces.
+
+mod client;
+mod comment;
+mod discovery;
+mod node;
+mod ring;
+
+use crate::Ring;
+use crate::message::put;
+
+pub const READ: &str = "SELECT v FROM records WHERE k = '7f3a' /* id=9b1f,c=basket,t=acme,d=480,cluster=2 */";
+
+pub fn ring(bytes: &[u8]) -> Ring {
+    let mut ring = Ring::new(1 << 18);
+    ring.push(bytes);
+    ring
+}
+
+pub fn all(mut ring: Ring) -> Vec<u8> {
+    let length = ring.len();
+    ring.take(length)
+}
+
+pub fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    let mut ring = Ring::new(1 << 18);
+    put(&mut ring, kind, &[body]);
+    all(ring)
+}
+
+/// What stands in messages: their types, and for an ErrorResponse its code.
+pub fn outline(mut bytes: &[u8]) -> String {
+    let mut told = Vec::new();
+    while let Some((head, rest)) = bytes.split_at_checked(5) {
+        let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+        let (body, behind) = rest.split_at(length - 4);
+        let code = (head[0] == b'E').then(|| crate::message::error_code(body).unwrap());
+        let code = code.map_or(String::new(), |c| String::from_utf8(c.to_vec()).unwrap());
+        told.push(format!("{}{code}", head[0] as char));
+        bytes = behind;
+    }
+    told.join(" ")
+}
--- /dev/null
+++ b/crates/protocol/src/tests/ring.rs
@@ -0,0 +1,45 @@
+use crate::Ring;
+
+#[test]
+fn what_goes_in_comes_out_across_the_end() {
+    let mut ring = Ring::new(1 << 12);
+    let (mut put, mut got) = (0u32, Vec::new());
+    for step in 0..2000usize {
+        let count = ring.room().len().min(step % 97);
+        for place in &mut ring.room()[..count] {
+            *place = put as u8;
+            put += 1;
+        }
+        ring.filled(count);
+        got.extend(ring.take(step % 89));
+    }
+    let rest = ring.len();
+    got.extend(ring.take(rest));
+    assert!(got.len() > 10_000);
+    assert!(got.iter().enumerate().all(|(i, b)| *b == i as u8));
+}
+
+#[test]
+fn it_grows_to_its_most_and_gives_memory_back() {
+    let mut ring = Ring::new(1 << 16);
+    assert_eq!(ring.room().len(), 1 << 10, "it starts small");
+    while !ring.room().is_empty() {
+        let count = ring.room().len();
+        ring.filled(count);
+    }
+    assert_eq!(ring.len(), 1 << 16);
+    ring.skip(1 << 16);
+    assert_eq!(ring.room().len(), 1 << 10, "an idle connection keeps no large buffer");
+}
+
+#[test]
+fn a_copy_runs_over_the_break() {
+    let mut ring = Ring::new(1 << 10);
+    ring.push(&[1; 1000]);
+    ring.skip(999);
+    ring.push(&[2; 40]);
+    let mut copied = [0; 30];
+    ring.copy(5, &mut copied);
+    assert_eq!(copied, [2; 30]);
+    assert_eq!(ring.take(50).len(), 41);
+}
--- a/crates/provision/src/pairs.rs
+++ b/crates/provision/src/pairs.rs
@@ -51,8 +51,11 @@
         self.0.get(path).map_or(Ok(absent), |text| parse(path, text))
     }
 
+    /// Milliseconds as seconds; no time that is told at start is negative or endless.
     pub fn seconds(&self, path: &str) -> Result<f64, String> {
-        Ok(self.read::<f64>(path)? / 1e3)
+        let ms: f64 = self.read(path)?;
+        let fits = (0.0..1e15).contains(&ms);
+        if fits { Ok(ms / 1e3) } else { Err(format!("setting {path} is no time: {ms}")) }
     }
 
     /// The names that objects of a list have, in their order.
--- a/crates/provision/src/tests.rs
+++ b/crates/provision/src/tests.rs
@@ -1,1 +1,73 @@
+//! The file that a router starts from, whole and with one thing wrong.
 
+use crate::{Pairs, Provision, instance};
+use badgerstream_routing::{Currency, Repeat, Within};
+use test_case::test_case;
+
+const START: &str = r#"{"name":"n0","listen":"127.0.0.1:6432","discovery":"127.0.0.1:8500",
+"seed":"92094eb940cf389a","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+"known":{"seq":0,"whole":true,"hosts":[]},
+"settings":{"classes":[
+{"aim_ms":600.0,"group":"all","hard_limit_ms":2000.0,"importance":3.0,"late_worth":0.0,
+"memory_span_ms":5000.0,"name":"feed-read","repeat":"pure"},
+{"aim_ms":600.0,"group":"cell","hard_limit_ms":2000.0,"importance":6.0,"late_worth":0.3,
+"memory_span_ms":1200.0,"name":"episode-write","repeat":"token"}],
+"discovery":"pushed","domain":{"checks":"none","max_age_ms":[500.0,0.0],"needs_by_class":["recent","update"],
+"notes":"a, b","origin_time_ms":1000.0,"token_mode":"client"},
+"goal":{"whole":0.4,"worst_class":0.2,"worst_tenant":0.1},"load_info":{"columns":["x0","x1"]},
+"policy_limits":{"cancelling":true,"dial_timeout_ms":250.0,"keepalive_ms":30000.0,"max_attempts":8,
+"max_retry_after_ms":2000.0,"probes":true,"retry_after":true,"second_copies":true},
+"safety":{"cold_from":0.27,"cold_ms":18000.0,"fall_ms":3000.0,"overload_factor":3.0,
+"stop_sending_within_ms":250.0},
+"siblings":2,"tenants":[{"name":"radio andina","quota_per_s":135.0}],"tick_ms":5.0,"zones":["surco","ate"]}}"#;
+
+fn started(from: &str, to: &str) -> Result<Provision, String> {
+    assert!(START.contains(from));
+    Provision::read(&START.replace(from, to))
+}
+
+#[test]
+fn the_file_is_read() {
+    let start = started("", "").unwrap();
+    assert_eq!((start.name.as_str(), start.seed, start.descriptors), ("n0", 0x9209_4eb9_40cf_389a, 1024));
+    assert_eq!((start.listen.port(), start.discovery.port()), (6432, 8500));
+    let (born, reading) = instance(start.seed, &start.pairs).unwrap();
+    assert_eq!((born.routers, born.drain.grace, born.allowance.retry_after), (2.0, 0.25, 2.0));
+    assert_eq!((reading.position_column, reading.role_column), (Some(0), Some(1)));
+    let kinds = reading.workloads;
+    assert_eq!(kinds[0].currency, Currency::Recent { bound: 0.5 });
+    assert_eq!(kinds[1].repeat, Repeat::Deduplicated { within: Within::Group, memory: 1.2 });
+    assert_eq!((kinds[1].slo, kinds[1].timeout, kinds[1].currency), (0.6, 2.0, Currency::Primary));
+}
+
+#[test]
+fn json_and_lines_come_to_the_same() {
+    let json = started("", "").unwrap().pairs;
+    let lines =
+        Pairs::from_lines("classes.count=2\nclasses.1.aim_ms=600.0\nzones=surco,ate\ndomain.notes=a__b");
+    for path in ["classes.count", "classes.1.aim_ms", "zones", "domain.notes"] {
+        assert_eq!(json.text(path).unwrap(), lines.text(path).unwrap(), "{path}");
+    }
+    assert_eq!(json.names("tenants").unwrap(), ["radio_andina"]);
+}
+
+#[test_case("\"siblings\":2,", "", "setting siblings is missing"; "missing")]
+#[test_case("\"siblings\":2", "\"siblings\":\"many\"", "setting siblings cannot be read: \"many\""; "unreadable")]
+#[test_case("\"pure\"", "\"often\"", "setting classes.0.repeat is unknown: \"often\""; "unknown choice")]
+#[test_case("\"tick_ms\":5.0", "\"tick_ms\":-5.0", "setting tick_ms is no time: -5"; "a negative time")]
+#[test_case("[\"recent\",\"update\"]", "[\"recent\"]", "setting domain.needs_by_class has no entry 1"; "too short")]
+fn wrong_settings(from: &str, to: &str, expected: &str) {
+    let start = started(from, to).unwrap();
+    assert_eq!(instance(1, &start.pairs).err().unwrap(), expected);
+}
+
+#[test_case("{\"name\"", "\"name\"", "it is no JSON"; "no json")]
+#[test_case("\"name\":\"n0\",", "", "/name is missing"; "no name")]
+#[test_case("\"127.0.0.1:6432\"", "\"here\"", "/listen can't be read"; "no address")]
+#[test_case("92094eb940cf389a", "seed", "/seed can't be read"; "no seed")]
+#[test_case("\"sockets\":1024", "\"sockets\":\"all\"", "/limits/sockets is no number"; "no limit")]
+#[test_case("\"known\"", "\"unknown\"", "/known is missing"; "no list")]
+fn wrong_files(from: &str, to: &str, expected: &str) {
+    let problem = started(from, to).err().unwrap();
+    assert!(problem.starts_with(expected), "{problem}");
+}
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -43,7 +43,7 @@
     if matches!(kind.repeat, Repeat::Deduplicated { .. }) && !s.marked {
         return Err(("42601", "the workload in c needs the mark k"));
     }
-    if !desk.tell(|instance, _| instance.groups.contains_key(&s.group)) {
+    if !desk.knows_group(s.group) {
         return Err(("42704", "the group in cluster is unknown"));
     }
     let has_session = s.writes || kind.currency == Currency::OwnWrites;
@@ -134,9 +134,7 @@
             if input.room().is_empty() {
                 future::pending::<()>().await;
             }
-            if let Err(close) = wire::read(stream, input).await {
-                return Err(close);
-            }
+            wire::read(stream, input).await?;
         }
     };
     future::or(async { Ok(ticket.answer().await) }, left).await
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -157,6 +157,11 @@
         Ticket { desk: self.clone(), stmt, answer }
     }
 
+    /// Whether any node of such a group was ever listed.
+    pub fn knows_group(&self, group: u16) -> bool {
+        self.inner.borrow().instance.groups.contains_key(&group)
+    }
+
     pub fn out(self: &Rc<Self>, stmt: u32, execution: u8) -> Out<S, A> {
         Out { desk: self.clone(), key: (stmt, execution) }
     }
@@ -218,7 +223,7 @@
     }
 
     /// One settling, and what it asks for; tells when the next is due, if nothing is told before.
-    fn settle(self: &Rc<Self>, carry: &impl Fn(Order<S>) -> Task<()>) -> Option<Duration> {
+    pub fn settle(self: &Rc<Self>, carry: &impl Fn(Order<S>) -> Task<()>) -> Option<Duration> {
         let mut asked = Asked::default();
         let mut inner = self.inner.borrow_mut();
         let now = inner.clock.now();
@@ -240,7 +245,10 @@
 
     fn execute(&self, now: f64, stmt: u32, node: u32, limit: f64, carry: &impl Fn(Order<S>) -> Task<()>) {
         let mut inner = self.inner.borrow_mut();
-        let Some(taken) = inner.taken.get_mut(&stmt) else { return };
+        let Some(taken) = inner.taken.get_mut(&stmt) else {
+            tracing::error!("statement {stmt} is over and was to be executed");
+            return;
+        };
         let (execution, statement) = (taken.executions, taken.statement.clone());
         taken.executions += 1;
         inner.running.insert((stmt, execution), Running { node, sent: now, task: None });
--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -27,7 +27,6 @@
     }
 }
 
-#[allow(clippy::too_many_arguments)]
 async fn execute(
     desk: Rc<Router>, pool: Rc<Pool>, roster: Rc<Roster>, stmt: u32, execution: u8, node: u32, limit: f64,
     statement: Rc<Statement>,
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,5 +1,8 @@
 //! badgerstream: routes the statements of a replicated store's clients.
 
+// Decoded fields go straight into a call, and each part takes its own few settings.
+#![allow(clippy::too_many_arguments)]
+
 mod budget;
 mod client;
 mod decide;
@@ -10,11 +13,14 @@
 mod probe;
 mod shutdown;
 mod spawn;
+#[cfg(test)]
+mod tests;
 mod watch;
 mod wire;
 
 use async_io::Async;
-use badgerstream_provision::Provision;
+use badgerstream_provision::{Pairs, Provision};
+use futures_lite::future;
 use lexopt::prelude::*;
 use std::net::TcpListener;
 use std::process::ExitCode;
@@ -124,11 +130,17 @@
         roster,
         names: Rc::new(names),
         seq,
-        dial_limit: pairs.seconds("policy_limits.dial_timeout_ms")?,
-        node_idle_limit: pairs.seconds("policy_limits.keepalive_ms")?,
+        dial_limit: positive(pairs, "policy_limits.dial_timeout_ms")?,
+        node_idle_limit: positive(pairs, "policy_limits.keepalive_ms")?,
     })
 }
 
+/// Without any time, no connection would ever come up or be kept.
+fn positive(pairs: &Pairs, path: &str) -> Result<f64, String> {
+    let told = pairs.seconds(path)?;
+    if told > 0.0 { Ok(told) } else { Err(format!("setting {path} is no time: 0")) }
+}
+
 fn serve(provision: &Provision) -> Result<(), String> {
     let level = tracing_subscriber::EnvFilter::try_from_env("BADGERSTREAM_LOG")
         .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
@@ -146,12 +158,20 @@
             tasks.spawn("an execution", work)
         }
     };
-    tasks.spawn("the decisions", desk.clone().run(carry)).detach();
+    let decisions = tasks.spawn("the decisions", desk.clone().run(carry));
     tasks.spawn("discovery", watch::watch(desk.clone(), roster, provision.discovery, seq)).detach();
     tasks.spawn("the pool", pool.clone().retire()).detach();
     let accept = listen::listen(listener, tasks.clone(), desk, names, clients.clone(), pool, budget);
-    tasks.spawn("the listener", accept).detach();
+    let accept = tasks.spawn("the listener", accept);
     tracing::info!("{} serves on {address}", provision.name);
-    async_io::block_on(tasks.run(shutdown::shutdown(clients)));
-    Ok(())
+    // These two all clients need: without them it is better to start anew.
+    let broken = async {
+        future::or(decisions, accept).await;
+        Err("the decisions or the listener have ended".to_string())
+    };
+    let ended = async {
+        shutdown::shutdown(clients).await;
+        Ok(())
+    };
+    async_io::block_on(tasks.run(future::or(ended, broken)))
 }
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -120,6 +120,11 @@
         self.nodes.borrow_mut().get_mut(&node)?.idle.pop()
     }
 
+    #[cfg(test)]
+    pub fn idle(&self) -> usize {
+        self.nodes.borrow().values().map(|s| s.idle.len()).sum()
+    }
+
     async fn dial(self: &Rc<Self>, address: SocketAddr) -> Result<Connection, Close> {
         let lease = self.budget.for_node().or_else(|| {
             // What stands idle elsewhere goes first.
--- /dev/null
+++ b/crates/router/src/tests/decide.rs
@@ -0,0 +1,130 @@
+//! The way into the decisions: exactly one answer a statement, and the truth of executions.
+
+use super::{desk, ended, node, settled};
+use crate::decide::{Desk, Final, Order, Ticket};
+use crate::spawn::Tasks;
+use badgerstream_routing::{Ending, Standing};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use test_case::test_case;
+
+type Any = Desk<&'static str, &'static str>;
+
+fn nodes() -> Vec<SocketAddr> {
+    (1..4).map(|port| SocketAddr::from(([127, 0, 0, 1], port))).collect()
+}
+
+/// A read that was taken, and the execution that it was sent on.
+fn sent(tasks: &Tasks) -> (Rc<Any>, Ticket<&'static str, &'static str>, u32, u8) {
+    let (desk, _) = desk(&nodes());
+    let ticket = desk.arrived("read", 0, 2, 0, 0, 60.0, None);
+    let mut orders = settled(tasks, &desk);
+    let Some(Order::Execute { stmt, execution, statement, .. }) = orders.pop() else {
+        panic!("nothing sent")
+    };
+    assert!(orders.is_empty() && *statement == "read");
+    (desk, ticket, stmt, execution)
+}
+
+fn answer(tasks: &Tasks, ticket: &Ticket<&'static str, &'static str>) -> Final<&'static str> {
+    super::run(tasks, ticket.answer())
+}
+
+#[test]
+fn a_completion_is_the_answer() {
+    let tasks = Tasks::default();
+    let (desk, ticket, stmt, execution) = sent(&tasks);
+    desk.out(stmt, execution).ended(Ending::Completed, None, f64::NEG_INFINITY, None, Some("row"));
+    assert_eq!(answer(&tasks, &ticket), Final::Completed("row"));
+    settled(&tasks, &desk);
+    desk.tell(|instance, _| {
+        assert!(instance.statements.is_empty(), "it is over there, too");
+        assert_eq!(instance.nodes.values().map(|n| n.out).sum::<usize>(), 0);
+    });
+}
+
+#[test]
+fn the_second_completion_of_a_statement_goes_nowhere() {
+    let tasks = Tasks::default();
+    let (desk, ticket, stmt, execution) = sent(&tasks);
+    let [first, late] = [0, 1].map(|_| desk.out(stmt, execution));
+    first.ended(Ending::Completed, None, f64::NEG_INFINITY, None, Some("row"));
+    late.ended(Ending::Completed, None, f64::NEG_INFINITY, None, Some("another"));
+    assert_eq!(answer(&tasks, &ticket), Final::Completed("row"));
+    assert_eq!(answer(&tasks, &ticket), Final::Aborted, "the channel is closed behind the one answer");
+}
+
+#[test]
+fn an_execution_that_fails_is_sent_anew() {
+    let tasks = Tasks::default();
+    let (desk, _ticket, stmt, execution) = sent(&tasks);
+    desk.out(stmt, execution).ended(Ending::TurnedAway, None, f64::NEG_INFINITY, None, None);
+    let orders = settled(&tasks, &desk);
+    assert!(matches!(orders[..], [Order::Execute { execution: 1, .. }]));
+}
+
+#[test]
+fn an_execution_that_is_lost_without_a_word_may_have_run() {
+    let tasks = Tasks::default();
+    let (desk, _ticket, stmt, execution) = sent(&tasks);
+    drop(desk.out(stmt, execution));
+    assert_eq!(ended(&desk), Some(Ending::Dropped));
+}
+
+#[test]
+fn a_client_that_left_frees_its_executions() {
+    let tasks = Tasks::default();
+    let (desk, ticket, stmt, execution) = sent(&tasks);
+    drop(ticket);
+    assert!(settled(&tasks, &desk).is_empty());
+    desk.tell(|instance, _| {
+        assert!(instance.statements.is_empty());
+        assert_eq!(instance.nodes.values().map(|n| n.out).sum::<usize>(), 0, "cancelled");
+    });
+    // What comes of it afterwards is no second end.
+    desk.out(stmt, execution).ended(Ending::Completed, None, f64::NEG_INFINITY, None, Some("row"));
+    desk.tell(|instance, _| assert_eq!(instance.nodes.values().map(|n| n.answers).sum::<f64>(), 12.0));
+}
+
+#[test]
+fn no_time_left_means_an_answer_at_once() {
+    let tasks = Tasks::default();
+    let (desk, _) = desk::<&str, &str>(&nodes());
+    let ticket = desk.arrived("read", 0, 2, 0, 0, 0.0, None);
+    assert!(settled(&tasks, &desk).is_empty());
+    assert_eq!(answer(&tasks, &ticket), Final::Rejected(0.0));
+}
+
+#[test_case(Standing::Ready, true; "in service")]
+#[test_case(Standing::Gone, false; "gone")]
+fn what_let_it_go_is_looked_at_again(standing: Standing, expected: bool) {
+    let tasks = Tasks::default();
+    let (desk, _ticket, stmt, _) = sent(&tasks);
+    desk.tell(|instance, now| instance.nodes.get_mut(&1).unwrap().stands(standing, now));
+    assert_eq!(desk.still_stands(stmt, 1), expected);
+    assert!(!desk.still_stands(stmt + 1, 1) && !desk.still_stands(stmt, 9), "neither is known");
+}
+
+#[test]
+fn a_read_that_waited_too_long_for_its_connection_is_not_sent() {
+    let tasks = Tasks::default();
+    let (desk, _ticket, stmt, _) = sent(&tasks);
+    desk.tell(|instance, now| {
+        let s = instance.statements.get_mut(&stmt).unwrap();
+        s.kind.currency = badgerstream_routing::Currency::Recent { bound: 0.5 };
+        instance.nodes.get_mut(&1).unwrap().lsn = now - 0.6;
+    });
+    assert!(!desk.still_stands(stmt, 1));
+}
+
+#[test]
+fn positions_share_the_clock() {
+    let (desk, _) = desk::<&str, &str>(&[node(&[super::Script::Hangs])]);
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_secs_f64();
+    desk.tell(|_, now| assert!((now - unix).abs() < 60.0));
+    let _ticket = desk.arrived("read", 0, 2, 5, 0, 60.0, Some(unix + 0.0005));
+    desk.tell(|instance, _| {
+        let owed = instance.statements.values().next().unwrap().owed;
+        assert!(owed > unix, "a commit that is rounded up to just ahead of now is owed all the same");
+    });
+}
--- /dev/null
+++ b/crates/router/src/tests/mod.rs
@@ -0,0 +1,186 @@
+//! What the router's tests share: a desk with one group of nodes, and stand-ins that listen on free ports.
+
+mod clients;
+mod decide;
+mod nodes;
+mod parts;
+
+use crate::decide::{Clock, Desk, Order};
+use crate::execute::Router;
+use crate::pool::Pool;
+use crate::spawn::Tasks;
+use crate::watch::Roster;
+use async_executor::Task;
+use badgerstream_protocol::Ring;
+use badgerstream_protocol::comment::Statement;
+use badgerstream_protocol::message::{self, put};
+use badgerstream_routing::{Allowance, Currency, Ending, Instance, Repeat, Workload};
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::future::Future;
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::thread;
+
+pub const READ: &str = "SELECT v FROM records WHERE k = '7f3a' /* id=9b1f,c=any,t=acme,d=60000,cluster=2 */";
+
+/// Reads that any member answers, and writes that only the primary takes.
+pub fn kinds() -> Vec<Workload> {
+    let any = Workload {
+        slo: 30.0,
+        timeout: 60.0,
+        importance: 1.0,
+        late_worth: 0.5,
+        repeat: Repeat::Idempotent,
+        currency: Currency::Loose,
+        ..Workload::default()
+    };
+    vec![any, Workload { currency: Currency::Primary, repeat: Repeat::NonIdempotent, ..any }]
+}
+
+/// A whole list of nodes of group 2, named by their addresses; the first is the primary.
+pub fn listed(seq: u64, dials: &[SocketAddr]) -> Value {
+    let host = |(i, dial): (usize, &SocketAddr)| {
+        json!({"host": format!("s-{i}"), "dial": dial.to_string(), "site": "a", "block": 2,
+               "health": "in_service", "born_ms": 0, "rank": if i == 0 { "source" } else { "copy" }})
+    };
+    json!({"seq": seq, "whole": true, "hosts": dials.iter().enumerate().map(host).collect::<Vec<_>>()})
+}
+
+pub fn instance() -> Instance {
+    let allowance =
+        Allowance { executions: 8, second_copies: true, cancelling: true, ..Allowance::default() };
+    Instance::new(
+        7,
+        1,
+        kinds(),
+        Vec::new(),
+        Default::default(),
+        Default::default(),
+        Default::default(),
+        Default::default(),
+        allowance,
+    )
+}
+
+pub fn desk<S: 'static, A: 'static>(dials: &[SocketAddr]) -> (Rc<Desk<S, A>>, Rc<Roster>) {
+    let (mut born, clock, roster) = (instance(), Clock::new(), Roster::new(vec!["a".to_string()]));
+    roster.list(&mut born, clock.now(), &listed(1, dials)).unwrap();
+    (Desk::new(born, clock), roster)
+}
+
+/// What a settling orders, with tasks that do nothing.
+pub fn settled<S: 'static, A: 'static>(tasks: &Tasks, desk: &Rc<Desk<S, A>>) -> Vec<Order<S>> {
+    let orders = RefCell::new(Vec::new());
+    desk.settle(&|order| {
+        orders.borrow_mut().push(order);
+        tasks.spawn("nothing", std::future::pending())
+    });
+    orders.into_inner()
+}
+
+pub fn run<T>(tasks: &Tasks, work: impl Future<Output = T>) -> T {
+    async_io::block_on(tasks.run(work))
+}
+
+pub fn statement() -> Statement {
+    Statement::read(READ).unwrap()
+}
+
+/// How the first execution of a statement ended, by what the instance was told.
+pub fn ended<S: 'static, A: 'static>(desk: &Desk<S, A>) -> Option<Ending> {
+    desk.tell(|instance, _| instance.statements.values().next().and_then(|s| s.executions[0].ended))
+}
+
+/// Executes orders for real, against the stand-ins.
+pub fn carried(
+    tasks: &Tasks, desk: &Rc<Router>, pool: &Rc<Pool>, roster: &Rc<Roster>,
+) -> impl Fn(Order<Statement>) -> Task<()> + use<> {
+    let (tasks, desk, pool, roster) = (tasks.clone(), desk.clone(), pool.clone(), roster.clone());
+    move |order| {
+        tasks.spawn("an execution", crate::execute::carry(desk.clone(), pool.clone(), roster.clone(), order))
+    }
+}
+
+/// A stand-in for a node: what it does with each connection, in their order; the last goes for all further.
+pub fn node(scripts: &[Script]) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let (address, mut scripts) = (listener.local_addr().unwrap(), VecDeque::from(scripts.to_vec()));
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let script = if scripts.len() > 1 { scripts.pop_front() } else { scripts.front().copied() };
+            thread::spawn(move || play(stream, script.unwrap()));
+        }
+    });
+    address
+}
+
+#[derive(Clone, Copy)]
+pub enum Script {
+    /// Answers each query with these bytes and goes on.
+    Answers(fn() -> Vec<u8>),
+    /// Answers one query so, and closes.
+    AnswersOnce(fn() -> Vec<u8>),
+    /// Greets with this in place of a welcome, and closes.
+    Greets(fn() -> Vec<u8>),
+    /// Reads on and says nothing.
+    Hangs,
+}
+
+fn play(mut stream: TcpStream, script: Script) {
+    let mut input = Ring::new(message::LONGEST);
+    while input.len() < 8 {
+        if !more(&mut stream, &mut input) {
+            return;
+        }
+    }
+    let head = input.take(4);
+    let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+    input.skip(length - 4);
+    if let Script::Greets(greeting) = script {
+        stream.write_all(&greeting()).unwrap();
+        return;
+    }
+    let _ = stream.write_all(&messages(&[(b'R', &[0; 4]), (b'Z', b"I")]));
+    loop {
+        while let Ok(None) = message::next(&mut input) {
+            if !more(&mut stream, &mut input) {
+                return;
+            }
+        }
+        match script {
+            Script::Answers(answer) => stream.write_all(&answer()).unwrap_or_default(),
+            Script::AnswersOnce(answer) => return stream.write_all(&answer()).unwrap_or_default(),
+            Script::Greets(_) | Script::Hangs => {}
+        }
+    }
+}
+
+fn more(stream: &mut TcpStream, input: &mut Ring) -> bool {
+    let count = stream.read(input.room()).unwrap_or(0);
+    input.filled(count);
+    count > 0
+}
+
+pub fn messages(parts: &[(u8, &[u8])]) -> Vec<u8> {
+    let mut ring = Ring::new(message::LONGEST);
+    parts.iter().for_each(|(kind, body)| put(&mut ring, *kind, &[body]));
+    let length = ring.len();
+    ring.take(length)
+}
+
+const DESCRIBED: &[u8] = b"\0\x01v\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01";
+
+pub fn row() -> Vec<u8> {
+    messages(&[(b'T', DESCRIBED), (b'D', b"\0\x01\0\0\0\x01v"), (b'C', b"SELECT 1\0")])
+}
+
+pub fn answer() -> Vec<u8> {
+    [row(), messages(&[(b'S', b"rank\0copy\0"), (b'Z', b"I")])].concat()
+}
+
+pub fn error(code: &str) -> Vec<u8> {
+    messages(&[(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes()), (b'Z', b"I")])
+}
--- /dev/null
+++ b/crates/router/src/tests/nodes.rs
@@ -0,0 +1,174 @@
+//! Executions on real connections, against stand-ins: what proves a statement unrun, and what does not.
+
+use super::Script::{Answers, AnswersOnce, Greets, Hangs};
+use super::{Script, answer, carried, desk, ended, error, messages, node, row, run, statement};
+use crate::budget::Budget;
+use crate::decide::{Final, Order};
+use crate::pool::Pool;
+use crate::spawn::Tasks;
+use badgerstream_protocol::Close;
+use badgerstream_routing::Ending;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::rc::Rc;
+use test_case::test_case;
+
+/// Generous, so that no verdict hangs on how fast the machine is.
+const DIAL_S: f64 = 60.0;
+
+fn pool(tasks: &Tasks) -> Rc<Pool> {
+    Pool::new(tasks.clone(), Budget::new(1024), DIAL_S, 600.0)
+}
+
+/// The ending of one execution with this limit, on a connection that is there already or not.
+fn executed(address: SocketAddr, limit: f64, connected: bool) -> Option<Ending> {
+    let tasks = Tasks::default();
+    let (desk, roster) = desk(&[address]);
+    let pool = pool(&tasks);
+    if connected {
+        let connection = run(&tasks, pool.take(0, address)).unwrap().0;
+        pool.put(0, connection);
+    }
+    let _ticket = desk.arrived(statement(), 0, 2, 0, 0, 60.0, None);
+    let orders = super::settled(&tasks, &desk);
+    let Some(Order::Execute { stmt, execution, node, statement, .. }) = orders.into_iter().next() else {
+        panic!("nothing was sent")
+    };
+    let order = Order::Execute { stmt, execution, node, limit, statement };
+    run(&tasks, crate::execute::carry(desk.clone(), pool, roster, order));
+    ended(&desk)
+}
+
+#[test_case(&[Answers(answer)], Ending::Completed; "a row")]
+#[test_case(&[AnswersOnce(row)], Ending::Completed; "a row, and the end before the last message")]
+#[test_case(&[Answers(|| error("53300"))], Ending::TurnedAway; "full")]
+#[test_case(&[Answers(|| error("25006"))], Ending::Missed; "not the primary")]
+#[test_case(&[Answers(|| error("72000"))], Ending::Missed; "too far behind")]
+#[test_case(&[Answers(|| error("XX000"))], Ending::Errored; "an error")]
+#[test_case(&[AnswersOnce(Vec::new)], Ending::Dropped; "the end after the last byte was written")]
+#[test_case(&[AnswersOnce(|| row()[..20].to_vec())], Ending::Dropped; "half a row")]
+#[test_case(&[Answers(|| messages(&[(b'Z', b"I")]))], Ending::Dropped; "an answer out of turn")]
+#[test_case(&[Greets(|| error("53300"))], Ending::TurnedAway; "too many connections")]
+#[test_case(&[Greets(|| error("57P03"))], Ending::Unconnected; "not let in")]
+#[test_case(&[Greets(Vec::new)], Ending::Unconnected; "the end before the statement was written")]
+#[test_case(&[Greets(|| b"!\0\0\0\x04".to_vec())], Ending::Unconnected; "a greeting that is none")]
+fn an_execution_ends(scripts: &[Script], expected: Ending) {
+    assert_eq!(executed(node(scripts), 60.0, false), Some(expected));
+}
+
+#[test]
+fn nobody_listens() {
+    let closed = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap();
+    assert_eq!(executed(closed, 60.0, false), Some(Ending::Unconnected));
+}
+
+#[test]
+fn a_limit_that_ran_out_before_a_byte_was_written_proves_it_unrun() {
+    assert_eq!(executed(node(&[Hangs]), 0.0, false), Some(Ending::Moot));
+}
+
+#[test]
+fn a_limit_that_runs_out_under_a_statement_proves_nothing() {
+    assert_eq!(executed(node(&[Hangs]), 0.0, true), Some(Ending::TimedOut));
+}
+
+#[test]
+fn the_last_used_is_used_again() {
+    let (tasks, address) = (Tasks::default(), node(&[Answers(answer), Hangs]));
+    let pool = pool(&tasks);
+    run(&tasks, async {
+        for round in 0..3 {
+            let (mut connection, waited) = pool.take(0, address).await.unwrap();
+            assert_eq!(waited, round == 0);
+            connection.query("SELECT 1", &Default::default()).await.unwrap();
+            pool.put(0, connection);
+        }
+    });
+}
+
+#[test]
+fn no_statement_meets_a_connection_that_was_closed_while_idle() {
+    let (tasks, address) = (Tasks::default(), node(&[AnswersOnce(answer), Answers(answer)]));
+    let pool = pool(&tasks);
+    run(&tasks, async {
+        let (mut connection, _) = pool.take(0, address).await.unwrap();
+        connection.query("SELECT 1", &Default::default()).await.unwrap();
+        pool.put(0, connection);
+        // The stand-in closes it; that is seen without a statement.
+        while pool.idle() > 0 {
+            futures_lite::future::yield_now().await;
+        }
+        let (mut connection, waited) = pool.take(0, address).await.unwrap();
+        assert!(waited, "a new one was opened");
+        assert!(connection.query("SELECT 1", &Default::default()).await.is_ok());
+    });
+}
+
+#[test]
+fn a_connection_to_an_address_of_before_is_not_used() {
+    let tasks = Tasks::default();
+    let (before, now) = (node(&[Answers(answer)]), node(&[Answers(answer)]));
+    let pool = pool(&tasks);
+    run(&tasks, async {
+        let (connection, _) = pool.take(0, before).await.unwrap();
+        pool.put(0, connection);
+        assert!(pool.take(0, now).await.unwrap().1);
+        assert_eq!(pool.idle(), 0);
+    });
+}
+
+#[test]
+fn who_waits_gets_what_falls_free_first() {
+    let (tasks, address) = (Tasks::default(), node(&[Answers(answer), Hangs]));
+    let pool = pool(&tasks);
+    run(&tasks, async {
+        let (connection, _) = pool.take(0, address).await.unwrap();
+        // Its own would never come up: nobody greets there.
+        let silent = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let waits = pool.take(0, silent.local_addr().unwrap());
+        let frees = async {
+            futures_lite::future::yield_now().await;
+            pool.put(0, connection);
+            std::future::pending().await
+        };
+        assert!(futures_lite::future::or(waits, frees).await.is_ok());
+    });
+}
+
+#[test]
+fn short_of_descriptors_idle_connections_go_and_nothing_dies() {
+    let (tasks, address) = (Tasks::default(), node(&[Answers(answer)]));
+    // Room for eight connections beside what the process holds itself.
+    let pool = Pool::new(tasks.clone(), Budget::new(32), DIAL_S, 600.0);
+    run(&tasks, async {
+        let mut taken = Vec::new();
+        for _ in 0..8 {
+            taken.push(pool.take(0, address).await.unwrap().0);
+        }
+        assert_eq!(pool.take(0, address).await.err(), Some(Close::NoDescriptor), "all are at work");
+        pool.put(0, taken.pop().unwrap());
+        assert!(pool.take(1, address).await.is_ok(), "the idle one made room for another node's");
+    });
+}
+
+#[test]
+fn a_statement_goes_through_to_its_answer() {
+    let tasks = Tasks::default();
+    let (desk, roster) = desk(&[node(&[Answers(answer)])]);
+    let pool = pool(&tasks);
+    tasks.spawn("the decisions", desk.clone().run(carried(&tasks, &desk, &pool, &roster))).detach();
+    let ticket = desk.arrived(statement(), 0, 2, 0, 0, 60.0, None);
+    assert_eq!(run(&tasks, ticket.answer()), Final::Completed(row()));
+}
+
+#[test]
+fn a_probe_tells_position_and_role() {
+    let tasks = Tasks::default();
+    let vitals = || {
+        let value = b"\0\x01\0\0\0\x09x0=5,x1=0";
+        let described = (b'T', b"\0\x01v\0\0\0\0\0\0\0\0\0\0\x19\xff\xff\xff\xff\xff\xff\0\0".as_slice());
+        messages(&[described, (b'D', value), (b'C', b"SHOW\0"), (b'Z', b"I")])
+    };
+    let (desk, roster) = desk(&[node(&[Answers(vitals)])]);
+    run(&tasks, crate::probe::probe(desk.clone(), pool(&tasks), roster, 0));
+    desk.tell(|instance, _| assert_eq!((instance.nodes[&0].lsn, instance.nodes[&0].denied), (5.0, 5.0)));
+}
--- /dev/null
+++ b/crates/router/src/tests/parts.rs
@@ -0,0 +1,74 @@
+//! The small parts: what ends mean, the shared descriptors, idle clients, lists that change.
+
+use super::{instance, listed};
+use crate::budget::Budget;
+use crate::ending;
+use crate::listen::Clients;
+use crate::spawn::Tasks;
+use crate::watch::Roster;
+use badgerstream_protocol::Close;
+use badgerstream_routing::{Ending, Standing};
+use serde_json::json;
+use std::net::SocketAddr;
+use test_case::test_case;
+
+#[test_case(Close::Left, Ending::Unconnected, Ending::Dropped)]
+#[test_case(Close::Broken, Ending::Unconnected, Ending::Dropped)]
+#[test_case(Close::Refused, Ending::Unconnected, Ending::Dropped)]
+#[test_case(Close::Silent, Ending::Unconnected, Ending::Dropped)]
+#[test_case(Close::TurnedAway, Ending::TurnedAway, Ending::Dropped)]
+#[test_case(Close::Malformed("wrong"), Ending::Unconnected, Ending::Dropped)]
+#[test_case(Close::TimedOut, Ending::Moot, Ending::TimedOut)]
+#[test_case(Close::Cancelled, Ending::Moot, Ending::Cancelled)]
+#[test_case(Close::Withdrawn, Ending::Moot, Ending::Dropped)]
+#[test_case(Close::NoDescriptor, Ending::Moot, Ending::Dropped)]
+fn only_what_was_not_written_is_proved_unrun(close: Close, unwritten: Ending, written: Ending) {
+    assert_eq!((ending::of_close(close, false), ending::of_close(close, true)), (unwritten, written));
+    assert!(unwritten.proves_unrun() && !written.proves_unrun());
+}
+
+#[test]
+fn clients_leave_a_quarter_of_the_descriptors_to_nodes() {
+    let budget = Budget::new(24 + 8);
+    let clients: Vec<_> = std::iter::from_fn(|| budget.for_client()).collect();
+    let nodes: Vec<_> = std::iter::from_fn(|| budget.for_node()).collect();
+    assert_eq!((clients.len(), nodes.len()), (6, 2));
+    drop(clients);
+    assert!(budget.for_client().is_some(), "what ends gives its own back");
+}
+
+#[test]
+fn the_longest_idle_client_goes_first() {
+    let clients = Clients::new();
+    let places = [0, 1].map(|_| clients.wait_idle());
+    assert!(clients.close_idlest());
+    let tasks = Tasks::default();
+    super::run(&tasks, places[0].unwanted());
+    drop(places);
+    assert!(!clients.close_idlest(), "who is at work is not idle");
+}
+
+#[test]
+fn a_task_that_panics_ends_alone() {
+    let tasks = Tasks::default();
+    super::run(&tasks, async {
+        tasks.spawn("a test", async { panic!("on purpose") }).await;
+        tasks.spawn("a test", async {}).await;
+    });
+}
+
+#[test]
+fn a_list_changes_standing_and_address() {
+    let dials: Vec<SocketAddr> = (1..3).map(|port| SocketAddr::from(([127, 0, 0, 1], port))).collect();
+    let (mut born, roster) = (instance(), Roster::new(Vec::new()));
+    assert_eq!(roster.list(&mut born, 1.0, &listed(41, &dials)), Ok(41));
+    let change = json!({"seq": 43, "whole": false, "hosts": [
+        {"host": "s-1", "dial": "127.0.0.9:9", "site": "a", "block": 2, "health": "terminating", "born_ms": 0}]});
+    assert_eq!(roster.list(&mut born, 2.0, &change), Ok(43));
+    assert_eq!((born.nodes[&0].standing, born.nodes[&1].standing), (Standing::Ready, Standing::Draining));
+    assert_eq!((born.nodes[&1].told, roster.dial(1).port(), roster.dial(0).port()), (2.0, 9, 1));
+    roster.list(&mut born, 3.0, &listed(44, &dials[..1])).unwrap();
+    assert_eq!(born.nodes[&1].standing, Standing::Gone, "a whole list leaves it out");
+    assert!(roster.list(&mut born, 4.0, &json!({"seq": 45, "whole": true, "hosts": [{}]})).is_err());
+    assert_eq!(born.nodes[&0].standing, Standing::Ready, "half a list takes nobody away");
+}
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -98,11 +98,12 @@
     loop {
         match machine.next(&mut input) {
             Ok(Some(line)) => {
-                *pause = FIRST_PAUSE;
                 match told(desk, roster, &line) {
                     Ok(told) => *seq = told.unwrap_or(*seq),
                     Err(close) => return close,
                 }
+                // Only what could be read counts: garbage that comes at once would be asked for without end.
+                *pause = FIRST_PAUSE;
             }
             Ok(None) => {
                 if let Err(close) = future::or(wire::read(&stream, &mut input), silent()).await {
