A client that has just come is not closed before its first statement

Seen: a test of the planned end failed now and then with a broken pipe. While the router closes idle connections, one that was accepted and had not yet been read counted as idle and was closed under its first statement. Checked: the failing write is the startup's successor, so the connection closed before the first read (listen.rs wait_idle, shutdown.rs). Ruled out: unread bytes, read_now finds those. Change: connections that have asked nothing are fresh; they are closed last when descriptors are short, and at the planned end only once the time has passed in which statements are still owed. Test: at_the_end_idle_connections_close.

--- a/crates/protocol/src/client.rs
+++ b/crates/protocol/src/client.rs
@@ -21,7 +21,11 @@
     Skipping,
 }
 
-pub struct Client(State);
+pub struct Client {
+    state: State,
+    /// Something was asked since the startup.
+    asked: bool,
+}
 
 /// What the driver does next.
 #[derive(Debug, PartialEq)]
@@ -34,19 +38,24 @@
 
 impl Default for Client {
     fn default() -> Client {
-        Client(State::Starting)
+        Client { state: State::Starting, asked: false }
     }
 }
 
 impl Client {
     /// Between two statements: nothing is owed.
     pub fn idle(&self) -> bool {
-        self.0 != State::Executing
+        self.state != State::Executing
+    }
+
+    /// Nothing was asked yet: a client that has just come is about to.
+    pub fn fresh(&self) -> bool {
+        !self.asked
     }
 
     /// Goes on with what has been read. After an error, the output's rest is written and the connection ends.
     pub fn next(&mut self, input: &mut Ring, output: &mut Ring) -> Result<Turn, Close> {
-        let turn = match self.0 {
+        let turn = match self.state {
             State::Executing => return Ok(Turn::Read),
             State::Starting => self.start(input, output),
             State::Idle | State::Skipping => match message::next(input) {
@@ -111,7 +120,8 @@
     fn message(
         &mut self, kind: u8, body: &[u8], output: &mut Ring,
     ) -> Result<Turn, (Option<&'static str>, Close)> {
-        match (kind, self.0) {
+        self.asked = true;
+        match (kind, self.state) {
             (b'X', _) => return Err((None, Close::Left)),
             (b'S', _) => self.ready(output),
             (b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'd' | b'c' | b'f' | b'Q', State::Skipping) => {
@@ -120,7 +130,7 @@
             (b'Q', _) => return Ok(self.query(body, output)),
             (b'P' | b'B' | b'D' | b'E' | b'C', _) => {
                 put_error(output, "ERROR", "0A000", "only simple queries are served here", "");
-                self.0 = State::Skipping;
+                self.state = State::Skipping;
             }
             (b'F', _) => self.failed(output, ("0A000", "no functions are called here")),
             // As PostgreSQL does: what is left of a COPY, or a Flush, asks for nothing.
@@ -143,7 +153,7 @@
         }
         match Statement::read(text) {
             Ok(statement) => {
-                self.0 = State::Executing;
+                self.state = State::Executing;
                 Turn::Execute(Box::new(statement))
             }
             Err(fault) => self.fault(output, fault),
@@ -180,7 +190,7 @@
 
     fn ready(&mut self, output: &mut Ring) {
         put(output, b'Z', &[b"I"]);
-        self.0 = State::Idle;
+        self.state = State::Idle;
     }
 }
 
--- a/crates/protocol/src/tests/client.rs
+++ b/crates/protocol/src/tests/client.rs
@@ -51,8 +51,9 @@
     let (mut client, mut output) = (Client::default(), Ring::new(LONGEST));
     let mut input = ring(&[hello(), query(READ), query(READ)].concat());
     assert_eq!(client.next(&mut input, &mut output), Ok(Turn::Write));
+    assert!(client.fresh());
     assert!(matches!(client.next(&mut input, &mut output), Ok(Turn::Execute(_))));
-    assert!(!client.idle());
+    assert!(!client.idle() && !client.fresh());
     let waiting = input.len();
     assert_eq!(client.next(&mut input, &mut output), Ok(Turn::Read));
     assert_eq!(input.len(), waiting, "the second stays where it is");
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -75,7 +75,7 @@
                 }
             }
             Ok(Turn::Read) => {
-                if let Err(close) = idle(&stream, &mut input, &clients).await {
+                if let Err(close) = idle(&stream, &mut input, &clients, machine.fresh()).await {
                     break close;
                 }
             }
@@ -106,10 +106,12 @@
 }
 
 /// Reads on, unless the router wants the connection closed: never one whose bytes are unread.
-async fn idle(stream: &Async<TcpStream>, input: &mut Ring, clients: &Rc<Clients>) -> Result<(), Close> {
+async fn idle(
+    stream: &Async<TcpStream>, input: &mut Ring, clients: &Rc<Clients>, fresh: bool,
+) -> Result<(), Close> {
     if input.is_empty() {
         let unwanted = {
-            let wanted = clients.wait_idle();
+            let wanted = clients.wait_idle(fresh);
             let read = async { wire::read(stream, input).await.map(|()| false) };
             future::or(read, async {
                 wanted.unwanted().await;
--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -13,19 +13,27 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The clients' connections: how many there are, and those that are idle, the longest idle first.
+/// The clients' connections: how many there are, and those that are idle, the longest idle first. Those that
+/// have asked nothing yet are fresh and come last: their first statement may be on its way.
 pub struct Clients {
     open: Cell<usize>,
     numbered: Cell<u64>,
-    idle: RefCell<BTreeMap<u64, Sender<()>>>,
-    /// Whether all are to be closed as they fall idle.
-    closing: Cell<bool>,
+    idle: RefCell<BTreeMap<(bool, u64), Sender<()>>>,
+    closing: Cell<Closing>,
+}
+
+/// Which connections are to be closed as they fall idle.
+#[derive(Clone, Copy, PartialEq)]
+enum Closing {
+    None,
+    AllButFresh,
+    All,
 }
 
 /// An idle connection's place; it leaves with it.
 pub struct Place {
     clients: Rc<Clients>,
-    number: u64,
+    number: (bool, u64),
     unwanted: Receiver<()>,
 }
 
@@ -44,7 +52,7 @@
 
 impl Clients {
     pub fn new() -> Rc<Clients> {
-        let (open, numbered, closing) = (Cell::new(0), Cell::new(0), Cell::new(false));
+        let (open, numbered, closing) = (Cell::new(0), Cell::new(0), Cell::new(Closing::None));
         Rc::new(Clients { open, numbered, idle: RefCell::default(), closing })
     }
 
@@ -52,11 +60,11 @@
         self.open.get()
     }
 
-    pub fn wait_idle(self: &Rc<Self>) -> Place {
-        let number = self.numbered.get() + 1;
-        self.numbered.set(number);
+    pub fn wait_idle(self: &Rc<Self>, fresh: bool) -> Place {
+        self.numbered.set(self.numbered.get() + 1);
+        let number = (fresh, self.numbered.get());
         let (unwant, unwanted) = bounded(1);
-        if self.closing.get() {
+        if self.closing.get() == Closing::All || self.closing.get() == Closing::AllButFresh && !fresh {
             let _ = unwant.try_send(());
         }
         self.idle.borrow_mut().insert(number, unwant);
@@ -68,9 +76,17 @@
         self.idle.borrow_mut().pop_first().is_some_and(|(_, unwant)| unwant.try_send(()).is_ok())
     }
 
+    /// From now on every connection closes as it falls idle, but for the fresh.
+    pub fn close_all_but_fresh(&self) {
+        self.closing.set(Closing::AllButFresh);
+        while self.idle.borrow().keys().next().is_some_and(|(fresh, _)| !fresh) {
+            self.close_idlest();
+        }
+    }
+
     /// From now on every connection closes as it falls idle.
     pub fn close_all(&self) {
-        self.closing.set(true);
+        self.closing.set(Closing::All);
         while self.close_idlest() {}
     }
 }
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -24,8 +24,9 @@
     signals.next().await;
     tracing::info!("asked to end, {} clients are connected", clients.open());
     Timer::after(ARRIVING).await;
-    clients.close_all();
+    clients.close_all_but_fresh();
     Timer::after(OWED).await;
+    clients.close_all();
     while clients.open() > 0 {
         Timer::after(Duration::from_millis(10)).await;
     }
--- a/crates/router/src/tests/clients.rs
+++ b/crates/router/src/tests/clients.rs
@@ -126,7 +126,7 @@
     run(&tasks, async {
         let mut idle = Caller::new(address, "").await;
         assert_eq!((idle.heard().await, idle.heard().await), ("RSSSZ".to_string(), "IZ".to_string()));
-        clients.close_all();
+        clients.close_all_but_fresh();
         assert_eq!(idle.heard().await, "end");
         // Who still comes is answered, and closed behind the answer.
         let mut late = Caller::new(address, READ).await;
--- a/crates/router/src/tests/parts.rs
+++ b/crates/router/src/tests/parts.rs
@@ -40,10 +40,10 @@
 #[test]
 fn the_longest_idle_client_goes_first() {
     let clients = Clients::new();
-    let places = [0, 1].map(|_| clients.wait_idle());
+    let places = [true, false, false].map(|fresh| clients.wait_idle(fresh));
     assert!(clients.close_idlest());
     let tasks = Tasks::default();
-    super::run(&tasks, places[0].unwanted());
+    super::run(&tasks, places[1].unwanted());
     drop(places);
     assert!(!clients.close_idlest(), "who is at work is not idle");
 }
