Connections that ended with their answer are not reused; every asked wake comes

Found by reading, each shown by a test first failing: - pool.rs put: a connection that broke after its row, before the last message, went back to the pool, and the next statement would have been written to it. It is now asked for its end before it is kept or handed on; so is an idle one whose poller woke it. - decide.rs settle: a later wish to be woken replaced an earlier one, so a beat could come 50 ms late or not at all. - node.rs status: a rank or position that can't be read made a whole row worthless; it now counts as not told.

--- a/crates/protocol/src/node.rs
+++ b/crates/protocol/src/node.rs
@@ -107,7 +107,7 @@
 
     fn executing(&mut self, kind: u8, body: &[u8]) -> Result<Option<Heard>, Close> {
         match kind {
-            b'S' => self.status(body)?,
+            b'S' => self.status(body),
             b'N' => {}
             b'T' | b'D' | b'C' if self.error.is_none() => self.part(kind, body)?,
             b'E' if self.error.is_none() && self.seen != b"TDC" => {
@@ -138,25 +138,17 @@
         Ok(())
     }
 
-    fn status(&mut self, body: &[u8]) -> Result<(), Close> {
-        let texts = message::strings(body)?;
-        let [name, value] = texts[..] else { return Err(Close::Malformed("a status is no pair")) };
-        match name {
-            "rank" => {
-                self.primary = match value {
-                    "source" => Some(true),
-                    "copy" => Some(false),
-                    _ => return Err(Close::Malformed("a rank is unknown")),
-                }
-            }
-            "as_of" => {
-                let ms: u64 = value.parse().map_err(|_| Close::Malformed("a position is no number"))?;
-                self.as_of = Some(ms as f64 / 1e3);
-            }
-            "vitals" => self.vitals = Some(value.to_string()),
+    /// What can't be understood counts as not told: the row beside it is as good as without.
+    fn status(&mut self, body: &[u8]) {
+        let texts = message::strings(body).unwrap_or_default();
+        let [name, value] = texts[..] else { return };
+        match (name, value) {
+            ("rank", "source") => self.primary = Some(true),
+            ("rank", "copy") => self.primary = Some(false),
+            ("as_of", ms) => self.as_of = ms.parse::<u64>().ok().map(|ms| ms as f64 / 1e3),
+            ("vitals", report) => self.vitals = Some(report.to_string()),
             _ => {}
         }
-        Ok(())
     }
 
     /// The connection has ended: an answer that was whole but for its last message still counts.
--- a/crates/protocol/src/tests/node.rs
+++ b/crates/protocol/src/tests/node.rs
@@ -64,6 +64,15 @@
     assert_eq!(answer.vitals.as_deref(), Some("x0=5,x1=0"));
 }
 
+#[test_case(&status("rank", "queen"); "an unknown role")]
+#[test_case(&status("as_of", "soon"); "no position")]
+#[test_case(&message(b'S', b"rank"); "no pair")]
+fn what_a_node_says_of_itself_never_spoils_its_row(told: &[u8]) {
+    let bytes = [&[described(1), row(1, b"v"), done()].concat(), told, &ready()].concat();
+    let answer = answered(&bytes, 4).unwrap().unwrap();
+    assert_eq!((answer.row.is_ok(), answer.primary, answer.as_of), (true, None, None));
+}
+
 #[test]
 fn an_error_tells_of_its_node_too() {
     let bytes = [error("25006"), status("rank", "copy"), status("as_of", "5"), ready()].concat();
@@ -95,8 +104,6 @@
 #[test_case(b"D\x7f\0\0\0"; "an endless message")]
 #[test_case(&message(b'D', b"\0\x01\0\0\0\x09v"); "a value cut short")]
 #[test_case(&message(b'E', b"SERROR\0\0"); "an error without a code")]
-#[test_case(&status("rank", "queen"); "an unknown role")]
-#[test_case(&status("as_of", "soon"); "no position")]
 #[test_case(&message(b'N', b"\0").repeat(100); "a flood")]
 fn no_completion(bytes: &[u8]) {
     assert!(matches!(answered(bytes, 6), Err(Close::Malformed(_))));
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -7,7 +7,7 @@
 use badgerstream_routing::{Ending, Instance, Outbox, Role};
 use futures_lite::future;
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -59,6 +59,8 @@
     instance: Instance,
     clock: Clock,
     numbered: u32,
+    /// When the instance asked to be woken, in microseconds: a later asking takes none of them back.
+    wakes: BTreeSet<u64>,
     /// Lives until the final answer.
     taken: HashMap<u32, Taken<S, A>>,
     /// Lives until the execution's end, which may come after its statement's.
@@ -119,7 +121,7 @@
 impl<S: 'static, A: 'static> Desk<S, A> {
     pub fn new(instance: Instance, clock: Clock) -> Rc<Desk<S, A>> {
         let (taken, running) = (HashMap::new(), HashMap::new());
-        let inner = Inner { instance, clock, numbered: 0, taken, running };
+        let inner = Inner { instance, clock, numbered: 0, wakes: BTreeSet::new(), taken, running };
         Rc::new(Desk { inner: RefCell::new(inner), told: bounded(1) })
     }
 
@@ -228,6 +230,11 @@
         let mut inner = self.inner.borrow_mut();
         let now = inner.clock.now();
         inner.instance.settle(now, &mut asked);
+        let wakes = asked.wakes.iter().map(|after| ((now + after.clamp(0.0, 3600.0)) * 1e6) as u64 + 1);
+        inner.wakes.extend(wakes);
+        let now_us = (now * 1e6) as u64;
+        inner.wakes = inner.wakes.split_off(&(now_us + 1));
+        let next = inner.wakes.first().map(|at| Duration::from_micros(at - now_us));
         drop(inner);
         for line in asked.lines {
             tracing::info!("{line}");
@@ -240,7 +247,7 @@
                 Action::Probe(node) => carry(Order::Probe { node }).detach(),
             }
         }
-        asked.wake.map(|after| Duration::from_secs_f64(after.clamp(0.0, 3600.0)))
+        next
     }
 
     fn execute(&self, now: f64, stmt: u32, node: u32, limit: f64, carry: &impl Fn(Order<S>) -> Task<()>) {
@@ -289,12 +296,12 @@
 struct Asked<A> {
     actions: Vec<Action<A>>,
     lines: Vec<String>,
-    wake: Option<f64>,
+    wakes: Vec<f64>,
 }
 
 impl<A> Default for Asked<A> {
     fn default() -> Asked<A> {
-        Asked { actions: Vec::new(), lines: Vec::new(), wake: None }
+        Asked { actions: Vec::new(), lines: Vec::new(), wakes: Vec::new() }
     }
 }
 
@@ -320,7 +327,7 @@
     }
 
     fn wake(&mut self, after: f64) {
-        self.wake = Some(self.wake.map_or(after, |before| before.min(after)));
+        self.wakes.push(after);
     }
 
     fn log(&mut self, line: &str) {
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -161,9 +161,10 @@
         }
     }
 
-    /// A connection that is free again: to the first who waits for one, else it stands idle.
+    /// A connection that is free again: to the first who waits for one, else it stands idle. One that has
+    /// ended, even with its answer, serves nobody.
     pub fn put(self: &Rc<Self>, node: u32, mut connection: Connection) {
-        if !connection.input.is_empty() {
+        if !connection.quiet() {
             return;
         }
         let mut nodes = self.nodes.borrow_mut();
@@ -182,21 +183,26 @@
         self.numbered.set(number);
         let (pool, stream) = (Rc::downgrade(self), connection.stream.clone());
         let watch = self.tasks.spawn("an idle connection", async move {
-            let _ = stream.readable().await;
-            if let Some(pool) = pool.upgrade() {
-                pool.ended_idle(node, number);
+            while stream.readable().await.is_ok() {
+                // The poller may be mistaken: only what can be read is news.
+                if pool.upgrade().is_none_or(|pool: Rc<Pool>| pool.ended_idle(node, number)) {
+                    break;
+                }
             }
         });
         stand.idle.push(Idle { number, connection, since: Instant::now(), watch });
     }
 
-    fn ended_idle(&self, node: u32, number: u64) {
+    /// Takes an idle connection away if it has ended or spoken; false if it has not.
+    fn ended_idle(&self, node: u32, number: u64) -> bool {
         let mut nodes = self.nodes.borrow_mut();
-        let Some(stand) = nodes.get_mut(&node) else { return };
-        if let Some(at) = stand.idle.iter().position(|i| i.number == number) {
-            let idle = stand.idle.remove(at);
-            idle.watch.detach();
+        let Some(stand) = nodes.get_mut(&node) else { return true };
+        let Some(at) = stand.idle.iter().position(|i| i.number == number) else { return true };
+        if stand.idle[at].connection.quiet() {
+            return false;
         }
+        stand.idle.remove(at).watch.detach();
+        true
     }
 
     /// Closes the connection that has been idle for longest, if there is one.
--- a/crates/router/src/tests/decide.rs
+++ b/crates/router/src/tests/decide.rs
@@ -86,6 +86,14 @@
     desk.tell(|instance, _| assert_eq!(instance.nodes.values().map(|n| n.answers).sum::<f64>(), 12.0));
 }
 
+#[test]
+fn a_settling_takes_no_wake_back() {
+    let (tasks, (desk, _)) = (Tasks::default(), desk::<&str, &str>(&nodes()));
+    let beat = || desk.settle(&|_| tasks.spawn("nothing", std::future::pending()));
+    assert!(beat().is_some());
+    assert!(beat().is_some(), "the beat asked for before is still to come");
+}
+
 #[test]
 fn no_time_left_means_an_answer_at_once() {
     let tasks = Tasks::default();
--- a/crates/router/src/tests/nodes.rs
+++ b/crates/router/src/tests/nodes.rs
@@ -103,6 +103,19 @@
     });
 }
 
+#[test_case(AnswersOnce(row); "the answer's last message never came")]
+#[test_case(AnswersOnce(|| [answer(), answer()].concat()); "an answer too many")]
+fn a_connection_that_ended_with_its_answer_is_not_kept(script: Script) {
+    let (tasks, address) = (Tasks::default(), node(&[script]));
+    let pool = pool(&tasks);
+    run(&tasks, async {
+        let (mut connection, _) = pool.take(0, address).await.unwrap();
+        assert!(connection.query("SELECT 1", &Default::default()).await.is_ok());
+        pool.put(0, connection);
+        assert_eq!(pool.idle(), 0);
+    });
+}
+
 #[test]
 fn a_connection_to_an_address_of_before_is_not_used() {
     let tasks = Tasks::default();
