--- a/crates/router/src/tests/nodes.rs
+++ b/crates/router/src/tests/nodes.rs
@@ -7,7 +7,7 @@
 use crate::pool::Pool;
 use crate::spawn::Tasks;
 use badgerstream_protocol::Close;
-use badgerstream_routing::Ending;
+use badgerstream_routing::{Ending, Standing};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::rc::Rc;
 use test_case::test_case;
@@ -55,6 +55,18 @@
     assert_eq!(executed(node(scripts), 60.0, false), Some(expected));
 }
 
+#[test]
+fn what_no_longer_stands_once_its_connection_is_up_is_not_written() {
+    let tasks = Tasks::default();
+    let (desk, roster) = desk(&[node(&[Hangs])]);
+    let pool = pool(&tasks);
+    let _ticket = desk.arrived(statement(), 0, 2, 0, 0, 60.0, None);
+    let order = super::settled(&tasks, &desk).pop().expect("sent");
+    desk.tell(|instance, now| instance.nodes.get_mut(&0).unwrap().stands(Standing::Gone, now));
+    run(&tasks, crate::execute::carry(desk.clone(), pool.clone(), roster, order));
+    assert_eq!((ended(&desk), pool.idle()), (Some(Ending::Moot), 1));
+}
+
 #[test]
 fn nobody_listens() {
     let closed = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap();
--- a/crates/router/src/tests/parts.rs
+++ b/crates/router/src/tests/parts.rs
@@ -8,6 +8,7 @@
 use crate::watch::Roster;
 use badgerstream_protocol::Close;
 use badgerstream_routing::{Ending, Standing};
+use futures_lite::future;
 use serde_json::json;
 use std::net::SocketAddr;
 use test_case::test_case;
@@ -48,6 +49,18 @@
     assert!(!clients.close_idlest(), "who is at work is not idle");
 }
 
+#[test]
+fn who_has_just_come_is_closed_last() {
+    let (tasks, clients) = (Tasks::default(), Clients::new());
+    clients.close_all_but_fresh();
+    let [fresh, asked] = [true, false].map(|fresh| clients.wait_idle(fresh));
+    let wanted =
+        |place: &crate::listen::Place| super::run(&tasks, future::poll_once(place.unwanted())).is_none();
+    assert!(wanted(&fresh) && !wanted(&asked), "its first statement may be on its way");
+    clients.close_all();
+    assert!(!wanted(&fresh));
+}
+
 #[test]
 fn a_task_that_panics_ends_alone() {
     let tasks = Tasks::default();
