--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -68,8 +68,12 @@
     }
 }
 
+/// Positions in load reports come as whole milliseconds, and nothing says that they are rounded down.
+const ROUNDING_S: f64 = 0.001;
+
 /// Role and position that a load report tells.
 pub fn report(vitals: &str) -> (Option<bool>, f64) {
     let role = vital(vitals, badgerstream_provision::ROLE).map(|told| told >= 0.5);
-    (role, vital(vitals, badgerstream_provision::POSITION).unwrap_or(f64::NEG_INFINITY))
+    let position = vital(vitals, badgerstream_provision::POSITION);
+    (role, position.map_or(f64::NEG_INFINITY, |at| at - ROUNDING_S))
 }
