The listener waits for discovery's first word; help for each sub-command; tests of the watch

What is handed over at start may be old, so clients are accepted once discovery has answered, or after 250 ms. RELAY_NAME, RELAY_LISTEN and RELAY_DISCOVERY go before the file. The pause between two watches grows to 1 s at most, since what discovery has to tell binds after 6 s.

--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -18,13 +18,17 @@
 mod watch;
 mod wire;
 
-use async_io::Async;
+use async_io::{Async, Timer};
 use badgerstream_provision::{Pairs, Provision};
 use futures_lite::future;
 use lexopt::prelude::*;
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
+
+/// Discovery is on the same machine: who waits longer for it would only keep clients waiting.
+const FIRST_LIST: Duration = Duration::from_millis(250);
 
 const USAGE: &str = "\
 badgerstream routes the statements of a replicated store's clients
@@ -32,18 +36,31 @@
 usage: badgerstream serve          serve, as told by the file that RELAY_CONFIG names
        badgerstream check FILE     say what is wrong with such a file, without serving
        badgerstream version        print the version
-       badgerstream help           print this";
+       badgerstream help           print this
+
+badgerstream serve --help and badgerstream check --help tell more.";
+
+const SERVE: &str = "\
+usage: badgerstream serve
+
+Serves until SIGTERM or SIGINT, and then until all that was taken is answered.
+
+RELAY_CONFIG       the file to start from, JSON; see examples/router.json
+RELAY_NAME, RELAY_LISTEN, RELAY_DISCOVERY
+                   where they are set, they go before what the file says
+BADGERSTREAM_LOG   what to log on standard error: error, warn, info (as without it) or debug";
+
+const CHECK: &str = "\
+usage: badgerstream check FILE
+
+Reads FILE as serve would, opens nothing, and says in one line what is wrong with it, if anything is.";
 
 fn main() -> ExitCode {
     match command() {
         Ok(Command::Serve) => report(start().and_then(|provision| serve(&provision))),
         Ok(Command::Check(file)) => report(check(&file).map(|()| println!("{file} can be served"))),
-        Ok(Command::Version) => {
-            println!("badgerstream {}", env!("CARGO_PKG_VERSION"));
-            ExitCode::SUCCESS
-        }
-        Ok(Command::Help) => {
-            println!("{USAGE}");
+        Ok(Command::Tell(text)) => {
+            println!("{text}");
             ExitCode::SUCCESS
         }
         Err(problem) => {
@@ -56,30 +73,31 @@
 enum Command {
     Serve,
     Check(String),
-    Version,
-    Help,
+    Tell(&'static str),
 }
 
 fn command() -> Result<Command, lexopt::Error> {
-    let mut arguments = lexopt::Parser::from_env();
-    let mut command = None;
+    let (mut arguments, mut words, mut help) = (lexopt::Parser::from_env(), Vec::new(), false);
     while let Some(argument) = arguments.next()? {
-        match (argument, &command) {
-            (Short('h') | Long("help"), _) => return Ok(Command::Help),
-            (Short('V') | Long("version"), _) => return Ok(Command::Version),
-            (Value(word), None) => {
-                command = Some(match word.string()?.as_str() {
-                    "serve" => Command::Serve,
-                    "check" => Command::Check(arguments.value()?.string()?),
-                    "version" => Command::Version,
-                    "help" => Command::Help,
-                    other => return Err(format!("there is no sub-command {other:?}").into()),
-                });
-            }
-            (argument, _) => return Err(argument.unexpected()),
+        match argument {
+            Short('h') | Long("help") => help = true,
+            Short('V') | Long("version") if words.is_empty() => words.push("version".to_string()),
+            Value(word) => words.push(word.string()?),
+            other => return Err(other.unexpected()),
         }
     }
-    command.ok_or_else(|| "a sub-command is missing".into())
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    match (&words[..], help) {
+        (["help"], _) | ([], true) => Ok(Command::Tell(USAGE)),
+        (["serve"], true) => Ok(Command::Tell(SERVE)),
+        (["check", ..], true) => Ok(Command::Tell(CHECK)),
+        (["version"], _) => Ok(Command::Tell(concat!("badgerstream ", env!("CARGO_PKG_VERSION")))),
+        (["serve"], false) => Ok(Command::Serve),
+        (["check", file], false) => Ok(Command::Check(file.to_string())),
+        (["check"], false) => Err("check needs a file".into()),
+        ([], false) => Err("a sub-command is missing".into()),
+        _ => Err(format!("there is no such command: {}", words.join(" ")).into()),
+    }
 }
 
 fn report(done: Result<(), String>) -> ExitCode {
@@ -93,8 +111,16 @@
 }
 
 fn start() -> Result<Provision, String> {
-    let file = std::env::var("RELAY_CONFIG").map_err(|_| "the variable RELAY_CONFIG is missing")?;
-    read(&file)
+    let told = |variable: &str| std::env::var(variable).ok();
+    let mut provision = read(&told("RELAY_CONFIG").ok_or("the variable RELAY_CONFIG is missing")?)?;
+    provision.name = told("RELAY_NAME").unwrap_or(provision.name);
+    let addresses = [("RELAY_LISTEN", &mut provision.listen), ("RELAY_DISCOVERY", &mut provision.discovery)];
+    for (variable, address) in addresses {
+        if let Some(text) = told(variable) {
+            *address = text.parse().map_err(|e| format!("the variable {variable} can't be read: {e}"))?;
+        }
+    }
+    Ok(provision)
 }
 
 fn read(file: &str) -> Result<Provision, String> {
@@ -159,10 +185,18 @@
         }
     };
     let decisions = tasks.spawn("the decisions", desk.clone().run(carry));
-    tasks.spawn("discovery", watch::watch(desk.clone(), roster, provision.discovery, seq)).detach();
+    let (heard, first_list) = async_channel::bounded(1);
+    let watch = watch::watch(desk.clone(), roster, provision.discovery, seq, heard);
+    tasks.spawn("discovery", watch).detach();
     tasks.spawn("the pool", pool.clone().retire()).detach();
     let accept = listen::listen(listener, tasks.clone(), desk, names, clients.clone(), pool, budget);
-    let accept = tasks.spawn("the listener", accept);
+    let accept = tasks.spawn("the listener", async move {
+        // The list that was handed over may be old: what discovery has to tell comes first, if it is there.
+        let heard = async { first_list.recv().await.is_ok() };
+        let late = async { Timer::after(FIRST_LIST).await.elapsed().is_zero() };
+        future::or(heard, late).await;
+        accept.await;
+    });
     tracing::info!("{} serves on {address}", provision.name);
     // These two all clients need: without them it is better to start anew.
     let broken = async {
--- a/crates/router/src/tests/mod.rs
+++ b/crates/router/src/tests/mod.rs
@@ -4,6 +4,7 @@
 mod decide;
 mod nodes;
 mod parts;
+mod watch;
 
 use crate::decide::{Clock, Desk, Order};
 use crate::execute::Router;
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -2,6 +2,7 @@
 
 use crate::execute::Router;
 use crate::wire;
+use async_channel::Sender;
 use async_io::{Async, Timer};
 use badgerstream_protocol::{Close, Ring, discovery};
 use badgerstream_routing::Instance;
@@ -16,7 +17,7 @@
 /// Two empty lines that did not come: the watch hangs. What it has to tell binds after 6 s.
 const SILENT: Duration = Duration::from_millis(4500);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
 /// Numbers for the names that discovery uses, and where each node is reached.
 #[derive(Default)]
@@ -69,11 +70,14 @@
 }
 
 /// Watches for as long as the router runs; the last list stays in use whatever happens to the watch.
-pub async fn watch(desk: Rc<Router>, roster: Rc<Roster>, address: SocketAddr, mut seq: u64) {
+/// `heard` is told of the first answer.
+pub async fn watch(
+    desk: Rc<Router>, roster: Rc<Roster>, address: SocketAddr, mut seq: u64, heard: Sender<()>,
+) {
     let mut pause = FIRST_PAUSE;
     loop {
         let before = seq;
-        let close = follow(&desk, &roster, address, &mut seq, &mut pause).await;
+        let close = follow(&desk, &roster, address, &mut seq, &mut pause, &heard).await;
         tracing::info!("discovery: the watch has ended at version {seq} (opened at {before}): {close}");
         Timer::after(pause).await;
         pause = (2 * pause).min(LONGEST_PAUSE);
@@ -82,6 +86,7 @@
 
 async fn follow(
     desk: &Router, roster: &Roster, address: SocketAddr, seq: &mut u64, pause: &mut Duration,
+    heard: &Sender<()>,
 ) -> Close {
     let (mut input, mut output) = (Ring::new(1 << 16), Ring::new(1 << 12));
     let mut machine = discovery::Watch::default();
@@ -104,6 +109,7 @@
                 }
                 // Only what could be read counts: garbage that comes at once would be asked for without end.
                 *pause = FIRST_PAUSE;
+                let _ = heard.try_send(());
             }
             Ok(None) => {
                 if let Err(close) = future::or(wire::read(&stream, &mut input), silent()).await {
