A statement never sent, its primary out of reach, is rejected at half of its time

Change: where who leads is unknown or a suspect and no node had a byte of it, half of the client's time ends it: the client may come in elsewhere. Also guards against outages of any other cause. Harm: a primary that is back in the second half.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -154,8 +154,7 @@
         (s.kind, s.group, s.session) = (kind, group, session);
         (s.arrived, s.held_until, s.due, s.probed) = (now, now, due, NEVER);
         s.slo_end = now + (kind.slo + kind.slo_stretch * work).min(kind.timeout);
-        s.served_as = [workload, customer];
-        s.worth = kind.importance * self.within_quota(now, customer);
+        (s.served_as, s.worth) = ([workload, customer], kind.importance * self.within_quota(now, customer));
         shares_of(&mut self.shares, &s).for_each(|share| share.0 += s.worth);
         // The carried age may be older than the last write answered here: the later one is owed.
         let known = self.sessions.get(&session).map_or(NEVER, |s| s.1);
@@ -165,7 +164,8 @@
             _ => known,
         };
         s.fresh_age = write_age > 0.0 && write_age < MARK_S;
-        let moments = [due - 2.0 * self.allowance.step, s.slo_end];
+        s.halfway = (now + due) / 2.0 - 2.0 * self.allowance.step;
+        let moments = [due - 2.0 * self.allowance.step, s.slo_end, s.halfway];
         self.timers.extend(moments.map(|at| ((at.max(0.0) * 1e6) as u64, stmt)));
         s.lot = self.lot(workload);
         let asked = self.groups.entry(group).or_default();
@@ -256,8 +256,7 @@
 
     pub fn probed(&mut self, now: f64, id: u32, answered: bool, primary: Option<bool>, lsn: f64) {
         let Some(node) = self.nodes.get_mut(&id) else { return };
-        node.probing = false;
-        node.faults += u32::from(!answered);
+        (node.probing, node.faults) = (false, node.faults + u32::from(!answered));
         if answered {
             node.heard = now;
             self.reported(now, id, primary, lsn);
@@ -494,8 +493,7 @@
     /// Guards rule 1: whatever else is going on, the answer is out before the client's time is up.
     fn answer_last_moment(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
-        let late = now >= s.due - 2.0 * self.allowance.step - ROUNDING_S;
-        late && self.conclude(stmt, now, out)
+        now >= s.due - 2.0 * self.allowance.step - ROUNDING_S && self.conclude(stmt, now, out)
     }
 
     /// Nothing it could still get is worth anything, is back in time or may be sent, or it errs everywhere.
@@ -506,7 +504,14 @@
         let spent = s.executions.len() >= self.allowance.executions || errors >= ERRORS;
         let spent = spent || !self.repeatable(s, None, now);
         let late = now + if sent { 0.0 } else { self.needed(s) } >= s.last_use();
-        (late || spent && !sent) && self.conclude(stmt, now, out)
+        (late || spent && !sent || self.stranded(s, now)) && self.conclude(stmt, now, out)
+    }
+
+    /// Half of its time is gone, no node had a byte of it, and who leads is unknown or out of reach: its client
+    /// can still try elsewhere. Harm: a primary back in the second half would have served it, mostly late.
+    pub fn stranded(&self, s: &Statement, now: f64) -> bool {
+        let led = self.groups[&s.group].primary.is_some_and(|p| self.nodes[&p].suspected.is_none());
+        !led && s.unwritten() && now >= s.halfway - ROUNDING_S
     }
 
     fn send_next(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
@@ -616,8 +621,7 @@
         };
         let unasked = |n: &Node| (n.probed.max(n.denied), !n.listed_primary);
         let members = self.members(s.group).filter(asks);
-        let next = members.min_by(|a, b| unasked(a.1).partial_cmp(&unasked(b.1)).expect("no NaN"));
-        next.map(|m| m.0)
+        members.min_by(|a, b| unasked(a.1).partial_cmp(&unasked(b.1)).expect("no NaN")).map(|m| m.0)
     }
 
     /// The next eligible replica from the group's counter, which wraps.
@@ -644,8 +648,7 @@
 
     /// Whether a node may be chosen now: in health or on trial, with room, and not met in vain.
     fn open(&self, s: &Statement, id: u32, now: f64) -> bool {
-        let node = &self.nodes[&id];
-        let leads = self.groups[&s.group].primary == Some(id);
+        let (node, leads) = (&self.nodes[&id], self.groups[&s.group].primary == Some(id));
         let again = |e: &Execution| match e.ended {
             // Only the primary will do for some: what it answered may have got lost on the way.
             None => leads && self.overdue(e, now),
@@ -747,8 +750,7 @@
         if node.room >= 1.0 || strain <= STRAIN {
             return (node.out as f64) < node.room.max(1.0);
         }
-        let usual = self.asked(s.group, id) * strain * s.kind.slo;
-        node.out == 0 && s.lot * usual <= node.room
+        node.out == 0 && s.lot * self.asked(s.group, id) * strain * s.kind.slo <= node.room
     }
 
     /// Guards rule 5: a member not believed primary answers a read only from a position known to do.
@@ -776,8 +778,7 @@
         if s.session != 0 && group.primary == Some(id) {
             self.sessions.entry(s.session).or_insert((now, NEVER)).0 = now;
         }
-        let s = self.statements.get_mut(&stmt).expect("open");
-        s.executions.push(Execution::new(id, now));
+        self.statements.get_mut(&stmt).expect("open").executions.push(Execution::new(id, now));
         let node = self.nodes.get_mut(&id).expect("listed");
         node.await_until(now);
         node.out += 1;
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -25,6 +25,8 @@
     pub arrived: f64,
     pub due: f64,
     pub slo_end: f64,
+    /// When half of its client's time is over.
+    pub halfway: f64,
     /// A read is answered only from data at or past this.
     pub owed: f64,
     /// Its session wrote within the mark's time, here or elsewhere.
@@ -107,6 +109,12 @@
         self.executions.iter().filter(|e| e.ended.is_none())
     }
 
+    /// No node was ever sent a byte of it.
+    pub fn unwritten(&self) -> bool {
+        let never = |e: &Execution| matches!(e.ended, Some(Ending::Unconnected | Ending::Moot));
+        self.executions.iter().all(never)
+    }
+
     pub fn may_have_run(&self) -> impl Iterator<Item = &Execution> {
         let ran = |e: &&Execution| !e.ended.is_some_and(Ending::proves_unrun);
         self.executions.iter().filter(ran)
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -339,6 +339,28 @@
     assert!(settle(&mut router, end + 0.05).is_empty(), "nothing is sent after it");
 }
 
+#[test_case(WRITE, true, &[], true; "a write")]
+#[test_case(RECENT, true, &[], true; "a read that only the primary will do for")]
+#[test_case(WRITE, true, &[Ending::Unconnected, Ending::Moot], true; "no byte was written")]
+#[test_case(WRITE, true, &[Ending::Missed], false; "a node has seen it")]
+#[test_case(WRITE, false, &[], false; "the primary only has no room")]
+fn nobody_in_reach_for_half_of_its_time(workload: usize, suspect: bool, tried: &[Ending], expected: bool) {
+    let mut router = router(false);
+    take(&mut router, T, 1, workload, 0, 0.0);
+    router.nodes.values_mut().for_each(|n| (n.out, n.lsn) = (99, T - 9.0));
+    tried.iter().for_each(|ending| push(&mut router, sent(A, T, Some(*ending))));
+    router.groups.get_mut(&G).unwrap().primary = Some(A);
+    let leader = router.nodes.get_mut(&A).unwrap();
+    (leader.claimed, leader.suspected, leader.trial_at) = (T, suspect.then_some(T), T + 0.9);
+    // Waited for from now on and at this pace, what is out makes it no suspect.
+    (leader.awaited_until, leader.pace) = (T, 99.0);
+    let s = &router.statements[&1];
+    assert!(!router.stranded(s, T + 0.98) || !expected);
+    assert_eq!(router.stranded(s, T + 0.99), expected);
+    let told = settle(&mut router, T + 0.99).contains(&"reject 1".to_string());
+    assert_eq!(told, expected);
+}
+
 #[test]
 fn an_answer_ends_what_else_is_out() {
     let mut router = router(false);
