What was never sent by half of its time is rejected also where an answer would be late

Ruled out: connections (116 opened, none refused), lists, positions; no primary was a suspect for long, so the rule for those out of reach did not act. At fault: policy.rs stranded asked only whether who leads is in reach. Change: it also fires where an answer would miss the SLO time. Harm: some late answers are never given.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -325,8 +325,7 @@
     /// where it is used (`usual` are out on average), and is cut once a jam, however many statements met it.
     fn strained(&mut self, now: f64, share: f64, usual: f64) {
         let gain = f64::max(GAIN, 1.0 - (-(now - self.strained_at) / MARK_S).exp());
-        self.strain += (share - self.strain) * gain;
-        self.strained_at = now;
+        (self.strain, self.strained_at) = (self.strain + (share - self.strain) * gain, now);
         let used = if self.room < 1.0 { self.room < usual } else { self.out as f64 + 2.0 >= self.room };
         if self.strain <= STRAIN && used {
             self.room += f64::min(1.0 / self.room, self.room);
@@ -507,11 +506,12 @@
         (late || spent && !sent || self.stranded(s, now)) && self.conclude(stmt, now, out)
     }
 
-    /// Half of its time is gone, no node had a byte of it, and who leads is unknown or out of reach: its client
-    /// can still try elsewhere. Harm: a primary back in the second half would have served it, mostly late.
+    /// Half of its time is gone and no node had a byte of it: hopeless where who leads is out of reach, or where
+    /// an answer would be late. Its client can still try elsewhere. Harm: some late answers are never given.
     pub fn stranded(&self, s: &Statement, now: f64) -> bool {
         let led = self.groups[&s.group].primary.is_some_and(|p| self.nodes[&p].suspected.is_none());
-        !led && s.unwritten() && now >= s.halfway - ROUNDING_S
+        let late = now + self.needed(s) >= s.slo_end;
+        (late || !led) && s.unwritten() && now >= s.halfway - ROUNDING_S
     }
 
     fn send_next(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -343,10 +343,14 @@
 #[test_case(RECENT, true, &[], true; "a read that only the primary will do for")]
 #[test_case(WRITE, true, &[Ending::Unconnected, Ending::Moot], true; "no byte was written")]
 #[test_case(WRITE, true, &[Ending::Missed], false; "a node has seen it")]
-#[test_case(WRITE, false, &[], false; "the primary only has no room")]
+#[test_case(WRITE, false, &[], true; "the primary has no room, and an answer would be late")]
+#[test_case(ONCE, false, &[], false; "the primary has no room, and an answer would be in time")]
 fn nobody_in_reach_for_half_of_its_time(workload: usize, suspect: bool, tried: &[Ending], expected: bool) {
     let mut router = router(false);
     take(&mut router, T, 1, workload, 0, 0.0);
+    if workload == ONCE {
+        router.statements.get_mut(&1).unwrap().slo_end = T + 1.5;
+    }
     router.nodes.values_mut().for_each(|n| (n.out, n.lsn) = (99, T - 9.0));
     tried.iter().for_each(|ending| push(&mut router, sent(A, T, Some(*ending))));
     router.groups.get_mut(&G).unwrap().primary = Some(A);
@@ -484,7 +488,8 @@
     router.member(T, A, (G, 0), Standing::Ready, T, true);
     for stmt in 1..9 {
         take(&mut router, T, stmt, WRITE, 0, 0.0);
-        router.statements.get_mut(&stmt).unwrap().lot = 0.1;
+        let s = router.statements.get_mut(&stmt).unwrap();
+        (s.lot, s.halfway) = (0.1, s.due);
     }
     assert!(settle(&mut router, T + 1.6).is_empty());
 }
