A cancelled execution ends like any other, by a Close; tests of the command line

Reading the code as a stranger: the desk turned a cancel into an Ending by itself, beside the one place meant for it, and called it Cancelled even where no byte was written. The order now carries a channel that is closed when the execution is no longer wanted; the execution ends with Close::Cancelled, mapped in ending.rs. Dead code out (protocol client idle).

--- a/crates/protocol/src/client.rs
+++ b/crates/protocol/src/client.rs
@@ -43,11 +43,6 @@
 }
 
 impl Client {
-    /// Between two statements: nothing is owed.
-    pub fn idle(&self) -> bool {
-        self.state != State::Executing
-    }
-
     /// Nothing was asked yet: a client that has just come is about to.
     pub fn fresh(&self) -> bool {
         !self.asked
--- a/crates/protocol/src/tests/client.rs
+++ b/crates/protocol/src/tests/client.rs
@@ -53,7 +53,7 @@
     assert_eq!(client.next(&mut input, &mut output), Ok(Turn::Write));
     assert!(client.fresh());
     assert!(matches!(client.next(&mut input, &mut output), Ok(Turn::Execute(_))));
-    assert!(!client.idle() && !client.fresh());
+    assert!(!client.fresh());
     let waiting = input.len();
     assert_eq!(client.next(&mut input, &mut output), Ok(Turn::Read));
     assert_eq!(input.len(), waiting, "the second stays where it is");
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -3,7 +3,6 @@
 //! whatever an execution brings back.
 
 use async_channel::{Receiver, Sender, bounded};
-use async_executor::Task;
 use badgerstream_routing::{Ending, Instance, Outbox, Role};
 use futures_lite::future;
 use std::cell::RefCell;
@@ -37,9 +36,9 @@
     Aborted,
 }
 
-/// What the front has to do; the task of an execution is handed back, and dropped when it is cancelled.
+/// What the front has to do. An execution is no longer wanted once its channel is closed.
 pub enum Order<S> {
-    Execute { stmt: u32, execution: u8, node: u32, limit: f64, statement: Rc<S> },
+    Execute { stmt: u32, execution: u8, node: u32, limit: f64, statement: Rc<S>, unwanted: Receiver<()> },
     Probe { node: u32 },
 }
 
@@ -52,7 +51,7 @@
 struct Running {
     node: u32,
     sent: f64,
-    task: Option<Task<()>>,
+    wanted: Sender<()>,
 }
 
 struct Inner<S, A> {
@@ -198,14 +197,10 @@
             inner.instance.reported(now, node, primary, lsn);
         }
         self.touch();
-        drop(inner);
-        if let Some(task) = running.task {
-            task.detach();
-        }
     }
 
     /// Settles whenever something was told or the instance asked to be woken.
-    pub async fn run(self: Rc<Self>, carry: impl Fn(Order<S>) -> Task<()>) {
+    pub async fn run(self: Rc<Self>, carry: impl Fn(Order<S>)) {
         let mut timer = async_io::Timer::never();
         loop {
             // What else is ready at this moment is told first.
@@ -225,7 +220,7 @@
     }
 
     /// One settling, and what it asks for; tells when the next is due, if nothing is told before.
-    pub fn settle(self: &Rc<Self>, carry: &impl Fn(Order<S>) -> Task<()>) -> Option<Duration> {
+    pub fn settle(self: &Rc<Self>, carry: &impl Fn(Order<S>)) -> Option<Duration> {
         let mut asked = Asked::default();
         let mut inner = self.inner.borrow_mut();
         let now = inner.clock.now();
@@ -244,13 +239,13 @@
                 Action::Execute(stmt, node, limit) => self.execute(now, stmt, node, limit, carry),
                 Action::Cancel(stmt, execution) => self.cancel(stmt, execution),
                 Action::Conclude(stmt, last) => self.conclude(stmt, last),
-                Action::Probe(node) => carry(Order::Probe { node }).detach(),
+                Action::Probe(node) => carry(Order::Probe { node }),
             }
         }
         next
     }
 
-    fn execute(&self, now: f64, stmt: u32, node: u32, limit: f64, carry: &impl Fn(Order<S>) -> Task<()>) {
+    fn execute(&self, now: f64, stmt: u32, node: u32, limit: f64, carry: &impl Fn(Order<S>)) {
         let mut inner = self.inner.borrow_mut();
         let Some(taken) = inner.taken.get_mut(&stmt) else {
             tracing::error!("statement {stmt} is over and was to be executed");
@@ -258,24 +253,17 @@
         };
         let (execution, statement) = (taken.executions, taken.statement.clone());
         taken.executions += 1;
-        inner.running.insert((stmt, execution), Running { node, sent: now, task: None });
+        let (wanted, unwanted) = bounded(1);
+        inner.running.insert((stmt, execution), Running { node, sent: now, wanted });
         drop(inner);
-        let task = carry(Order::Execute { stmt, execution, node, limit, statement });
-        if let Some(running) = self.inner.borrow_mut().running.get_mut(&(stmt, execution)) {
-            running.task = Some(task);
-        }
+        carry(Order::Execute { stmt, execution, node, limit, statement, unwanted });
     }
 
+    /// Its end is told by who executes it: an answer that is there already still counts for what it tells.
     fn cancel(&self, stmt: u32, execution: u8) {
-        let mut inner = self.inner.borrow_mut();
-        let Some(running) = inner.running.remove(&(stmt, execution)) else { return };
-        let (now, took) = (inner.clock.now(), inner.clock.now() - running.sent);
-        let (ending, lsn) = (Ending::Cancelled, f64::NEG_INFINITY);
-        inner.instance.executed(now, stmt, execution, running.node, ending, took, true, None, lsn);
-        self.touch();
-        // The task goes with what it holds, its connection first of all; it may tell, so nothing is borrowed.
-        drop(inner);
-        drop(running);
+        if let Some(running) = self.inner.borrow().running.get(&(stmt, execution)) {
+            running.wanted.close();
+        }
     }
 
     fn conclude(&self, stmt: u32, last: Final<A>) {
--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -4,6 +4,7 @@
 use crate::ending;
 use crate::pool::{Connection, Pool};
 use crate::watch::Roster;
+use async_channel::Receiver;
 use async_io::Timer;
 use badgerstream_protocol::Close;
 use badgerstream_protocol::comment::Statement;
@@ -20,8 +21,8 @@
 
 pub async fn carry(desk: Rc<Router>, pool: Rc<Pool>, roster: Rc<Roster>, order: Order<Statement>) {
     match order {
-        Order::Execute { stmt, execution, node, limit, statement } => {
-            execute(desk, pool, roster, stmt, execution, node, limit, statement).await;
+        Order::Execute { stmt, execution, node, limit, statement, unwanted } => {
+            execute(desk, pool, roster, stmt, execution, node, limit, statement, unwanted).await;
         }
         Order::Probe { node } => crate::probe::probe(desk, pool, roster, node).await,
     }
@@ -29,7 +30,7 @@
 
 async fn execute(
     desk: Rc<Router>, pool: Rc<Pool>, roster: Rc<Roster>, stmt: u32, execution: u8, node: u32, limit: f64,
-    statement: Rc<Statement>,
+    statement: Rc<Statement>, unwanted: Receiver<()>,
 ) {
     let out = desk.out(stmt, execution);
     let limit = Duration::from_secs_f64(limit.clamp(0.0, 86_400.0));
@@ -48,8 +49,12 @@
         Timer::at(until).await;
         Err(Close::TimedOut)
     };
+    let cancelled = async {
+        let _ = unwanted.recv().await;
+        Err(Close::Cancelled)
+    };
     // An answer that is there together with the limit counts.
-    let ended: Result<(Connection, Answer), Close> = future::or(run, late).await;
+    let ended: Result<(Connection, Answer), Close> = future::or(run, future::or(late, cancelled)).await;
     match ended {
         Ok((connection, answer)) => {
             pool.put(node, connection);
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -181,7 +181,7 @@
         let (tasks, desk, pool, roster) = (tasks.clone(), desk.clone(), pool.clone(), roster.clone());
         move |order| {
             let work = execute::carry(desk.clone(), pool.clone(), roster.clone(), order);
-            tasks.spawn("an execution", work)
+            tasks.spawn("an execution", work).detach();
         }
     };
     let decisions = tasks.spawn("the decisions", desk.clone().run(carry));
--- a/crates/router/src/tests/decide.rs
+++ b/crates/router/src/tests/decide.rs
@@ -15,10 +15,10 @@
 }
 
 /// A read that was taken, and the execution that it was sent on.
-fn sent(tasks: &Tasks) -> (Rc<Any>, Ticket<&'static str, &'static str>, u32, u8) {
+fn sent() -> (Rc<Any>, Ticket<&'static str, &'static str>, u32, u8) {
     let (desk, _) = desk(&nodes());
     let ticket = desk.arrived("read", 0, 2, 0, 0, 60.0, None);
-    let mut orders = settled(tasks, &desk);
+    let mut orders = settled(&desk);
     let Some(Order::Execute { stmt, execution, statement, .. }) = orders.pop() else {
         panic!("nothing sent")
     };
@@ -33,10 +33,10 @@
 #[test]
 fn a_completion_is_the_answer() {
     let tasks = Tasks::default();
-    let (desk, ticket, stmt, execution) = sent(&tasks);
+    let (desk, ticket, stmt, execution) = sent();
     desk.out(stmt, execution).ended(Ending::Completed, None, f64::NEG_INFINITY, None, Some("row"));
     assert_eq!(answer(&tasks, &ticket), Final::Completed("row"));
-    settled(&tasks, &desk);
+    settled(&desk);
     desk.tell(|instance, _| {
         assert!(instance.statements.is_empty(), "it is over there, too");
         assert_eq!(instance.nodes.values().map(|n| n.out).sum::<usize>(), 0);
@@ -46,7 +46,7 @@
 #[test]
 fn the_second_completion_of_a_statement_goes_nowhere() {
     let tasks = Tasks::default();
-    let (desk, ticket, stmt, execution) = sent(&tasks);
+    let (desk, ticket, stmt, execution) = sent();
     let [first, late] = [0, 1].map(|_| desk.out(stmt, execution));
     first.ended(Ending::Completed, None, f64::NEG_INFINITY, None, Some("row"));
     late.ended(Ending::Completed, None, f64::NEG_INFINITY, None, Some("another"));
@@ -56,40 +56,48 @@
 
 #[test]
 fn an_execution_that_fails_is_sent_anew() {
-    let tasks = Tasks::default();
-    let (desk, _ticket, stmt, execution) = sent(&tasks);
+    let (desk, _ticket, stmt, execution) = sent();
     desk.out(stmt, execution).ended(Ending::TurnedAway, None, f64::NEG_INFINITY, None, None);
-    let orders = settled(&tasks, &desk);
+    let orders = settled(&desk);
     assert!(matches!(orders[..], [Order::Execute { execution: 1, .. }]));
 }
 
 #[test]
 fn an_execution_that_is_lost_without_a_word_may_have_run() {
-    let tasks = Tasks::default();
-    let (desk, _ticket, stmt, execution) = sent(&tasks);
+    let (desk, _ticket, stmt, execution) = sent();
     drop(desk.out(stmt, execution));
     assert_eq!(ended(&desk), Some(Ending::Dropped));
 }
 
 #[test]
 fn a_client_that_left_frees_its_executions() {
-    let tasks = Tasks::default();
-    let (desk, ticket, stmt, execution) = sent(&tasks);
+    let (desk, _) = desk::<&str, &str>(&nodes());
+    let ticket = desk.arrived("read", 0, 2, 0, 0, 60.0, None);
+    let Some(Order::Execute { stmt, execution, unwanted, .. }) = settled(&desk).pop() else {
+        panic!("unsent")
+    };
+    assert!(!unwanted.is_closed());
     drop(ticket);
-    assert!(settled(&tasks, &desk).is_empty());
+    assert!(settled(&desk).is_empty() && unwanted.is_closed());
+    desk.tell(|instance, _| assert!(instance.statements.is_empty()));
+    // Two ends of one execution count once, and an answer goes nowhere.
+    let [first, second] = [0, 1].map(|_| desk.out(stmt, execution));
+    first.ended(Ending::Cancelled, None, f64::NEG_INFINITY, None, None);
+    second.ended(Ending::Completed, None, f64::NEG_INFINITY, None, Some("row"));
     desk.tell(|instance, _| {
-        assert!(instance.statements.is_empty());
-        assert_eq!(instance.nodes.values().map(|n| n.out).sum::<usize>(), 0, "cancelled");
+        assert_eq!(instance.nodes.values().map(|n| n.out).sum::<usize>(), 0);
+        assert_eq!(
+            instance.nodes.values().map(|n| n.answers).sum::<f64>(),
+            12.0,
+            "none but the first guesses"
+        );
     });
-    // What comes of it afterwards is no second end.
-    desk.out(stmt, execution).ended(Ending::Completed, None, f64::NEG_INFINITY, None, Some("row"));
-    desk.tell(|instance, _| assert_eq!(instance.nodes.values().map(|n| n.answers).sum::<f64>(), 12.0));
 }
 
 #[test]
 fn a_settling_takes_no_wake_back() {
-    let (tasks, (desk, _)) = (Tasks::default(), desk::<&str, &str>(&nodes()));
-    let beat = || desk.settle(&|_| tasks.spawn("nothing", std::future::pending()));
+    let (desk, _) = desk::<&str, &str>(&nodes());
+    let beat = || desk.settle(&|_| {});
     assert!(beat().is_some());
     assert!(beat().is_some(), "the beat asked for before is still to come");
 }
@@ -99,15 +107,14 @@
     let tasks = Tasks::default();
     let (desk, _) = desk::<&str, &str>(&nodes());
     let ticket = desk.arrived("read", 0, 2, 0, 0, 0.0, None);
-    assert!(settled(&tasks, &desk).is_empty());
+    assert!(settled(&desk).is_empty());
     assert_eq!(answer(&tasks, &ticket), Final::Rejected(0.0));
 }
 
 #[test_case(Standing::Ready, true; "in service")]
 #[test_case(Standing::Gone, false; "gone")]
 fn what_let_it_go_is_looked_at_again(standing: Standing, expected: bool) {
-    let tasks = Tasks::default();
-    let (desk, _ticket, stmt, _) = sent(&tasks);
+    let (desk, _ticket, stmt, _) = sent();
     desk.tell(|instance, now| instance.nodes.get_mut(&1).unwrap().stands(standing, now));
     assert_eq!(desk.still_stands(stmt, 1), expected);
     assert!(!desk.still_stands(stmt + 1, 1) && !desk.still_stands(stmt, 9), "neither is known");
@@ -115,8 +122,7 @@
 
 #[test]
 fn a_read_that_waited_too_long_for_its_connection_is_not_sent() {
-    let tasks = Tasks::default();
-    let (desk, _ticket, stmt, _) = sent(&tasks);
+    let (desk, _ticket, stmt, _) = sent();
     desk.tell(|instance, now| {
         let s = instance.statements.get_mut(&stmt).unwrap();
         s.kind.currency = badgerstream_routing::Currency::Recent { bound: 0.5 };
--- a/crates/router/src/tests/mod.rs
+++ b/crates/router/src/tests/mod.rs
@@ -11,7 +11,6 @@
 use crate::pool::Pool;
 use crate::spawn::Tasks;
 use crate::watch::Roster;
-use async_executor::Task;
 use badgerstream_protocol::Ring;
 use badgerstream_protocol::comment::Statement;
 use badgerstream_protocol::message::{self, put};
@@ -72,12 +71,11 @@
     (Desk::new(born, clock), roster)
 }
 
-/// What a settling orders, with tasks that do nothing.
-pub fn settled<S: 'static, A: 'static>(tasks: &Tasks, desk: &Rc<Desk<S, A>>) -> Vec<Order<S>> {
+/// What a settling orders.
+pub fn settled<S: 'static, A: 'static>(desk: &Rc<Desk<S, A>>) -> Vec<Order<S>> {
     let orders = RefCell::new(Vec::new());
     desk.settle(&|order| {
         orders.borrow_mut().push(order);
-        tasks.spawn("nothing", std::future::pending())
     });
     orders.into_inner()
 }
@@ -98,10 +96,11 @@
 /// Executes orders for real, against the stand-ins.
 pub fn carried(
     tasks: &Tasks, desk: &Rc<Router>, pool: &Rc<Pool>, roster: &Rc<Roster>,
-) -> impl Fn(Order<Statement>) -> Task<()> + use<> {
+) -> impl Fn(Order<Statement>) + use<> {
     let (tasks, desk, pool, roster) = (tasks.clone(), desk.clone(), pool.clone(), roster.clone());
     move |order| {
-        tasks.spawn("an execution", crate::execute::carry(desk.clone(), pool.clone(), roster.clone(), order))
+        let work = crate::execute::carry(desk.clone(), pool.clone(), roster.clone(), order);
+        tasks.spawn("an execution", work).detach();
     }
 }
 
--- a/crates/router/src/tests/nodes.rs
+++ b/crates/router/src/tests/nodes.rs
@@ -29,11 +29,12 @@
         pool.put(0, connection);
     }
     let _ticket = desk.arrived(statement(), 0, 2, 0, 0, 60.0, None);
-    let orders = super::settled(&tasks, &desk);
-    let Some(Order::Execute { stmt, execution, node, statement, .. }) = orders.into_iter().next() else {
+    let orders = super::settled(&desk);
+    let Some(Order::Execute { stmt, execution, node, statement, unwanted, .. }) = orders.into_iter().next()
+    else {
         panic!("nothing was sent")
     };
-    let order = Order::Execute { stmt, execution, node, limit, statement };
+    let order = Order::Execute { stmt, execution, node, limit, statement, unwanted };
     run(&tasks, crate::execute::carry(desk.clone(), pool, roster, order));
     ended(&desk)
 }
@@ -61,12 +62,30 @@
     let (desk, roster) = desk(&[node(&[Hangs])]);
     let pool = pool(&tasks);
     let _ticket = desk.arrived(statement(), 0, 2, 0, 0, 60.0, None);
-    let order = super::settled(&tasks, &desk).pop().expect("sent");
+    let order = super::settled(&desk).pop().expect("sent");
     desk.tell(|instance, now| instance.nodes.get_mut(&0).unwrap().stands(Standing::Gone, now));
     run(&tasks, crate::execute::carry(desk.clone(), pool.clone(), roster, order));
     assert_eq!((ended(&desk), pool.idle()), (Some(Ending::Moot), 1));
 }
 
+#[test_case(false, Ending::Moot; "before a byte was written")]
+#[test_case(true, Ending::Cancelled; "under way")]
+fn what_is_no_longer_wanted_ends(connected: bool, expected: Ending) {
+    let tasks = Tasks::default();
+    let (desk, roster) = desk(&[node(&[Hangs])]);
+    let pool = pool(&tasks);
+    if connected {
+        let connection = run(&tasks, pool.take(0, roster.dial(0))).unwrap().0;
+        pool.put(0, connection);
+    }
+    let _ticket = desk.arrived(statement(), 0, 2, 0, 0, 60.0, None);
+    let order = super::settled(&desk).pop().expect("sent");
+    let Order::Execute { unwanted, .. } = &order else { panic!("no execution") };
+    unwanted.close();
+    run(&tasks, crate::execute::carry(desk.clone(), pool, roster, order));
+    assert_eq!(ended(&desk), Some(expected));
+}
+
 #[test]
 fn nobody_listens() {
     let closed = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap();
--- /dev/null
+++ b/crates/router/tests/command.rs
@@ -0,0 +1,77 @@
+//! The command line: what it says, on which stream, and with which exit code.
+
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Command;
+use test_case::test_case;
+
+fn run(arguments: &[&str], config: Option<&str>) -> (Option<i32>, String, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_badgerstream"));
+    command.args(arguments).env_remove("RELAY_CONFIG").env_remove("RELAY_LISTEN");
+    let output = command.envs(config.map(|file| ("RELAY_CONFIG", file))).output().unwrap();
+    let [said, problem] = [output.stdout, output.stderr].map(|bytes| String::from_utf8(bytes).unwrap());
+    (output.status.code(), said, problem)
+}
+
+/// A whole file to start from, with one piece changed, in a place of its own.
+fn file(name: &str, from: &str, to: &str) -> String {
+    let example = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples/router.json");
+    let text = std::fs::read_to_string(example).unwrap();
+    assert!(text.contains(from));
+    let place = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&place, text.replacen(from, to, 1)).unwrap();
+    place.to_str().unwrap().to_string()
+}
+
+#[test_case(&[], "a sub-command is missing"; "nothing")]
+#[test_case(&["route"], "there is no such command: route"; "an unknown one")]
+#[test_case(&["serve", "now"], "there is no such command: serve now"; "a word too many")]
+#[test_case(&["check"], "check needs a file"; "a word too few")]
+#[test_case(&["serve", "--fast"], "invalid option '--fast'"; "an unknown option")]
+fn wrong_words_get_the_usage(arguments: &[&str], expected: &str) {
+    let (code, said, problem) = run(arguments, None);
+    assert_eq!((code, said.as_str()), (Some(2), ""));
+    assert!(problem.contains(expected) && problem.contains("usage: badgerstream serve"), "{problem}");
+}
+
+#[test_case(&["help"], "usage: badgerstream serve")]
+#[test_case(&["--help"], "usage: badgerstream serve")]
+#[test_case(&["serve", "--help"], "RELAY_CONFIG")]
+#[test_case(&["check", "--help"], "usage: badgerstream check FILE")]
+#[test_case(&["version"], concat!("badgerstream ", env!("CARGO_PKG_VERSION")))]
+#[test_case(&["--version"], concat!("badgerstream ", env!("CARGO_PKG_VERSION")))]
+fn what_is_asked_for_is_said(arguments: &[&str], expected: &str) {
+    let (code, said, problem) = run(arguments, None);
+    assert_eq!((code, problem.as_str()), (Some(0), ""));
+    assert!(said.contains(expected), "{said}");
+}
+
+#[test_case("whole", "", "", None; "nothing is wrong")]
+#[test_case("cut", "{", "", Some("it is no JSON"); "no json")]
+#[test_case("deaf", "\"listen\"", "\"hear\"", Some("/listen is missing"); "a missing field")]
+#[test_case("alone", "\"siblings\"", "\"cousins\"", Some("setting siblings is missing"); "a missing setting")]
+#[test_case("quick", "\"dial_timeout_ms\": 250.0", "\"dial_timeout_ms\": 0", Some("dial_timeout_ms is no time: 0"); "no time")]
+#[test_case("ill", "in_service", "ill", Some("/known: a list of nodes can't be read"); "a wrong list")]
+fn a_file_is_checked(name: &str, from: &str, to: &str, expected: Option<&str>) {
+    let file = file(name, from, to);
+    let (code, _, problem) = run(&["check", &file], None);
+    assert_eq!(code, Some(i32::from(expected.is_some())), "{problem}");
+    assert!(problem.contains(expected.unwrap_or_default()));
+    assert_eq!(problem.lines().count(), usize::from(expected.is_some()), "one line: {problem}");
+}
+
+#[test]
+fn a_start_without_its_file_names_what_is_missing() {
+    assert_eq!(run(&["serve"], None).2, "badgerstream: the variable RELAY_CONFIG is missing\n");
+    let (code, _, problem) = run(&["serve"], Some("/nowhere/at/all"));
+    assert!(code == Some(1) && problem.starts_with("badgerstream: /nowhere/at/all: "), "{problem}");
+}
+
+#[test]
+fn an_address_in_use_is_named() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let file = file("taken", "127.0.0.1:6432", &address);
+    let (code, _, problem) = run(&["serve"], Some(&file));
+    assert!(code == Some(1) && problem.contains(&format!("listening on {address}: ")), "{problem}");
+}
