--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -15,6 +15,10 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::time::Duration;
+
+/// A client that stops within a message, or takes no answer, holds a descriptor: no longer than this.
+const STUCK: Duration = Duration::from_secs(30);
 
 /// The places of the names that statements carry.
 pub struct Names {
@@ -70,7 +74,9 @@
     let close = loop {
         match machine.next(&mut input, &mut output) {
             Ok(Turn::Write) => {
-                if let Err(close) = wire::write(&stream, &mut output).await {
+                if let Err(close) =
+                    wire::within(STUCK, Close::Silent, wire::write(&stream, &mut output)).await
+                {
                     break close;
                 }
             }
@@ -89,12 +95,14 @@
                         Ok(Final::Aborted) => machine.aborted(&mut output),
                     },
                 }
-                if let Err(close) = wire::write(&stream, &mut output).await {
+                if let Err(close) =
+                    wire::within(STUCK, Close::Silent, wire::write(&stream, &mut output)).await
+                {
                     break close;
                 }
             }
             Err(close) => {
-                let _ = wire::write(&stream, &mut output).await;
+                let _ = wire::within(STUCK, Close::Silent, wire::write(&stream, &mut output)).await;
                 break close;
             }
         }
@@ -124,7 +132,7 @@
         }
         return Ok(());
     }
-    wire::read(stream, input).await
+    wire::within(STUCK, Close::Silent, wire::read(stream, input)).await
 }
 
 /// The final answer; meanwhile the client may leave, or send its next statement.
--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -4,8 +4,8 @@
 use crate::ending;
 use crate::pool::{Connection, Pool};
 use crate::watch::Roster;
+use crate::wire;
 use async_channel::Receiver;
-use async_io::Timer;
 use badgerstream_protocol::Close;
 use badgerstream_protocol::comment::Statement;
 use badgerstream_protocol::node::{Answer, vital};
@@ -45,16 +45,12 @@
         let answer = connection.query(&statement.for_node(left.as_secs_f64()), &written).await?;
         Ok((connection, answer))
     };
-    let late = async {
-        Timer::at(until).await;
-        Err(Close::TimedOut)
-    };
     let cancelled = async {
         let _ = unwanted.recv().await;
         Err(Close::Cancelled)
     };
-    // An answer that is there together with the limit counts.
-    let ended: Result<(Connection, Answer), Close> = future::or(run, future::or(late, cancelled)).await;
+    let ended: Result<(Connection, Answer), Close> =
+        wire::within(limit, Close::TimedOut, future::or(run, cancelled)).await;
     match ended {
         Ok((connection, answer)) => {
             pool.put(node, connection);
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -8,7 +8,6 @@
 use async_io::{Async, Timer};
 use badgerstream_protocol::node::{Answer, Heard, Node};
 use badgerstream_protocol::{Close, Ring, message};
-use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::{SocketAddr, TcpStream};
@@ -144,11 +143,7 @@
             let stream = Rc::new(stream);
             Ok(Connection { stream, machine, input, output, address, _lease: lease })
         };
-        let late = async {
-            Timer::after(self.dial_limit).await;
-            Err(Close::Silent)
-        };
-        future::or(opened, late).await
+        wire::within(self.dial_limit, Close::Silent, opened).await
     }
 
     /// Tells who asked for it, unless another connection has come first.
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -3,9 +3,8 @@
 use crate::execute::{Router, report};
 use crate::pool::Pool;
 use crate::watch::Roster;
-use async_io::Timer;
+use crate::wire;
 use badgerstream_protocol::Close;
-use futures_lite::future;
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -16,11 +15,7 @@
         pool.put(node, connection);
         Ok(answer)
     };
-    let late = async {
-        Timer::after(pool.dial_limit()).await;
-        Err(Close::TimedOut)
-    };
-    let told = match future::or(asked, late).await {
+    let told = match wire::within(pool.dial_limit(), Close::TimedOut, asked).await {
         Ok(answer) => answer.row.ok().map(|row| {
             let value = row.get(answer.value).unwrap_or_default();
             report(std::str::from_utf8(value).unwrap_or_default())
--- a/crates/router/src/tests/parts.rs
+++ b/crates/router/src/tests/parts.rs
@@ -8,9 +8,10 @@
 use crate::watch::Roster;
 use badgerstream_protocol::Close;
 use badgerstream_routing::{Ending, Standing};
-use futures_lite::future;
+use futures_lite::{FutureExt, future};
 use serde_json::json;
 use std::net::SocketAddr;
+use std::time::Duration;
 use test_case::test_case;
 
 #[test_case(Close::Left, Ending::Unconnected, Ending::Dropped)]
@@ -61,6 +62,14 @@
     assert!(!wanted(&fresh));
 }
 
+#[test]
+fn what_takes_too_long_ends_but_what_is_there_counts() {
+    let tasks = Tasks::default();
+    let within = |work| super::run(&tasks, crate::wire::within(Duration::ZERO, Close::Silent, work));
+    assert_eq!(within(future::ready(Ok(7)).boxed_local()), Ok(7));
+    assert_eq!(within(future::pending::<Result<i32, Close>>().boxed_local()), Err(Close::Silent));
+}
+
 #[test]
 fn a_task_that_panics_ends_alone() {
     let tasks = Tasks::default();
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -6,7 +6,6 @@
 use async_io::{Async, Timer};
 use badgerstream_protocol::{Close, Ring, discovery};
 use badgerstream_routing::Instance;
-use futures_lite::future;
 use serde_json::Value;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -96,7 +95,7 @@
         wire::write(&stream, &mut output).await?;
         Ok(stream)
     };
-    let stream = match future::or(opened, silent()).await {
+    let stream = match wire::within(SILENT, Close::Silent, opened).await {
         Ok(stream) => stream,
         Err(close) => return close,
     };
@@ -112,7 +111,8 @@
                 let _ = heard.try_send(());
             }
             Ok(None) => {
-                if let Err(close) = future::or(wire::read(&stream, &mut input), silent()).await {
+                let read = wire::read(&stream, &mut input);
+                if let Err(close) = wire::within(SILENT, Close::Silent, read).await {
                     return close;
                 }
             }
@@ -121,11 +121,6 @@
     }
 }
 
-async fn silent<T>() -> Result<T, Close> {
-    Timer::after(SILENT).await;
-    Err(Close::Silent)
-}
-
 /// An empty line tells that nothing has changed.
 fn told(desk: &Router, roster: &Roster, line: &[u8]) -> Result<Option<u64>, Close> {
     if line.iter().all(u8::is_ascii_whitespace) {
--- a/crates/router/src/wire.rs
+++ b/crates/router/src/wire.rs
@@ -1,9 +1,23 @@
 //! Reading and writing between a socket and its rings.
 
-use async_io::Async;
+use async_io::{Async, Timer};
 use badgerstream_protocol::{Close, Ring};
+use futures_lite::future;
+use std::future::Future;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
+
+/// This work, or that end of it once so much time is over; what is done in time counts even if both are there.
+pub async fn within<T>(
+    limit: Duration, late: Close, work: impl Future<Output = Result<T, Close>>,
+) -> Result<T, Close> {
+    let timer = async {
+        Timer::after(limit).await;
+        Err(late)
+    };
+    future::or(work, timer).await
+}
 
 /// Reads what is there, at least one byte.
 pub async fn read(stream: &Async<TcpStream>, input: &mut Ring) -> Result<(), Close> {
