A suspect that completes a trial gets the next at once, one that answers a probe begins anew

Ruled out: connections (the first trial after the probe went through) and roles (no primary changed). At fault: policy.rs open and Node::executed: trials wait up to 4 s, whatever has been heard since, and after a good one again. Change: a good answer lets the next trial go at once, an answered probe takes the growing pause back to its first step. Harm: a node that answers probes but no statements is tried twice a second.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -258,7 +258,7 @@
         let Some(node) = self.nodes.get_mut(&id) else { return };
         (node.probing, node.faults) = (false, node.faults + u32::from(!answered));
         if answered {
-            node.heard = now;
+            (node.heard, node.trials) = (now, 0);
             self.reported(now, id, primary, lsn);
         }
     }
@@ -305,10 +305,11 @@
             Ending::Completed => {
                 // One good answer in three must not clear a node that fails the other two at once.
                 self.faults = self.faults.min(2 * FAULTS).saturating_sub(1);
-                (self.suspected, self.trials) = (self.suspected.filter(|_| self.faults >= FAULTS), 0);
+                // What is back shows it at once: the next trial need not wait for its turn.
+                let bad = self.suspected.filter(|_| self.faults >= FAULTS);
+                (self.suspected, self.trials, self.trial_at, self.missing) = (bad, 0, NEVER, 0);
                 self.answers += 1.0;
                 self.pace += (took - self.pace) * f64::max(GAIN, 1.0 / self.answers);
-                self.missing = 0;
                 self.strained(now, slo.map_or(self.strain, |slo| took / slo), usual);
             }
             // Who turns work away for want of room would have taken longer than anybody waits.
@@ -506,8 +507,8 @@
         (late || spent && !sent || self.stranded(s, now)) && self.conclude(stmt, now, out)
     }
 
-    /// Half of its time is gone and no node had a byte of it: hopeless where who leads is out of reach, or where
-    /// an answer would be late. Its client can still try elsewhere. Harm: some late answers are never given.
+    /// Half of its time is gone and no node had a byte of it: hopeless where who leads is out of reach, or an
+    /// answer would be late. Its client can still try elsewhere. Harm: some late answers are never given.
     pub fn stranded(&self, s: &Statement, now: f64) -> bool {
         let led = self.groups[&s.group].primary.is_some_and(|p| self.nodes[&p].suspected.is_none());
         let late = now + self.needed(s) >= s.slo_end;
@@ -594,8 +595,7 @@
 
     /// A replica; the primary only when no probe may still tell of one.
     fn spread(&mut self, stmt: u32, primary: Option<u32>, now: f64) -> Option<u32> {
-        let replica = self.rotate(stmt, now);
-        let s = &self.statements[&stmt];
+        let (replica, s) = (self.rotate(stmt, now), &self.statements[&stmt]);
         let asked = || now - s.probed < BEAT_S && self.members(s.group).any(|m| m.1.probing);
         replica.or_else(|| primary.filter(|_| !asked() && self.unknown(s, now).is_none()))
     }
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -365,6 +365,28 @@
     assert_eq!(told, expected);
 }
 
+/// Found on a day of data centres cut apart: seconds after they were joined again, nodes were still suspects.
+#[test_case(true, false, &["execute 1 12"]; "it completes a trial: the next goes at once")]
+#[test_case(false, true, &["execute 1 12"]; "it answers a probe: trials begin anew")]
+#[test_case(false, false, &[]; "nothing is heard")]
+fn a_suspect_that_is_back(completes: bool, probed: bool, expected: &[&str]) {
+    let mut router = router(false);
+    for (id, node) in &mut router.nodes {
+        (node.out, node.pace, node.awaited_until) = if *id == B { (0, 0.1, T) } else { (99, 99.0, T) };
+    }
+    let node = router.nodes.get_mut(&B).unwrap();
+    (node.suspected, node.faults, node.trials, node.trial_at) = (Some(T - 9.0), 9, 3, T - 1.0);
+    if completes {
+        router.executed(T, 99, 0, B, Ending::Completed, 0.1, true, None, T);
+        assert!(router.nodes[&B].suspected.is_some(), "one good answer clears nobody");
+    }
+    if probed {
+        router.probed(T, B, true, Some(false), T);
+    }
+    take(&mut router, T, 1, LOOSE, 0, 0.0);
+    assert_eq!(settle(&mut router, T + 0.01), expected);
+}
+
 #[test]
 fn an_answer_ends_what_else_is_out() {
     let mut router = router(false);
