--- a/crates/protocol/src/tests/mod.rs
+++ b/crates/protocol/src/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod comment;
+mod damage;
 mod discovery;
 mod node;
 mod ring;
--- a/crates/router/src/ending.rs
+++ b/crates/router/src/ending.rs
@@ -1,5 +1,5 @@
-//! What the end of an execution means to the decisions: the one place where the ways in which a connection can
-//! end, and the codes of errors, become an [`Ending`].
+//! What the end of an execution means to the decisions: the one place where the ways in which a connection
+//! can end, and the codes of errors, become an [`Ending`].
 
 use badgerstream_protocol::Close;
 use badgerstream_routing::Ending;
--- a/crates/router/src/wire.rs
+++ b/crates/router/src/wire.rs
@@ -8,7 +8,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-/// This work, or that end of it once so much time is over; what is done in time counts even if both are there.
+/// This work, or that end of it once so much time is over; what is done counts even if both are there.
 pub async fn within<T>(
     limit: Duration, late: Close, work: impl Future<Output = Result<T, Close>>,
 ) -> Result<T, Close> {
