--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -375,7 +375,8 @@
         (node.out, node.pace, node.awaited_until) = if *id == B { (0, 0.1, T) } else { (99, 99.0, T) };
     }
     let node = router.nodes.get_mut(&B).unwrap();
-    (node.suspected, node.faults, node.trials, node.trial_at) = (Some(T - 9.0), 9, 3, T - 1.0);
+    let tried = if completes { T - 0.2 } else { T - 1.0 };
+    (node.suspected, node.faults, node.trials, node.trial_at) = (Some(T - 9.0), 9, 3, tried);
     if completes {
         router.executed(T, 99, 0, B, Ending::Completed, 0.1, true, None, T);
         assert!(router.nodes[&B].suspected.is_some(), "one good answer clears nobody");
