The whole change read once more: one place writes to a client, one race against a timer

client.rs wrote to its client in three places with the same limit, in a loop of breaks: now one flush, and errors by '?'. listen.rs: the descriptor's lease goes back after the stream is closed, not before. main.rs waited for discovery's first word by a race of its own beside wire::within. held_too_long is what stranded had become. Behaviour else as it was; tests untouched but for the name.

--- a/crates/protocol/src/comment.rs
+++ b/crates/protocol/src/comment.rs
@@ -20,7 +20,7 @@
     /// How long the client waits, in seconds.
     pub wait: f64,
     pub group: u16,
-    /// The idempotency key.
+    /// Whether it carries an idempotency key.
     pub marked: bool,
     /// The position that a read must see, in seconds of Unix time.
     pub after: Option<f64>,
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -1,6 +1,5 @@
 //! A client's connection: statements in, one final answer each.
 
-use crate::budget::Lease;
 use crate::decide::{Final, Ticket};
 use crate::execute::{Router, Row};
 use crate::listen::Clients;
@@ -12,6 +11,7 @@
 use badgerstream_routing::{Currency, Repeat, Workload};
 use futures_lite::future;
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -66,73 +66,58 @@
 }
 
 /// Serves a client until its connection ends.
-pub async fn serve(
-    stream: Async<TcpStream>, desk: Rc<Router>, names: Rc<Names>, clients: Rc<Clients>, lease: Lease,
-) {
-    let (mut machine, mut input, mut output) =
-        (Client::default(), Ring::new(message::LONGEST), Ring::new(message::LONGEST));
-    let close = loop {
-        match machine.next(&mut input, &mut output) {
-            Ok(Turn::Write) => {
-                if let Err(close) =
-                    wire::within(STUCK, Close::Silent, wire::write(&stream, &mut output)).await
-                {
-                    break close;
-                }
-            }
-            Ok(Turn::Read) => {
-                if let Err(close) = idle(&stream, &mut input, &clients, machine.fresh()).await {
-                    break close;
-                }
-            }
-            Ok(Turn::Execute(statement)) => {
-                match take(&desk, &names, *statement) {
-                    Err(fault) => machine.failed(&mut output, fault),
-                    Ok(ticket) => match answer(&stream, &mut input, &ticket).await {
-                        Err(close) => break close,
-                        Ok(Final::Completed(row)) => machine.completed(&mut output, &row),
-                        Ok(Final::Rejected(after)) => machine.rejected(&mut output, after),
-                        Ok(Final::Aborted) => machine.aborted(&mut output),
-                    },
-                }
-                if let Err(close) =
-                    wire::within(STUCK, Close::Silent, wire::write(&stream, &mut output)).await
-                {
-                    break close;
-                }
-            }
-            Err(close) => {
-                let _ = wire::within(STUCK, Close::Silent, wire::write(&stream, &mut output)).await;
-                break close;
-            }
-        }
-    };
-    drop(lease);
+pub async fn serve(stream: Async<TcpStream>, desk: Rc<Router>, names: Rc<Names>, clients: Rc<Clients>) {
+    let mut output = Ring::new(message::LONGEST);
+    let Err(close) = talk(&stream, &mut output, &desk, &names, &clients).await;
     if let Close::Malformed(_) = close {
+        // What the machine had to say about it.
+        let _ = flush(&stream, &mut output).await;
         tracing::warn!("a client's connection has ended: {close}");
     }
 }
 
+async fn talk(
+    stream: &Async<TcpStream>, output: &mut Ring, desk: &Rc<Router>, names: &Names, clients: &Rc<Clients>,
+) -> Result<Infallible, Close> {
+    let (mut machine, mut input) = (Client::default(), Ring::new(message::LONGEST));
+    loop {
+        match machine.next(&mut input, output)? {
+            Turn::Write => {}
+            Turn::Read => idle(stream, &mut input, clients, machine.fresh()).await?,
+            Turn::Execute(statement) => match take(desk, names, *statement) {
+                Err(fault) => machine.failed(output, fault),
+                Ok(ticket) => match answer(stream, &mut input, &ticket).await? {
+                    Final::Completed(row) => machine.completed(output, &row),
+                    Final::Rejected(after) => machine.rejected(output, after),
+                    Final::Aborted => machine.aborted(output),
+                },
+            },
+        }
+        flush(stream, output).await?;
+    }
+}
+
+async fn flush(stream: &Async<TcpStream>, output: &mut Ring) -> Result<(), Close> {
+    wire::within(STUCK, Close::Silent, wire::write(stream, output)).await
+}
+
 /// Reads on, unless the router wants the connection closed: never one whose bytes are unread.
 async fn idle(
     stream: &Async<TcpStream>, input: &mut Ring, clients: &Rc<Clients>, fresh: bool,
 ) -> Result<(), Close> {
-    if input.is_empty() {
-        let unwanted = {
-            let wanted = clients.wait_idle(fresh);
-            let read = async { wire::read(stream, input).await.map(|()| false) };
-            future::or(read, async {
-                wanted.unwanted().await;
-                Ok(true)
-            })
-            .await?
-        };
-        if unwanted {
-            return if wire::read_now(stream, input)? { Ok(()) } else { Err(Close::Idle) };
-        }
-        return Ok(());
+    if !input.is_empty() {
+        return wire::within(STUCK, Close::Silent, wire::read(stream, input)).await;
     }
-    wire::within(STUCK, Close::Silent, wire::read(stream, input)).await
+    let unwanted = {
+        let wanted = clients.wait_idle(fresh);
+        let read = async { wire::read(stream, input).await.map(|()| false) };
+        future::or(read, async {
+            wanted.unwanted().await;
+            Ok(true)
+        })
+        .await?
+    };
+    if unwanted && !wire::read_now(stream, input)? { Err(Close::Idle) } else { Ok(()) }
 }
 
 /// The final answer; meanwhile the client may leave, or send its next statement.
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -220,7 +220,7 @@
     }
 
     /// One settling, and what it asks for; tells when the next is due, if nothing is told before.
-    pub fn settle(self: &Rc<Self>, carry: &impl Fn(Order<S>)) -> Option<Duration> {
+    pub fn settle(&self, carry: &impl Fn(Order<S>)) -> Option<Duration> {
         let mut asked = Asked::default();
         let mut inner = self.inner.borrow_mut();
         let now = inner.clock.now();
--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -113,8 +113,9 @@
                 let (desk, names, clients) = (desk.clone(), names.clone(), clients.clone());
                 let gone = Open(clients.clone());
                 let serve = async move {
-                    let _gone = gone;
-                    client::serve(stream, desk, names, clients, lease).await;
+                    client::serve(stream, desk, names, clients).await;
+                    // Only now is its descriptor free.
+                    drop((gone, lease));
                 };
                 tasks.spawn("a client's connection", serve).detach();
             }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -18,7 +18,8 @@
 mod watch;
 mod wire;
 
-use async_io::{Async, Timer};
+use async_io::Async;
+use badgerstream_protocol::Close;
 use badgerstream_provision::{Pairs, Provision};
 use futures_lite::future;
 use lexopt::prelude::*;
@@ -192,9 +193,8 @@
     let accept = listen::listen(listener, tasks.clone(), desk, names, clients.clone(), pool, budget);
     let accept = tasks.spawn("the listener", async move {
         // The list that was handed over may be old: what discovery has to tell comes first, if it is there.
-        let heard = async { first_list.recv().await.is_ok() };
-        let late = async { Timer::after(FIRST_LIST).await.elapsed().is_zero() };
-        future::or(heard, late).await;
+        let heard = async { first_list.recv().await.map_err(|_| Close::Left) };
+        let _ = wire::within(FIRST_LIST, Close::Silent, heard).await;
         accept.await;
     });
     tracing::info!("{} serves on {address}", provision.name);
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -124,7 +124,7 @@
         self.nodes.borrow().values().map(|s| s.idle.len()).sum()
     }
 
-    async fn dial(self: &Rc<Self>, address: SocketAddr) -> Result<Connection, Close> {
+    async fn dial(&self, address: SocketAddr) -> Result<Connection, Close> {
         let lease = self.budget.for_node().or_else(|| {
             // What stands idle elsewhere goes first.
             self.close_idlest();
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -504,12 +504,12 @@
         let spent = s.executions.len() >= self.allowance.executions || errors >= ERRORS;
         let spent = spent || !self.repeatable(s, None, now);
         let late = now + if sent { 0.0 } else { self.needed(s) } >= s.last_use();
-        (late || spent && !sent || self.stranded(s, now)) && self.conclude(stmt, now, out)
+        (late || spent && !sent || self.held_too_long(s, now)) && self.conclude(stmt, now, out)
     }
 
     /// Half of its time is gone and no node had a byte of it: hopeless where who leads is out of reach, or an
     /// answer would be late. Its client can still try elsewhere. Harm: some late answers are never given.
-    pub fn stranded(&self, s: &Statement, now: f64) -> bool {
+    pub fn held_too_long(&self, s: &Statement, now: f64) -> bool {
         let led = self.groups[&s.group].primary.is_some_and(|p| self.nodes[&p].suspected.is_none());
         let late = now + self.needed(s) >= s.slo_end;
         (late || !led) && s.unwritten() && now >= s.halfway - ROUNDING_S
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -359,8 +359,8 @@
     // Waited for from now on and at this pace, what is out makes it no suspect.
     (leader.awaited_until, leader.pace) = (T, 99.0);
     let s = &router.statements[&1];
-    assert!(!router.stranded(s, T + 0.98) || !expected);
-    assert_eq!(router.stranded(s, T + 0.99), expected);
+    assert!(!router.held_too_long(s, T + 0.98) || !expected);
+    assert_eq!(router.held_too_long(s, T + 0.99), expected);
     let told = settle(&mut router, T + 0.99).contains(&"reject 1".to_string());
     assert_eq!(told, expected);
 }
