SIGHUP reads the file again; the watch moves to the discovery it names without a gap

Checked: the log ends without a line, so no panic; nothing in shutdown.rs or elsewhere heard the signal, whose default action ends a process. At fault: main.rs and shutdown.rs, which registered SIGTERM and SIGINT only.

Now reload.rs hears it from before the listener is bound. The file is checked whole as serve would; the new discovery is watched from the known version while the old watch goes on until the new one has told something. limits.sockets takes effect; for name, listen, memory and settings a line asks for a restart. RELAY_DISCOVERY counts at the start only.

Tests: a_reload_never_ends_it (process; dies without the change), a_watch_that_moves_leaves_no_gap.

--- a/crates/provision/src/pairs.rs
+++ b/crates/provision/src/pairs.rs
@@ -5,7 +5,7 @@
 use std::str::FromStr;
 
 /// Unknown paths are passed over: the pages say that keys may be added.
-#[derive(Default)]
+#[derive(Default, PartialEq)]
 pub struct Pairs(BTreeMap<String, String>);
 
 impl Pairs {
--- a/crates/provision/src/start.rs
+++ b/crates/provision/src/start.rs
@@ -12,6 +12,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub descriptors: usize,
+    /// Memory that it may use, in megabytes.
+    pub memory_mb: f64,
     /// The list of nodes as this router last had it.
     pub known: Value,
     pub pairs: Pairs,
@@ -26,13 +28,17 @@
             |path: &str| text(path)?.parse::<SocketAddr>().map_err(|e| format!("{path} can't be read: {e}"));
         let seed =
             u64::from_str_radix(text("/seed")?, 16).map_err(|e| format!("/seed can't be read: {e}"))?;
-        let descriptors = field("/limits/sockets")?.as_u64().ok_or("/limits/sockets is no number")?;
+        let limit = |path: &str| {
+            let told = field(path)?.as_f64().filter(|limit| *limit >= 0.0);
+            told.ok_or_else(|| format!("{path} is no number"))
+        };
         Ok(Provision {
             name: text("/name")?.to_string(),
             listen: address("/listen")?,
             discovery: address("/discovery")?,
             seed,
-            descriptors: usize::try_from(descriptors).unwrap_or(usize::MAX),
+            descriptors: limit("/limits/sockets")? as usize,
+            memory_mb: limit("/limits/memory_mb")?,
             known: field("/known")?.clone(),
             pairs: Pairs::from_json(field("/settings")?),
         })
--- a/crates/provision/src/tests.rs
+++ b/crates/provision/src/tests.rs
@@ -30,7 +30,7 @@
 fn the_file_is_read() {
     let start = started("", "").unwrap();
     assert_eq!((start.name.as_str(), start.seed, start.descriptors), ("n0", 0x9209_4eb9_40cf_389a, 1024));
-    assert_eq!((start.listen.port(), start.discovery.port()), (6432, 8500));
+    assert_eq!((start.listen.port(), start.discovery.port(), start.memory_mb), (6432, 8500, 192.0));
     let (born, reading) = instance(start.seed, &start.pairs).unwrap();
     assert_eq!((born.routers, born.drain.grace, born.allowance.retry_after), (2.0, 0.25, 2.0));
     assert_eq!((reading.position_column, reading.role_column), (Some(0), Some(1)));
@@ -66,6 +66,7 @@
 #[test_case("\"127.0.0.1:6432\"", "\"here\"", "/listen can't be read"; "no address")]
 #[test_case("92094eb940cf389a", "seed", "/seed can't be read"; "no seed")]
 #[test_case("\"sockets\":1024", "\"sockets\":\"all\"", "/limits/sockets is no number"; "no limit")]
+#[test_case("\"memory_mb\":192", "\"memory_mb\":-1", "/limits/memory_mb is no number"; "no memory")]
 #[test_case("\"known\"", "\"unknown\"", "/known is missing"; "no list")]
 fn wrong_files(from: &str, to: &str, expected: &str) {
     let problem = started(from, to).err().unwrap();
--- a/crates/router/src/budget.rs
+++ b/crates/router/src/budget.rs
@@ -9,7 +9,7 @@
 
 pub struct Budget {
     used: Cell<usize>,
-    most: usize,
+    most: Cell<usize>,
     freed: (Sender<()>, Receiver<()>),
 }
 
@@ -18,21 +18,26 @@
 
 impl Budget {
     pub fn new(descriptors: usize) -> Rc<Budget> {
-        Rc::new(Budget {
-            used: Cell::new(0),
-            most: descriptors.saturating_sub(OWN).max(8),
-            freed: bounded(1),
-        })
+        let (used, most, freed) = (Cell::new(0), Cell::new(0), bounded(1));
+        let budget = Rc::new(Budget { used, most, freed });
+        budget.resize(descriptors);
+        budget
+    }
+
+    /// What is in use beyond a smaller budget stays so until it ends.
+    pub fn resize(&self, descriptors: usize) {
+        self.most.set(descriptors.saturating_sub(OWN).max(8));
+        let _ = self.freed.0.try_send(());
     }
 
     /// One for a node, or none when all are in use.
     pub fn for_node(self: &Rc<Self>) -> Option<Lease> {
-        self.lease(self.most)
+        self.lease(self.most.get())
     }
 
     /// One for a client. A quarter is left to the nodes: a statement that is taken needs a connection there.
     pub fn for_client(self: &Rc<Self>) -> Option<Lease> {
-        self.lease(self.most - self.most / 4)
+        self.lease(self.most.get() - self.most.get() / 4)
     }
 
     fn lease(self: &Rc<Self>, most: usize) -> Option<Lease> {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -11,6 +11,7 @@
 mod listen;
 mod pool;
 mod probe;
+mod reload;
 mod shutdown;
 mod spawn;
 #[cfg(test)]
@@ -23,7 +24,7 @@
 use badgerstream_provision::{Pairs, Provision};
 use futures_lite::future;
 use lexopt::prelude::*;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,11 +45,13 @@
 const SERVE: &str = "\
 usage: badgerstream serve
 
-Serves until SIGTERM or SIGINT, and then until all that was taken is answered.
+Serves until SIGTERM or SIGINT, and then until all that was taken is answered. SIGHUP makes it read the file
+again: discovery and limits.sockets take effect at once, for what else has changed a log line asks for a
+restart. A file that is missing or wrong changes nothing.
 
 RELAY_CONFIG       the file to start from, JSON; see examples/router.json
 RELAY_NAME, RELAY_LISTEN, RELAY_DISCOVERY
-                   where they are set, they go before what the file says
+                   where they are set, they go before what the file says at the start
 BADGERSTREAM_LOG   what to log on standard error: error, warn, info (as without it) or debug";
 
 const CHECK: &str = "\
@@ -58,8 +61,8 @@
 
 fn main() -> ExitCode {
     match command() {
-        Ok(Command::Serve) => report(start().and_then(|provision| serve(&provision))),
-        Ok(Command::Check(file)) => report(check(&file).map(|()| println!("{file} can be served"))),
+        Ok(Command::Serve) => report(start()),
+        Ok(Command::Check(file)) => report(checked(&file).map(|_| println!("{file} can be served"))),
         Ok(Command::Tell(text)) => {
             println!("{text}");
             ExitCode::SUCCESS
@@ -111,17 +114,19 @@
     }
 }
 
-fn start() -> Result<Provision, String> {
+/// What the environment says goes before the file at the start; a reload takes the file by itself.
+fn start() -> Result<(), String> {
     let told = |variable: &str| std::env::var(variable).ok();
-    let mut provision = read(&told("RELAY_CONFIG").ok_or("the variable RELAY_CONFIG is missing")?)?;
-    provision.name = told("RELAY_NAME").unwrap_or(provision.name);
-    let addresses = [("RELAY_LISTEN", &mut provision.listen), ("RELAY_DISCOVERY", &mut provision.discovery)];
-    for (variable, address) in addresses {
-        if let Some(text) = told(variable) {
-            *address = text.parse().map_err(|e| format!("the variable {variable} can't be read: {e}"))?;
-        }
-    }
-    Ok(provision)
+    let file = told("RELAY_CONFIG").ok_or("the variable RELAY_CONFIG is missing")?;
+    let provision = read(&file)?;
+    let address = |variable: &str, told_by_file: SocketAddr| {
+        let parsed = told(variable).map_or(Ok(told_by_file), |text| text.parse());
+        parsed.map_err(|e| format!("the variable {variable} can't be read: {e}"))
+    };
+    let listen = address("RELAY_LISTEN", provision.listen)?;
+    let discovery = address("RELAY_DISCOVERY", provision.discovery)?;
+    let name = told("RELAY_NAME").unwrap_or(provision.name.clone());
+    serve(&file, provision, &name, listen, discovery)
 }
 
 fn read(file: &str) -> Result<Provision, String> {
@@ -129,8 +134,11 @@
     Provision::read(&text).map_err(|e| format!("{file}: {e}"))
 }
 
-fn check(file: &str) -> Result<(), String> {
-    router(&read(file)?).map(drop).map_err(|e| format!("{file}: {e}"))
+/// A file that can be served: whatever is wrong with it is found here.
+fn checked(file: &str) -> Result<Provision, String> {
+    let provision = read(file)?;
+    router(&provision).map_err(|e| format!("{file}: {e}"))?;
+    Ok(provision)
 }
 
 /// What the file comes to before anything is opened.
@@ -168,12 +176,14 @@
     if told > 0.0 { Ok(told) } else { Err(format!("setting {path} is no time: 0")) }
 }
 
-fn serve(provision: &Provision) -> Result<(), String> {
+fn serve(
+    file: &str, provision: Provision, name: &str, address: SocketAddr, discovery: SocketAddr,
+) -> Result<(), String> {
     let level = tracing_subscriber::EnvFilter::try_from_env("BADGERSTREAM_LOG")
         .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
     tracing_subscriber::fmt().with_env_filter(level).with_ansi(false).with_writer(std::io::stderr).init();
-    let Ready { desk, roster, names, seq, dial_limit, node_idle_limit } = router(provision)?;
-    let address = provision.listen;
+    let Ready { desk, roster, names, seq, dial_limit, node_idle_limit } = router(&provision)?;
+    let hangups = reload::signals()?;
     let listener = Async::<TcpListener>::bind(address).map_err(|e| format!("listening on {address}: {e}"))?;
     let (tasks, budget) = (spawn::Tasks::default(), budget::Budget::new(provision.descriptors));
     let pool = pool::Pool::new(tasks.clone(), budget.clone(), dial_limit, node_idle_limit);
@@ -187,8 +197,10 @@
     };
     let decisions = tasks.spawn("the decisions", desk.clone().run(carry));
     let (heard, first_list) = async_channel::bounded(1);
-    let watch = watch::watch(desk.clone(), roster, provision.discovery, seq, heard);
-    tasks.spawn("discovery", watch).detach();
+    let watches = reload::Watches::begin(tasks.clone(), desk.clone(), roster, discovery, seq, heard);
+    let file = file.to_string();
+    let reload = reload::reload(hangups, provision, move || checked(&file), watches, budget.clone());
+    tasks.spawn("reload", reload).detach();
     tasks.spawn("the pool", pool.clone().retire()).detach();
     let accept = listen::listen(listener, tasks.clone(), desk, names, clients.clone(), pool, budget);
     let accept = tasks.spawn("the listener", async move {
@@ -197,7 +209,7 @@
         let _ = wire::within(FIRST_LIST, Close::Silent, heard).await;
         accept.await;
     });
-    tracing::info!("{} serves on {address}", provision.name);
+    tracing::info!("{name} serves on {address}");
     // These two all clients need: without them it is better to start anew.
     let broken = async {
         future::or(decisions, accept).await;
--- a/crates/router/src/tests/watch.rs
+++ b/crates/router/src/tests/watch.rs
@@ -2,6 +2,7 @@
 
 use super::{desk, listed, run};
 use crate::execute::Router;
+use crate::reload::Watches;
 use crate::spawn::Tasks;
 use badgerstream_routing::Standing;
 use serde_json::{Value, json};
@@ -42,7 +43,7 @@
     let (tasks, (desk, roster)) = (Tasks::default(), desk(&dials));
     let (address, asked) = discovery(answers);
     let (heard, first) = async_channel::bounded(1);
-    tasks.spawn("discovery", crate::watch::watch(desk.clone(), roster, address, 41, heard)).detach();
+    let _watches = Watches::begin(tasks.clone(), desk.clone(), roster, address, 41, heard);
     let desk: &Router = &desk;
     run(&tasks, async {
         first.recv().await.unwrap();
@@ -71,3 +72,27 @@
     let answers = [&[told(&[listed(43, &dials)])][..], &garbage, &[told(&[drains()])]].concat();
     assert_eq!(watched(answers), ["41", "43", "43", "43"]);
 }
+
+#[test]
+fn a_watch_that_moves_leaves_no_gap() {
+    let dials: Vec<SocketAddr> = (1..3).map(|port| SocketAddr::from(([127, 0, 0, 1], port))).collect();
+    let (tasks, (desk, roster)) = (Tasks::default(), desk(&dials));
+    let quiet = || vec![told(&[json!({"seq": 43, "whole": false, "hosts": []})])];
+    let ((before, asked_before), (after, asked)) = (discovery(quiet()), discovery(vec![told(&[drains()])]));
+    // Nobody listens there any more: a file may name a wrong address before it names the right one.
+    let nowhere = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap();
+    let (heard, first) = async_channel::bounded(1);
+    let watches = Watches::begin(tasks.clone(), desk.clone(), roster, before, 41, heard);
+    let draining = || desk.tell(|instance, _| instance.nodes[&1].standing == Standing::Draining);
+    run(&tasks, async {
+        first.recv().await.unwrap();
+        for address in [before, nowhere, after] {
+            watches.moved(address);
+        }
+        while !draining() {
+            futures_lite::future::yield_now().await;
+        }
+    });
+    assert!(asked.recv().unwrap().contains("index=43"), "it goes on from the version that is known");
+    assert_eq!(asked_before.try_iter().count(), 1, "the old address was not asked again");
+}
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -2,12 +2,11 @@
 
 use crate::execute::Router;
 use crate::wire;
-use async_channel::Sender;
 use async_io::{Async, Timer};
 use badgerstream_protocol::{Close, Ring, discovery};
 use badgerstream_routing::Instance;
 use serde_json::Value;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -68,15 +67,16 @@
     }
 }
 
-/// Watches for as long as the router runs; the last list stays in use whatever happens to the watch.
-/// `heard` is told of the first answer.
+/// Watches until it is dropped; the last list stays in use whatever happens to the watch. `heard` is called
+/// at each answer.
 pub async fn watch(
-    desk: Rc<Router>, roster: Rc<Roster>, address: SocketAddr, mut seq: u64, heard: Sender<()>,
+    desk: Rc<Router>, roster: Rc<Roster>, address: SocketAddr, seq: Rc<Cell<u64>>, heard: impl Fn(),
 ) {
     let mut pause = FIRST_PAUSE;
     loop {
-        let before = seq;
-        let close = follow(&desk, &roster, address, &mut seq, &mut pause, &heard).await;
+        let before = seq.get();
+        let close = follow(&desk, &roster, address, &seq, &mut pause, &heard).await;
+        let seq = seq.get();
         tracing::info!("discovery: the watch has ended at version {seq} (opened at {before}): {close}");
         Timer::after(pause).await;
         pause = (2 * pause).min(LONGEST_PAUSE);
@@ -84,12 +84,12 @@
 }
 
 async fn follow(
-    desk: &Router, roster: &Roster, address: SocketAddr, seq: &mut u64, pause: &mut Duration,
-    heard: &Sender<()>,
+    desk: &Router, roster: &Roster, address: SocketAddr, seq: &Cell<u64>, pause: &mut Duration,
+    heard: &impl Fn(),
 ) -> Close {
     let (mut input, mut output) = (Ring::new(1 << 16), Ring::new(1 << 12));
     let mut machine = discovery::Watch::default();
-    output.push(discovery::request(address, *seq).as_bytes());
+    output.push(discovery::request(address, seq.get()).as_bytes());
     let opened = async {
         let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Close::Refused)?;
         wire::write(&stream, &mut output).await?;
@@ -103,12 +103,12 @@
         match machine.next(&mut input) {
             Ok(Some(line)) => {
                 match told(desk, roster, &line) {
-                    Ok(told) => *seq = told.unwrap_or(*seq),
+                    Ok(told) => seq.set(told.unwrap_or(seq.get())),
                     Err(close) => return close,
                 }
                 // Only what could be read counts: garbage that comes at once would be asked for without end.
                 *pause = FIRST_PAUSE;
-                let _ = heard.try_send(());
+                heard();
             }
             Ok(None) => {
                 let read = wire::read(&stream, &mut input);
--- a/crates/router/tests/command.rs
+++ b/crates/router/tests/command.rs
@@ -1,8 +1,9 @@
 //! The command line: what it says, on which stream, and with which exit code.
 
-use std::net::TcpListener;
+use std::io::{BufRead, BufReader};
+use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::Command;
+use std::process::{Command, Stdio};
 use test_case::test_case;
 
 fn run(arguments: &[&str], config: Option<&str>) -> (Option<i32>, String, String) {
@@ -75,3 +76,46 @@
     let (code, _, problem) = run(&["serve"], Some(&file));
     assert!(code == Some(1) && problem.contains(&format!("listening on {address}: ")), "{problem}");
 }
+
+/// A file that goes bad and good again under a router that is told so each time: it serves on, says what it
+/// made of it in one line, and ends in order when asked to.
+#[test]
+fn a_reload_never_ends_it() {
+    let free = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    let (address, moved) = (free(), free());
+    let place = file("reloaded", "127.0.0.1:6432", &address);
+    let good = std::fs::read_to_string(&place).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_badgerstream"));
+    command.arg("serve").env("RELAY_CONFIG", &place).env("RELAY_DISCOVERY", free()).stderr(Stdio::piped());
+    let mut router = command.spawn().unwrap();
+    let mut lines = BufReader::new(router.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let mut until = |text: &str| {
+        let line = lines.find(|line| !line.contains("the watch has ended")).unwrap_or_default();
+        assert!(line.contains(text), "{text}: {line}");
+    };
+    let told = |signal: &str| {
+        let id = router.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    };
+    until("serves on");
+    let changed = good.replace("127.0.0.1:8500", &moved).replace("\"siblings\": 1", "\"siblings\": 2");
+    for (text, expected) in [
+        ("", "the file was not taken"),
+        (&good[..good.len() / 2], "the file was not taken"),
+        (&good.replace("siblings", "cousins"), "the file was not taken"),
+        (&good, "the file was read again, discovery is at 127.0.0.1:8500"),
+        (&changed, &format!("the file was read again, discovery is at {moved}")),
+    ] {
+        std::fs::write(&place, text).unwrap();
+        told("-HUP");
+        until(expected);
+        TcpStream::connect(&address).unwrap();
+    }
+    until("settings has changed in the file: that needs a restart");
+    std::fs::remove_file(&place).unwrap();
+    told("-HUP");
+    until("the file was not taken");
+    told("-TERM");
+    until("asked to end");
+    assert!(router.wait().unwrap().success());
+}
