Who asks nothing is closed within 1.5 s; one budget orders who makes room; ids, memory, turns bounded

At fault: client.rs STUCK, which began anew with each byte; listen.rs, which took fresh clients last and nodes first; client::take, which knew no ids.

Now: a client that asks nothing, or stops within a message, is closed after 1.5 s in all; in budget.rs the silent make room first, then whoever waits for longest on either side, and only once a client has come; an open id is refused with 42710; all large rings and statements share an eighth of memory_mb; a connection yields after each message; lines that peers can cause are counted, one a second. Descriptors taken too late no longer count against the node. At debug, belief.rs tells each second what is believed of each node beside its sockets.

--- a/crates/protocol/src/close.rs
+++ b/crates/protocol/src/close.rs
@@ -24,6 +24,8 @@
     Withdrawn,
     /// It was never opened, as descriptors are short.
     NoDescriptor,
+    /// Its bytes had no place: peers hold as much memory as they may.
+    NoMemory,
     /// It stood idle: too long, while descriptors were short, or at the router's end.
     Idle,
 }
@@ -41,6 +43,7 @@
             Close::Cancelled => "cancelled",
             Close::Withdrawn => "withdrawn before it was sent",
             Close::NoDescriptor => "descriptors are short",
+            Close::NoMemory => "memory is short",
             Close::Idle => "closed while idle",
         })
     }
--- a/crates/protocol/src/comment.rs
+++ b/crates/protocol/src/comment.rs
@@ -14,6 +14,7 @@
     /// Where the figure of `d` stands in the text.
     wait_at: std::ops::Range<usize>,
     pub writes: bool,
+    pub id: String,
     pub key: String,
     pub workload: String,
     pub customer: String,
@@ -53,7 +54,7 @@
             }
         }
         let needed = |mark: Option<_>, fault| mark.ok_or((SYNTAX, fault));
-        needed(found.id, "the comment has no id")?;
+        let id = needed(found.id, "the comment has no id")?;
         let wait = needed(found.wait, "the comment has no d")?;
         let wait_ms = wait.parse().ok().filter(|ms| (1..=LONGEST_WAIT_MS).contains(ms));
         let wait_ms = wait_ms.ok_or(("22023", "d is no time to wait"))?;
@@ -64,6 +65,7 @@
         Ok(Statement {
             wait_at: start..start + wait.len(),
             writes,
+            id: id.to_string(),
             key: key.to_string(),
             workload: needed(found.workload, "the comment has no c")?.to_string(),
             customer: found.customer.unwrap_or_default().to_string(),
@@ -75,6 +77,11 @@
         })
     }
 
+    /// What it takes in memory, as its text tells.
+    pub fn size(&self) -> usize {
+        self.text.len()
+    }
+
     /// The statement as a node gets it: unchanged but for how long it is waited for.
     pub fn for_node(&self, wait: f64) -> String {
         let wait_ms = (wait * 1e3).max(1.0) as u64;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod ring;
 
 pub use close::Close;
-pub use ring::Ring;
+pub use ring::{Memory, Ring};
 
 #[cfg(test)]
 mod tests;
--- a/crates/protocol/src/ring.rs
+++ b/crates/protocol/src/ring.rs
@@ -1,20 +1,67 @@
 //! The one buffer of a connection's direction. It holds nothing until bytes come, grows by doubling up to the
-//! most that one message may need, and gives large pieces of memory back once it is empty.
+//! most that one message may need, and gives large pieces of memory back once it is empty. What all of them
+//! may take together beyond their small beginnings is bounded by one [`Memory`].
+
+use std::cell::Cell;
+use std::rc::Rc;
 
 const FIRST: usize = 1 << 10;
 /// Most messages fit into this; a ring that is larger is not kept for a connection that falls idle.
 const KEPT: usize = 1 << 14;
 
+/// What many peers at once may make a process hold.
+pub struct Memory {
+    used: Cell<usize>,
+    most: usize,
+}
+
+/// A piece of it, until it is dropped.
+pub struct Hold {
+    memory: Rc<Memory>,
+    bytes: usize,
+}
+
+impl Memory {
+    pub fn new(most: usize) -> Rc<Memory> {
+        Rc::new(Memory { used: Cell::new(0), most })
+    }
+
+    /// Small pieces are always there: it is the large ones that add up.
+    pub fn hold(self: &Rc<Self>, bytes: usize) -> Option<Hold> {
+        let fits = bytes <= KEPT || bytes <= self.most.saturating_sub(self.used.get());
+        fits.then(|| self.take(bytes))
+    }
+
+    fn take(self: &Rc<Self>, bytes: usize) -> Hold {
+        let bytes = if bytes > KEPT { bytes } else { 0 };
+        self.used.set(self.used.get() + bytes);
+        Hold { memory: self.clone(), bytes }
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.memory.used.set(self.memory.used.get() - self.bytes);
+    }
+}
+
 pub struct Ring {
     bytes: Vec<u8>,
     head: usize,
     len: usize,
     most: usize,
+    memory: Rc<Memory>,
+    held: Option<Hold>,
 }
 
 impl Ring {
+    /// With memory of its own.
     pub fn new(most: usize) -> Ring {
-        Ring { bytes: Vec::new(), head: 0, len: 0, most }
+        Ring::within(most, &Memory::new(usize::MAX))
+    }
+
+    pub fn within(most: usize, memory: &Rc<Memory>) -> Ring {
+        Ring { bytes: Vec::new(), head: 0, len: 0, most, memory: memory.clone(), held: None }
     }
 
     pub fn len(&self) -> usize {
@@ -29,10 +76,14 @@
         self.most
     }
 
-    /// Where the next bytes go, without a break; empty once the ring is as full as it may get.
+    /// Where the next bytes go, without a break; empty once the ring is as full as it may get, or while memory
+    /// is short.
     pub fn room(&mut self) -> &mut [u8] {
         if self.len == self.bytes.len() && self.len < self.most {
-            self.resize((2 * self.len).clamp(FIRST, self.most));
+            let size = (2 * self.len).clamp(FIRST, self.most);
+            if let Some(hold) = self.memory.hold(size) {
+                self.resize(size, hold);
+            }
         }
         let (size, tail) = (self.bytes.len(), self.head + self.len);
         if self.len == size {
@@ -52,7 +103,8 @@
     /// Appends all of it; what the router itself writes is bounded by what it has read.
     pub fn push(&mut self, mut bytes: &[u8]) {
         if self.len + bytes.len() > self.bytes.len() {
-            self.resize((self.len + bytes.len()).next_power_of_two().max(FIRST));
+            let size = (self.len + bytes.len()).next_power_of_two().max(FIRST);
+            self.resize(size, self.memory.take(size));
         }
         while !bytes.is_empty() {
             let room = self.room();
@@ -63,10 +115,10 @@
         }
     }
 
-    fn resize(&mut self, size: usize) {
+    fn resize(&mut self, size: usize, hold: Hold) {
         let mut bytes = vec![0; size];
         self.copy(0, &mut bytes[..self.len]);
-        (self.bytes, self.head) = (bytes, 0);
+        (self.bytes, self.head, self.held) = (bytes, 0, Some(hold));
     }
 
     /// The first bytes, as far as they stand without a break.
@@ -91,7 +143,7 @@
         self.len -= count.min(self.len);
         self.head = if self.len == 0 { 0 } else { (self.head + count) % self.bytes.len() };
         if self.len == 0 && self.bytes.len() > KEPT {
-            self.bytes = Vec::new();
+            (self.bytes, self.held) = (Vec::new(), None);
         }
     }
 
--- /dev/null
+++ b/crates/router/src/belief.rs
@@ -0,0 +1,38 @@
+//! What the decisions believe of each node beside what stands on the sockets, a line a node and second at `debug`.
+
+use crate::execute::Router;
+use crate::pool::Pool;
+use async_io::Timer;
+use std::rc::Rc;
+use std::time::Duration;
+
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Tells for as long as the router runs, if anybody wants to know.
+pub async fn tell(desk: Rc<Router>, pool: Rc<Pool>) {
+    while tracing::enabled!(tracing::Level::DEBUG) {
+        Timer::after(PERIOD).await;
+        desk.tell(|instance, now| {
+            for (id, node) in instance.nodes.iter().filter(|n| n.1.told == 0.0 || now - n.1.told < 60.0) {
+                let (busy, idle) = pool.stand(*id);
+                let group = &instance.groups[&node.group];
+                tracing::debug!(
+                    "node {id} of group {}: {:?}{}, {} out and {busy} busy, {idle} idle, room {:.1}, strain {:.2}, \
+                     pace {:.3} s, heard {:.2} s ago, position {:.2} s old, {} faults, suspect {}, {} wait for the group",
+                    node.group,
+                    node.standing,
+                    if group.primary == Some(*id) { " primary" } else { "" },
+                    node.out,
+                    node.room,
+                    node.strain,
+                    node.pace,
+                    now - node.heard,
+                    now - node.lsn,
+                    node.faults,
+                    node.suspected.is_some(),
+                    group.waiting.len(),
+                );
+            }
+        });
+    }
+}
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -1,29 +1,51 @@
 //! A client's connection: statements in, one final answer each.
 
+use crate::budget::{Kind, Lease};
 use crate::decide::{Final, Ticket};
 use crate::execute::{Router, Row};
-use crate::listen::Clients;
-use crate::wire;
-use async_io::Async;
+use crate::wire::{self, Seldom};
+use async_io::{Async, Timer};
 use badgerstream_protocol::client::{Client, Turn};
 use badgerstream_protocol::comment::{Fault, Statement};
-use badgerstream_protocol::{Close, Ring, message};
+use badgerstream_protocol::ring::Hold;
+use badgerstream_protocol::{Close, Memory, Ring, message};
 use badgerstream_routing::{Currency, Repeat, Workload};
 use futures_lite::future;
-use std::collections::HashMap;
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// A client that stops within a message, or takes no answer, holds a descriptor: no longer than this.
+/// A client that takes no answer holds a descriptor and memory: no longer than this.
 const STUCK: Duration = Duration::from_secs(30);
+/// A client that has asked nothing since it came, or stops within a message, is closed after this, however
+/// many bytes it sends meanwhile: who comes to ask sends all of it at once.
+const UNASKED: Duration = Duration::from_millis(1500);
+/// Until then its first bytes may be on their way, and it makes room for nobody.
+const JUST_COME: Duration = Duration::from_millis(100);
 
 /// The places of the names that statements carry.
 pub struct Names {
     workloads: HashMap<String, (usize, Workload)>,
     customers: HashMap<String, usize>,
+    /// The ids of the statements that are open: no other may take one's name meanwhile.
+    open: RefCell<HashSet<String>>,
+}
+
+/// What an open statement holds until its answer: its id, and its share of the memory.
+pub struct Opened {
+    names: Rc<Names>,
+    id: String,
+    _memory: Hold,
+}
+
+impl Drop for Opened {
+    fn drop(&mut self) {
+        self.names.open.borrow_mut().remove(&self.id);
+    }
 }
 
 impl Names {
@@ -33,12 +55,15 @@
         Names {
             workloads: workloads.map(|(i, (name, kind))| (name, (i, kind))).collect(),
             customers: customers.map(|(i, name)| (name, i)).collect(),
+            open: RefCell::default(),
         }
     }
 }
 
 /// Takes a statement, unless no node may see it.
-pub fn take(desk: &Rc<Router>, names: &Names, s: Statement) -> Result<Ticket<Statement, Row>, Fault> {
+pub fn take(
+    desk: &Rc<Router>, names: &Rc<Names>, memory: &Rc<Memory>, s: Statement,
+) -> Result<(Ticket<Statement, Row>, Opened), Fault> {
     let (workload, kind) =
         *names.workloads.get(&s.workload).ok_or(("42704", "the workload in c is unknown"))?;
     if s.writes != (kind.currency == Currency::Primary) {
@@ -50,12 +75,18 @@
     if !desk.knows_group(s.group) {
         return Err(("42704", "the group in cluster is unknown"));
     }
+    // Nothing has run: 53300 tells that it may come again.
+    let held = memory.hold(s.size()).ok_or(("53300", "too many large statements are open"))?;
+    if !names.open.borrow_mut().insert(s.id.clone()) {
+        return Err(("42710", "a statement with this id is open"));
+    }
+    let opened = Opened { names: names.clone(), id: s.id.clone(), _memory: held };
     let has_session = s.writes || kind.currency == Currency::OwnWrites;
     let session = if has_session { number(&s.key) } else { 0 };
     // A customer without a quota has no place in the list.
     let customer = names.customers.get(&s.customer).copied().unwrap_or(usize::MAX);
     let (group, wait, after) = (s.group, s.wait, s.after);
-    Ok(desk.arrived(s, workload, group, session, customer, wait, after))
+    Ok((desk.arrived(s, workload, group, session, customer, wait, after), opened))
 }
 
 /// Two sessions with one number would only be pinned together, and 0 means none.
@@ -66,27 +97,48 @@
 }
 
 /// Serves a client until its connection ends.
-pub async fn serve(stream: Async<TcpStream>, desk: Rc<Router>, names: Rc<Names>, clients: Rc<Clients>) {
-    let mut output = Ring::new(message::LONGEST);
-    let Err(close) = talk(&stream, &mut output, &desk, &names, &clients).await;
+pub async fn serve(
+    stream: Async<TcpStream>, desk: Rc<Router>, names: Rc<Names>, memory: Rc<Memory>, lease: &Lease,
+    malformed: Rc<Seldom>,
+) {
+    let mut output = Ring::within(message::LONGEST, &memory);
+    let Err(close) = talk(&stream, &mut output, &desk, &names, &memory, lease).await;
     if let Close::Malformed(_) = close {
         // What the machine had to say about it.
         let _ = flush(&stream, &mut output).await;
-        tracing::warn!("a client's connection has ended: {close}");
+        if let Some(passed) = malformed.due() {
+            tracing::warn!(
+                "a client's connection has ended: {close} ({passed} more such lines were left out)"
+            );
+        }
     }
 }
 
 async fn talk(
-    stream: &Async<TcpStream>, output: &mut Ring, desk: &Rc<Router>, names: &Names, clients: &Rc<Clients>,
+    stream: &Async<TcpStream>, output: &mut Ring, desk: &Rc<Router>, names: &Rc<Names>, memory: &Rc<Memory>,
+    lease: &Lease,
 ) -> Result<Infallible, Close> {
-    let (mut machine, mut input) = (Client::default(), Ring::new(message::LONGEST));
+    let (mut machine, mut input) = (Client::default(), Ring::within(message::LONGEST, memory));
+    // When the message began that is not whole yet; for the first, when its client came.
+    let mut begun = Some(Instant::now());
     loop {
         match machine.next(&mut input, output)? {
+            Turn::Read => {
+                if machine.fresh() || !input.is_empty() {
+                    let since = *begun.get_or_insert_with(Instant::now);
+                    let left = UNASKED.saturating_sub(since.elapsed());
+                    let read = silent(stream, &mut input, lease, since);
+                    wire::within(left, Close::Silent, read).await?;
+                } else {
+                    begun = None;
+                    idle(stream, &mut input, lease, Kind::Client).await?;
+                }
+                continue;
+            }
             Turn::Write => {}
-            Turn::Read => idle(stream, &mut input, clients, machine.fresh()).await?,
-            Turn::Execute(statement) => match take(desk, names, *statement) {
+            Turn::Execute(statement) => match take(desk, names, memory, *statement) {
                 Err(fault) => machine.failed(output, fault),
-                Ok(ticket) => match answer(stream, &mut input, &ticket).await? {
+                Ok((ticket, _opened)) => match answer(stream, &mut input, &ticket).await? {
                     Final::Completed(row) => machine.completed(output, &row),
                     Final::Rejected(after) => machine.rejected(output, after),
                     Final::Aborted => machine.aborted(output),
@@ -94,6 +146,11 @@
             },
         }
         flush(stream, output).await?;
+        if !machine.fresh() {
+            begun = None;
+        }
+        // Hundreds of messages at once must leave the other connections their turns.
+        future::yield_now().await;
     }
 }
 
@@ -101,15 +158,22 @@
     wire::within(STUCK, Close::Silent, wire::write(stream, output)).await
 }
 
-/// Reads on, unless the router wants the connection closed: never one whose bytes are unread.
-async fn idle(
-    stream: &Async<TcpStream>, input: &mut Ring, clients: &Rc<Clients>, fresh: bool,
+/// Reads on; once some time is over without a byte, the connection is the first to make room.
+async fn silent(
+    stream: &Async<TcpStream>, input: &mut Ring, lease: &Lease, since: Instant,
 ) -> Result<(), Close> {
-    if !input.is_empty() {
-        return wire::within(STUCK, Close::Silent, wire::read(stream, input)).await;
-    }
+    let read = async { wire::read(stream, input).await.map(|()| true) };
+    let quiet = async {
+        Timer::after(JUST_COME.saturating_sub(since.elapsed())).await;
+        Ok(false)
+    };
+    if future::or(read, quiet).await? { Ok(()) } else { idle(stream, input, lease, Kind::Silent).await }
+}
+
+/// Reads on, unless the router wants the connection closed: never one whose bytes are unread.
+async fn idle(stream: &Async<TcpStream>, input: &mut Ring, lease: &Lease, kind: Kind) -> Result<(), Close> {
     let unwanted = {
-        let wanted = clients.wait_idle(fresh);
+        let wanted = lease.wait(kind);
         let read = async { wire::read(stream, input).await.map(|()| false) };
         future::or(read, async {
             wanted.unwanted().await;
--- a/crates/router/src/ending.rs
+++ b/crates/router/src/ending.rs
@@ -8,8 +8,11 @@
 pub fn of_close(close: Close, written: bool) -> Ending {
     match (close, written) {
         (Close::TimedOut, true) => Ending::TimedOut,
-        (Close::Cancelled, true) => Ending::Cancelled,
-        (Close::TimedOut | Close::Cancelled | Close::Withdrawn | Close::NoDescriptor, false) => Ending::Moot,
+        // What had no place here tells nothing of the node.
+        (Close::Cancelled | Close::NoMemory, true) => Ending::Cancelled,
+        (Close::Malformed(_), true) => Ending::Spoilt,
+        (Close::TimedOut | Close::Cancelled | Close::Withdrawn, false) => Ending::Moot,
+        (Close::NoDescriptor | Close::NoMemory, false) => Ending::Moot,
         (Close::TurnedAway, false) => Ending::TurnedAway,
         (_, false) => Ending::Unconnected,
         (_, true) => Ending::Dropped,
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -3,6 +3,7 @@
 // Decoded fields go straight into a call, and each part takes its own few settings.
 #![allow(clippy::too_many_arguments)]
 
+mod belief;
 mod budget;
 mod client;
 mod decide;
@@ -20,7 +21,7 @@
 mod wire;
 
 use async_io::Async;
-use badgerstream_protocol::Close;
+use badgerstream_protocol::{Close, Memory};
 use badgerstream_provision::{Pairs, Provision};
 use futures_lite::future;
 use lexopt::prelude::*;
@@ -32,6 +33,10 @@
 /// Discovery is on the same machine: who waits longer for it would only keep clients waiting.
 const FIRST_LIST: Duration = Duration::from_millis(250);
 
+/// The part of the memory that what peers send may take at a time: each byte stands in up to five places on
+/// its way, and the program itself needs some.
+const BUFFERS: f64 = 0.125;
+
 const USAGE: &str = "\
 badgerstream routes the statements of a replicated store's clients
 
@@ -186,8 +191,8 @@
     let hangups = reload::signals()?;
     let listener = Async::<TcpListener>::bind(address).map_err(|e| format!("listening on {address}: {e}"))?;
     let (tasks, budget) = (spawn::Tasks::default(), budget::Budget::new(provision.descriptors));
-    let pool = pool::Pool::new(tasks.clone(), budget.clone(), dial_limit, node_idle_limit);
-    let clients = listen::Clients::new();
+    let memory = Memory::new((provision.memory_mb * BUFFERS * f64::from(1 << 20)) as usize);
+    let pool = pool::Pool::new(tasks.clone(), budget.clone(), memory.clone(), dial_limit, node_idle_limit);
     let carry = {
         let (tasks, desk, pool, roster) = (tasks.clone(), desk.clone(), pool.clone(), roster.clone());
         move |order| {
@@ -201,8 +206,9 @@
     let file = file.to_string();
     let reload = reload::reload(hangups, provision, move || checked(&file), watches, budget.clone());
     tasks.spawn("reload", reload).detach();
+    tasks.spawn("what is believed", belief::tell(desk.clone(), pool.clone())).detach();
     tasks.spawn("the pool", pool.clone().retire()).detach();
-    let accept = listen::listen(listener, tasks.clone(), desk, names, clients.clone(), pool, budget);
+    let accept = listen::listen(listener, tasks.clone(), desk, names, memory, budget.clone());
     let accept = tasks.spawn("the listener", async move {
         // The list that was handed over may be old: what discovery has to tell comes first, if it is there.
         let heard = async { first_list.recv().await.map_err(|_| Close::Left) };
@@ -216,7 +222,7 @@
         Err("the decisions or the listener have ended".to_string())
     };
     let ended = async {
-        shutdown::shutdown(clients).await;
+        shutdown::shutdown(budget).await;
         Ok(())
     };
     async_io::block_on(tasks.run(future::or(ended, broken)))
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -1,13 +1,14 @@
 //! Connections to nodes: one statement at a time each, the last used first.
 
-use crate::budget::{Budget, Lease};
+use crate::budget::{Budget, Kind, Lease};
 use crate::spawn::Tasks;
 use crate::wire;
 use async_channel::{Sender, bounded};
 use async_executor::Task;
 use async_io::{Async, Timer};
 use badgerstream_protocol::node::{Answer, Heard, Node};
-use badgerstream_protocol::{Close, Ring, message};
+use badgerstream_protocol::{Close, Memory, Ring, message};
+use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::{SocketAddr, TcpStream};
@@ -23,8 +24,10 @@
     input: Ring,
     output: Ring,
     address: SocketAddr,
+    /// Counts as busy until it is dropped or falls idle.
+    busy: Option<Busy>,
     /// Given back with the connection.
-    _lease: Lease,
+    lease: Lease,
 }
 
 impl Connection {
@@ -50,11 +53,27 @@
     }
 }
 
+/// One of a node's connections that are opening or at work.
+struct Busy(Rc<Cell<usize>>);
+
+impl Busy {
+    fn new(count: &Rc<Cell<usize>>) -> Busy {
+        count.set(count.get() + 1);
+        Busy(count.clone())
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 struct Idle {
     number: u64,
     connection: Connection,
     since: Instant,
-    /// Notices at once when the node closes it.
+    /// Notices at once when the node closes it, or when it has to make room.
     watch: Task<()>,
 }
 
@@ -64,6 +83,7 @@
 struct Stand {
     idle: Vec<Idle>,
     waiting: VecDeque<Waiting>,
+    busy: Rc<Cell<usize>>,
 }
 
 pub struct Pool {
@@ -71,17 +91,21 @@
     numbered: Cell<u64>,
     tasks: Tasks,
     budget: Rc<Budget>,
+    memory: Rc<Memory>,
     dial_limit: Duration,
     idle_limit: Duration,
 }
 
 impl Pool {
-    pub fn new(tasks: Tasks, budget: Rc<Budget>, dial_limit: f64, node_idle_limit: f64) -> Rc<Pool> {
+    pub fn new(
+        tasks: Tasks, budget: Rc<Budget>, memory: Rc<Memory>, dial_limit: f64, node_idle_limit: f64,
+    ) -> Rc<Pool> {
         Rc::new(Pool {
             nodes: RefCell::default(),
             numbered: Cell::new(0),
             tasks,
             budget,
+            memory,
             dial_limit: Duration::from_secs_f64(dial_limit),
             idle_limit: Duration::from_secs_f64(node_idle_limit * RETIRED_AT),
         })
@@ -98,6 +122,7 @@
         while let Some(mut idle) = self.last_idle(node) {
             drop(idle.watch);
             if idle.connection.address == address && idle.connection.quiet() {
+                idle.connection.busy = Some(Busy::new(&self.busy(node)));
                 return Ok((idle.connection, false));
             }
         }
@@ -105,7 +130,7 @@
         self.nodes.borrow_mut().entry(node).or_default().waiting.push_back(waiting.clone());
         let (pool, own) = (self.clone(), waiting);
         let dial = async move {
-            match pool.dial(address).await {
+            match pool.dial(address, Busy::new(&pool.busy(node))).await {
                 Ok(connection) => pool.put(node, connection),
                 Err(close) => pool.dial_failed(node, &own, close),
             }
@@ -119,29 +144,48 @@
         self.nodes.borrow_mut().get_mut(&node)?.idle.pop()
     }
 
+    fn busy(&self, node: u32) -> Rc<Cell<usize>> {
+        self.nodes.borrow_mut().entry(node).or_default().busy.clone()
+    }
+
+    /// How many of a node's connections are busy, and how many are idle.
+    pub fn stand(&self, node: u32) -> (usize, usize) {
+        self.nodes.borrow().get(&node).map_or((0, 0), |s| (s.busy.get(), s.idle.len()))
+    }
+
     #[cfg(test)]
     pub fn idle(&self) -> usize {
         self.nodes.borrow().values().map(|s| s.idle.len()).sum()
     }
 
-    async fn dial(&self, address: SocketAddr) -> Result<Connection, Close> {
-        let lease = self.budget.for_node().or_else(|| {
-            // What stands idle elsewhere goes first.
-            self.close_idlest();
-            self.budget.for_node()
-        });
-        let lease = lease.ok_or(Close::NoDescriptor)?;
+    /// A descriptor for a connection to a node: what waits elsewhere makes room for it.
+    async fn lease(&self) -> Lease {
+        loop {
+            if let Some(lease) = self.budget.for_node() {
+                return lease;
+            }
+            if self.budget.make_room() {
+                future::yield_now().await;
+            } else {
+                self.budget.freed().await;
+            }
+        }
+    }
+
+    async fn dial(&self, address: SocketAddr, busy: Busy) -> Result<Connection, Close> {
+        let lease =
+            wire::within(self.dial_limit, Close::NoDescriptor, async { Ok(self.lease().await) }).await?;
         let opened = async {
             let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Close::Refused)?;
             let _ = stream.get_ref().set_nodelay(true);
-            let (mut input, mut output) = (Ring::new(message::LONGEST), Ring::new(message::LONGEST));
+            let [mut input, mut output] = [(); 2].map(|()| Ring::within(message::LONGEST, &self.memory));
             let mut machine = Node::start(&mut output);
             wire::write(&stream, &mut output).await?;
             while machine.next(&mut input)? != Some(Heard::Ready) {
                 wire::read(&stream, &mut input).await?;
             }
             let stream = Rc::new(stream);
-            Ok(Connection { stream, machine, input, output, address, _lease: lease })
+            Ok(Connection { stream, machine, input, output, address, busy: Some(busy), lease })
         };
         wire::within(self.dial_limit, Close::Silent, opened).await
     }
@@ -177,10 +221,18 @@
         let number = self.numbered.get() + 1;
         self.numbered.set(number);
         let (pool, stream) = (Rc::downgrade(self), connection.stream.clone());
+        let place = connection.lease.wait(Kind::Node);
+        connection.busy = None;
         let watch = self.tasks.spawn("an idle connection", async move {
-            while stream.readable().await.is_ok() {
+            loop {
+                let told = async { stream.readable().await.is_err() };
+                let unwanted = async {
+                    place.unwanted().await;
+                    true
+                };
+                let wanted = !future::or(told, unwanted).await;
                 // The poller may be mistaken: only what can be read is news.
-                if pool.upgrade().is_none_or(|pool: Rc<Pool>| pool.ended_idle(node, number)) {
+                if pool.upgrade().is_none_or(|pool: Rc<Pool>| pool.ended_idle(node, number, wanted)) {
                     break;
                 }
             }
@@ -188,25 +240,18 @@
         stand.idle.push(Idle { number, connection, since: Instant::now(), watch });
     }
 
-    /// Takes an idle connection away if it has ended or spoken; false if it has not.
-    fn ended_idle(&self, node: u32, number: u64) -> bool {
+    /// Takes an idle connection away if it is not wanted, has ended or spoken; false if it stays.
+    fn ended_idle(&self, node: u32, number: u64, wanted: bool) -> bool {
         let mut nodes = self.nodes.borrow_mut();
         let Some(stand) = nodes.get_mut(&node) else { return true };
         let Some(at) = stand.idle.iter().position(|i| i.number == number) else { return true };
-        if stand.idle[at].connection.quiet() {
+        if wanted && stand.idle[at].connection.quiet() {
             return false;
         }
         stand.idle.remove(at).watch.detach();
         true
     }
 
-    /// Closes the connection that has been idle for longest, if there is one.
-    pub fn close_idlest(&self) -> bool {
-        let mut nodes = self.nodes.borrow_mut();
-        let oldest = nodes.values_mut().filter(|s| !s.idle.is_empty()).min_by_key(|s| s.idle[0].since);
-        oldest.map(|stand| stand.idle.remove(0)).is_some()
-    }
-
     /// Retires what stood idle for long, for as long as the router runs.
     pub async fn retire(self: Rc<Self>) {
         loop {
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -1,6 +1,6 @@
 //! The planned end: after SIGTERM all that comes is still taken, and answered.
 
-use crate::listen::Clients;
+use crate::budget::Budget;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
@@ -13,7 +13,7 @@
 const OWED: Duration = Duration::from_millis(300);
 
 /// Until the signal has come and all that was taken is answered.
-pub async fn shutdown(clients: Rc<Clients>) {
+pub async fn shutdown(budget: Rc<Budget>) {
     let mut signals = match Signals::new([Signal::Term, Signal::Int]) {
         Ok(signals) => signals,
         Err(e) => {
@@ -22,12 +22,12 @@
         }
     };
     signals.next().await;
-    tracing::info!("asked to end, {} clients are connected", clients.open());
+    tracing::info!("asked to end, {} clients are connected", budget.clients());
     Timer::after(ARRIVING).await;
-    clients.close_all_but_fresh();
+    budget.close_all_but_silent();
     Timer::after(OWED).await;
-    clients.close_all();
-    while clients.open() > 0 {
+    budget.close_all();
+    while budget.clients() > 0 {
         Timer::after(Duration::from_millis(10)).await;
     }
     tracing::info!("ended, all that was taken is answered");
--- a/crates/router/src/tests/mod.rs
+++ b/crates/router/src/tests/mod.rs
@@ -6,14 +6,15 @@
 mod parts;
 mod watch;
 
+use crate::budget::Budget;
 use crate::decide::{Clock, Desk, Order};
 use crate::execute::Router;
 use crate::pool::Pool;
 use crate::spawn::Tasks;
 use crate::watch::Roster;
-use badgerstream_protocol::Ring;
 use badgerstream_protocol::comment::Statement;
 use badgerstream_protocol::message::{self, put};
+use badgerstream_protocol::{Memory, Ring};
 use badgerstream_routing::{Allowance, Currency, Ending, Instance, Repeat, Workload};
 use serde_json::{Value, json};
 use std::cell::RefCell;
@@ -71,6 +72,11 @@
     (Desk::new(born, clock), roster)
 }
 
+/// With times so generous that no verdict hangs on how fast the machine is.
+pub fn pool(tasks: &Tasks, budget: &Rc<Budget>) -> Rc<Pool> {
+    Pool::new(tasks.clone(), budget.clone(), Memory::new(usize::MAX), 60.0, 600.0)
+}
+
 /// What a settling orders.
 pub fn settled<S: 'static, A: 'static>(desk: &Rc<Desk<S, A>>) -> Vec<Order<S>> {
     let orders = RefCell::new(Vec::new());
--- a/crates/router/src/wire.rs
+++ b/crates/router/src/wire.rs
@@ -3,10 +3,11 @@
 use async_io::{Async, Timer};
 use badgerstream_protocol::{Close, Ring};
 use futures_lite::future;
+use std::cell::Cell;
 use std::future::Future;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// This work, or that end of it once so much time is over; what is done counts even if both are there.
 pub async fn within<T>(
@@ -21,6 +22,9 @@
 
 /// Reads what is there, at least one byte.
 pub async fn read(stream: &Async<TcpStream>, input: &mut Ring) -> Result<(), Close> {
+    if input.room().is_empty() {
+        return Err(Close::NoMemory);
+    }
     let count = stream.read_with(|mut s| s.read(input.room())).await.map_err(|_| Close::Broken)?;
     input.filled(count);
     if count == 0 { Err(Close::Left) } else { Ok(()) }
@@ -28,6 +32,9 @@
 
 /// What can be had without waiting: true if there were bytes.
 pub fn read_now(stream: &Async<TcpStream>, input: &mut Ring) -> Result<bool, Close> {
+    if input.room().is_empty() {
+        return Err(Close::NoMemory);
+    }
     match stream.get_ref().read(input.room()) {
         Ok(0) => Err(Close::Left),
         Ok(count) => {
@@ -55,3 +62,22 @@
     }
     Ok(())
 }
+
+/// Lines of the log that peers can cause: one a second, with how many were passed over since.
+pub struct Seldom(Cell<Option<Instant>>, Cell<u64>);
+
+impl Seldom {
+    pub const fn new() -> Seldom {
+        Seldom(Cell::new(None), Cell::new(0))
+    }
+
+    /// How many were passed over, if a line may be written now.
+    pub fn due(&self) -> Option<u64> {
+        if self.0.get().is_some_and(|at| at.elapsed() < Duration::from_secs(1)) {
+            self.1.set(self.1.get() + 1);
+            return None;
+        }
+        self.0.set(Some(Instant::now()));
+        Some(self.1.take())
+    }
+}
