--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -142,6 +142,8 @@
     TimedOut,
     Unconnected,
     Dropped,
+    /// The node answered with what is no answer: it may have run.
+    Spoilt,
     Cancelled,
     /// Never issued.
     Moot,
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -104,9 +104,8 @@
         (born.chance, born.routers) = (fastrand::Rng::with_seed(seed), routers.max(1) as f64);
         born.usage = vec![(NEVER, 0.0); quotas.len()];
         born.shares = [vec![(0.0, 0.0); workloads.len()], vec![(0.0, 0.0); quotas.len()]];
-        born.fairness = fairness;
-        (born.workloads, born.quotas, born.replication) = (workloads, quotas, replication);
-        (born.cold, born.drain, born.allowance) = (cold, drain, allowance);
+        (born.workloads, born.quotas, born.replication, born.cold) = (workloads, quotas, replication, cold);
+        (born.fairness, born.drain, born.allowance) = (fairness, drain, allowance);
         born
     }
 
@@ -314,6 +313,7 @@
             }
             // Who turns work away for want of room would have taken longer than anybody waits.
             Ending::TurnedAway => self.strained(now, 1.0, usual),
+            Ending::Spoilt => self.faults += 1, // It runs, and is as warm as before.
             // Who is out of reach may be starting anew, whatever the list tells: it counts as cold from now.
             Ending::Dropped => (self.faults, self.fell) = (self.faults + 1, now),
             Ending::Unconnected => (self.faults, self.fell) = (self.faults + FAULTS, now),
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -250,6 +250,7 @@
 #[test_case(Ending::Unconnected, 1, true; "out of reach")]
 #[test_case(Ending::Dropped, 2, false; "two connections cut")]
 #[test_case(Ending::Dropped, 3, true; "cut in a row")]
+#[test_case(Ending::Spoilt, 3, true; "no answers in a row")]
 #[test_case(Ending::Errored, 9, false; "errors that nothing shows to be the node's")]
 fn faults(ending: Ending, times: u8, expected: bool) {
     let mut router = router(false);
@@ -496,6 +497,7 @@
 /// Found in an incident: nodes that restarted unannounced were pushed over within a second of their start.
 #[test_case(Ending::Unconnected, true; "out of reach")]
 #[test_case(Ending::Errored, false; "an error")]
+#[test_case(Ending::Spoilt, false; "what is no answer")]
 fn who_was_out_of_reach_may_be_cold(ending: Ending, expected: bool) {
     let mut router = router(false);
     router.executed(T, 99, 0, B, ending, 0.1, false, None, f64::NEG_INFINITY);
