--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -3,8 +3,9 @@
 use crate::Close;
 use crate::ring::Ring;
 
-/// A value of 64 KiB comes as text of twice its length, in an INSERT with its marks behind it.
-pub const LONGEST: usize = (1 << 17) + (1 << 14);
+/// Values hold 64 KiB by the pages, and several times that were seen in answers; in an INSERT each byte is two.
+/// What many of them may take at once is bounded by [`crate::Memory`].
+pub const LONGEST: usize = 1 << 20;
 
 /// Takes the next whole message: its type and body, or none while bytes are missing.
 pub fn next(ring: &mut Ring) -> Result<Option<(u8, Vec<u8>)>, Close> {
@@ -18,6 +19,7 @@
         return Err(Close::Malformed("a message's length can't be right"));
     }
     if ring.len() < 1 + length {
+        ring.want(1 + length);
         return Ok(None);
     }
     ring.skip(5);
--- a/crates/protocol/src/node.rs
+++ b/crates/protocol/src/node.rs
@@ -7,6 +7,9 @@
 /// An answer has a handful of messages; a node that goes on and on is not waited for.
 const MOST_MESSAGES: usize = 64;
 
+/// All but a row is a few words.
+const LONGEST_WORDS: usize = 1 << 13;
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
     Starting,
@@ -87,7 +90,7 @@
                 return Ok(heard);
             }
         }
-        Ok(None)
+        if self.state == State::Executing { beginning(input).map(|()| None) } else { Ok(None) }
     }
 
     fn starting(&mut self, kind: u8, body: &[u8]) -> Result<Option<Heard>, Close> {
@@ -171,6 +174,25 @@
     }
 }
 
+/// What has come of a message that is not whole yet: one whose length does not fit what it is would be waited
+/// for until the execution's limit, as no more of it may come.
+fn beginning(input: &Ring) -> Result<(), Close> {
+    let mut head = [0; 11];
+    let there = input.len().min(head.len());
+    input.copy(0, &mut head[..there]);
+    let word = |at: usize| u32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]) as usize;
+    let fits = match head[0] {
+        _ if there == 0 => true,
+        kind if !b"TDCSNEZ".contains(&kind) => false,
+        _ if there < 5 => true,
+        b'Z' => word(1) == 5,
+        // Its one value takes all of it: four bytes of its length, two of the count of columns.
+        b'D' => there < head.len() || word(1) == 10 + word(7),
+        _ => word(1) <= LONGEST_WORDS,
+    };
+    if fits { Ok(()) } else { Err(Close::Malformed("a message does not fit its length")) }
+}
+
 /// One figure of a load report: `inflight=7,util=0.61`.
 pub fn vital(report: &str, name: &str) -> Option<f64> {
     let figures = report.split(',').filter_map(|figure| figure.split_once('='));
--- a/crates/protocol/src/ring.rs
+++ b/crates/protocol/src/ring.rs
@@ -50,6 +50,8 @@
     head: usize,
     len: usize,
     most: usize,
+    /// How many bytes are known to come.
+    wanted: usize,
     memory: Rc<Memory>,
     held: Option<Hold>,
 }
@@ -61,7 +63,7 @@
     }
 
     pub fn within(most: usize, memory: &Rc<Memory>) -> Ring {
-        Ring { bytes: Vec::new(), head: 0, len: 0, most, memory: memory.clone(), held: None }
+        Ring { bytes: Vec::new(), head: 0, len: 0, most, wanted: 0, memory: memory.clone(), held: None }
     }
 
     pub fn len(&self) -> usize {
@@ -80,7 +82,7 @@
     /// is short.
     pub fn room(&mut self) -> &mut [u8] {
         if self.len == self.bytes.len() && self.len < self.most {
-            let size = (2 * self.len).clamp(FIRST, self.most);
+            let size = (2 * self.len).max(self.wanted).clamp(FIRST, self.most);
             if let Some(hold) = self.memory.hold(size) {
                 self.resize(size, hold);
             }
@@ -95,6 +97,12 @@
         }
     }
 
+    /// So many bytes make the message whole that has begun: its place is taken at once, so that many that are
+    /// half there never wait for each other.
+    pub fn want(&mut self, count: usize) {
+        self.wanted = count;
+    }
+
     /// So many bytes were put where `room` showed.
     pub fn filled(&mut self, count: usize) {
         self.len = (self.len + count).min(self.bytes.len());
@@ -142,6 +150,7 @@
     pub fn skip(&mut self, count: usize) {
         self.len -= count.min(self.len);
         self.head = if self.len == 0 { 0 } else { (self.head + count) % self.bytes.len() };
+        self.wanted = 0;
         if self.len == 0 && self.bytes.len() > KEPT {
             (self.bytes, self.held) = (Vec::new(), None);
         }
--- a/crates/protocol/src/tests/node.rs
+++ b/crates/protocol/src/tests/node.rs
@@ -109,6 +109,21 @@
     assert!(matches!(answered(bytes, 6), Err(Close::Malformed(_))));
 }
 
+#[test_case(b"q\0\0\0\x40"; "an unknown type")]
+#[test_case(b"Z\0\0\0\x40I"; "a last message that is too long")]
+#[test_case(b"D\0\0\0\x40\0\x01\0\0\0\x01v"; "a row that is longer than its value")]
+#[test_case(b"D\0\0\0\x10\0\x01\0\0\0\x40v"; "a value that is longer than its row")]
+#[test_case(b"D\0\0\0\x10\0\x01\xff\xff\xff\xff"; "no value in a row that has some")]
+#[test_case(b"C\0\x01\0\0SELECT 1"; "a completion of 64 KiB")]
+fn what_does_not_fit_its_length_is_not_waited_for(begun: &[u8]) {
+    for piece in [1, 100] {
+        assert!(matches!(
+            answered(&[described(1), begun.to_vec()].concat(), piece),
+            Err(Close::Malformed(_))
+        ));
+    }
+}
+
 #[test]
 fn bytes_while_idle_end_the_connection() {
     let mut node = Node::start(&mut Ring::new(LONGEST));
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -23,7 +23,7 @@
 const STUCK: Duration = Duration::from_secs(30);
 /// A client that has asked nothing since it came, or stops within a message, is closed after this, however
 /// many bytes it sends meanwhile: who comes to ask sends all of it at once.
-const UNASKED: Duration = Duration::from_millis(1500);
+const UNASKED: Duration = Duration::from_millis(2200);
 /// Until then its first bytes may be on their way, and it makes room for nobody.
 const JUST_COME: Duration = Duration::from_millis(100);
 
--- a/crates/router/src/ending.rs
+++ b/crates/router/src/ending.rs
@@ -14,6 +14,7 @@
         (Close::TimedOut | Close::Cancelled | Close::Withdrawn, false) => Ending::Moot,
         (Close::NoDescriptor | Close::NoMemory, false) => Ending::Moot,
         (Close::TurnedAway, false) => Ending::TurnedAway,
+        (Close::Left | Close::Broken | Close::Malformed(_), false) => Ending::Cut,
         (_, false) => Ending::Unconnected,
         (_, true) => Ending::Dropped,
     }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -33,9 +33,10 @@
 /// Discovery is on the same machine: who waits longer for it would only keep clients waiting.
 const FIRST_LIST: Duration = Duration::from_millis(250);
 
-/// The part of the memory that what peers send may take at a time: each byte stands in up to five places on
-/// its way, and the program itself needs some.
-const BUFFERS: f64 = 0.125;
+/// The parts of the memory that large answers and large statements may take at a time: each byte stands in up
+/// to three places on its way, and the program itself needs some.
+const FOR_ANSWERS: f64 = 0.2;
+const FOR_STATEMENTS: f64 = 0.1;
 
 const USAGE: &str = "\
 badgerstream routes the statements of a replicated store's clients
@@ -191,8 +192,9 @@
     let hangups = reload::signals()?;
     let listener = Async::<TcpListener>::bind(address).map_err(|e| format!("listening on {address}: {e}"))?;
     let (tasks, budget) = (spawn::Tasks::default(), budget::Budget::new(provision.descriptors));
-    let memory = Memory::new((provision.memory_mb * BUFFERS * f64::from(1 << 20)) as usize);
-    let pool = pool::Pool::new(tasks.clone(), budget.clone(), memory.clone(), dial_limit, node_idle_limit);
+    let memory = |part: f64| Memory::new((provision.memory_mb * part * f64::from(1 << 20)) as usize);
+    let (answers, statements) = (memory(FOR_ANSWERS), memory(FOR_STATEMENTS));
+    let pool = pool::Pool::new(tasks.clone(), budget.clone(), answers, dial_limit, node_idle_limit);
     let carry = {
         let (tasks, desk, pool, roster) = (tasks.clone(), desk.clone(), pool.clone(), roster.clone());
         move |order| {
@@ -202,13 +204,14 @@
     };
     let decisions = tasks.spawn("the decisions", desk.clone().run(carry));
     let (heard, first_list) = async_channel::bounded(1);
-    let watches = reload::Watches::begin(tasks.clone(), desk.clone(), roster, discovery, seq, heard);
+    let watches = reload::Watches::begin(tasks.clone(), desk.clone(), roster.clone(), discovery, seq, heard);
     let file = file.to_string();
+    tasks.spawn("what is gone", watch::forget(desk.clone(), roster)).detach();
     let reload = reload::reload(hangups, provision, move || checked(&file), watches, budget.clone());
     tasks.spawn("reload", reload).detach();
     tasks.spawn("what is believed", belief::tell(desk.clone(), pool.clone())).detach();
     tasks.spawn("the pool", pool.clone().retire()).detach();
-    let accept = listen::listen(listener, tasks.clone(), desk, names, memory, budget.clone());
+    let accept = listen::listen(listener, tasks.clone(), desk, names, statements, budget.clone());
     let accept = tasks.spawn("the listener", async move {
         // The list that was handed over may be old: what discovery has to tell comes first, if it is there.
         let heard = async { first_list.recv().await.map_err(|_| Close::Left) };
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -11,6 +11,7 @@
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -26,6 +27,8 @@
     address: SocketAddr,
     /// Counts as busy until it is dropped or falls idle.
     busy: Option<Busy>,
+    /// How long it stood idle before it was taken.
+    pub rested: Duration,
     /// Given back with the connection.
     lease: Lease,
 }
@@ -69,6 +72,11 @@
     }
 }
 
+/// A node that is there may still break a connection as it comes up.
+fn refused(e: std::io::Error) -> Close {
+    if e.kind() == ErrorKind::ConnectionReset { Close::Broken } else { Close::Refused }
+}
+
 struct Idle {
     number: u64,
     connection: Connection,
@@ -123,6 +131,7 @@
             drop(idle.watch);
             if idle.connection.address == address && idle.connection.quiet() {
                 idle.connection.busy = Some(Busy::new(&self.busy(node)));
+                idle.connection.rested = idle.since.elapsed();
                 return Ok((idle.connection, false));
             }
         }
@@ -176,7 +185,7 @@
         let lease =
             wire::within(self.dial_limit, Close::NoDescriptor, async { Ok(self.lease().await) }).await?;
         let opened = async {
-            let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Close::Refused)?;
+            let stream = Async::<TcpStream>::connect(address).await.map_err(refused)?;
             let _ = stream.get_ref().set_nodelay(true);
             let [mut input, mut output] = [(); 2].map(|()| Ring::within(message::LONGEST, &self.memory));
             let mut machine = Node::start(&mut output);
@@ -185,7 +194,16 @@
                 wire::read(&stream, &mut input).await?;
             }
             let stream = Rc::new(stream);
-            Ok(Connection { stream, machine, input, output, address, busy: Some(busy), lease })
+            Ok(Connection {
+                stream,
+                machine,
+                input,
+                output,
+                address,
+                busy: Some(busy),
+                rested: Duration::ZERO,
+                lease,
+            })
         };
         wire::within(self.dial_limit, Close::Silent, opened).await
     }
@@ -256,9 +274,10 @@
     pub async fn retire(self: Rc<Self>) {
         loop {
             Timer::after(self.idle_limit / 8).await;
-            for stand in self.nodes.borrow_mut().values_mut() {
+            self.nodes.borrow_mut().retain(|_, stand| {
                 stand.idle.retain(|idle| idle.since.elapsed() < self.idle_limit);
-            }
+                !stand.idle.is_empty() || !stand.waiting.is_empty() || stand.busy.get() > 0
+            });
         }
     }
 }
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -10,7 +10,7 @@
 
 pub async fn probe(desk: Rc<Router>, pool: Rc<Pool>, roster: Rc<Roster>, node: u32) {
     let asked = async {
-        let (mut connection, _) = pool.take(node, roster.dial(node)).await?;
+        let (mut connection, _) = pool.take(node, roster.dial(node)?).await?;
         let answer = connection.query("SHOW vitals", &Cell::new(false)).await?;
         pool.put(node, connection);
         Ok(answer)
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -14,14 +14,18 @@
 
 /// Two empty lines that did not come: the watch hangs. What it has to tell binds after 6 s.
 const SILENT: Duration = Duration::from_millis(4500);
+/// Records leave in steps of this; nothing depends on when.
+const FORGETTING: Duration = Duration::from_secs(5);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
-/// Numbers for the names that discovery uses, and where each node is reached.
+/// Numbers for the names that discovery uses, and where each node is reached. Nodes leave with what the
+/// instance remembers of them.
 #[derive(Default)]
 pub struct Roster {
     nodes: RefCell<HashMap<String, u32>>,
-    dials: RefCell<Vec<SocketAddr>>,
+    dials: RefCell<HashMap<u32, SocketAddr>>,
+    numbered: Cell<u32>,
     zones: RefCell<Vec<String>>,
 }
 
@@ -30,29 +34,37 @@
         Rc::new(Roster { zones: RefCell::new(zones), ..Roster::default() })
     }
 
-    pub fn dial(&self, node: u32) -> SocketAddr {
-        self.dials.borrow()[node as usize]
+    pub fn dial(&self, node: u32) -> Result<SocketAddr, Close> {
+        self.dials.borrow().get(&node).copied().ok_or(Close::Refused)
+    }
+
+    pub fn forget(&self, gone: &[u32]) {
+        self.nodes.borrow_mut().retain(|_, node| !gone.contains(node));
+        self.dials.borrow_mut().retain(|node, _| !gone.contains(node));
     }
 
     fn node(&self, name: &str, dial: SocketAddr) -> u32 {
         let (mut nodes, mut dials) = (self.nodes.borrow_mut(), self.dials.borrow_mut());
-        if let Some(node) = nodes.get(name) {
-            dials[*node as usize] = dial;
-            return *node;
-        }
-        let node = dials.len() as u32;
-        nodes.insert(name.to_string(), node);
-        dials.push(dial);
+        let node = nodes.get(name).copied().unwrap_or_else(|| {
+            let node = self.numbered.replace(self.numbered.get() + 1);
+            nodes.insert(name.to_string(), node);
+            node
+        });
+        dials.insert(node, dial);
         node
     }
 
     fn zone(&self, name: &str) -> u8 {
         let mut zones = self.zones.borrow_mut();
+        let most = usize::from(u8::MAX);
         let place = zones.iter().position(|z| z == name).unwrap_or_else(|| {
-            zones.push(name.to_string());
+            // A list of ever new names must not grow without end: beyond these all count as one.
+            if zones.len() < most {
+                zones.push(name.to_string());
+            }
             zones.len() - 1
         });
-        place.min(usize::from(u8::MAX)) as u8
+        place.min(most) as u8
     }
 
     /// Tells the instance a list; its version, or why it can't be read.
@@ -83,6 +95,14 @@
     }
 }
 
+/// Lets what is long gone leave, for as long as the router runs.
+pub async fn forget(desk: Rc<Router>, roster: Rc<Roster>) {
+    loop {
+        Timer::after(FORGETTING).await;
+        roster.forget(&desk.tell(|instance, now| instance.forget_gone(now)));
+    }
+}
+
 async fn follow(
     desk: &Router, roster: &Roster, address: SocketAddr, seq: &Cell<u64>, pause: &mut Duration,
     heard: &impl Fn(),
--- a/crates/router/src/wire.rs
+++ b/crates/router/src/wire.rs
@@ -9,6 +9,9 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+/// Memory that is short is looked for this often.
+const SHORT: Duration = Duration::from_millis(5);
+
 /// This work, or that end of it once so much time is over; what is done counts even if both are there.
 pub async fn within<T>(
     limit: Duration, late: Close, work: impl Future<Output = Result<T, Close>>,
@@ -22,8 +25,12 @@
 
 /// Reads what is there, at least one byte.
 pub async fn read(stream: &Async<TcpStream>, input: &mut Ring) -> Result<(), Close> {
-    if input.room().is_empty() {
-        return Err(Close::NoMemory);
+    while input.room().is_empty() {
+        if input.len() >= input.most() {
+            return Err(Close::NoMemory);
+        }
+        // Others hold what there is for large messages: theirs end, or their time does.
+        Timer::after(SHORT).await;
     }
     let count = stream.read_with(|mut s| s.read(input.room())).await.map_err(|_| Close::Broken)?;
     input.filled(count);
@@ -33,7 +40,7 @@
 /// What can be had without waiting: true if there were bytes.
 pub fn read_now(stream: &Async<TcpStream>, input: &mut Ring) -> Result<bool, Close> {
     if input.room().is_empty() {
-        return Err(Close::NoMemory);
+        return Ok(false);
     }
     match stream.get_ref().read(input.room()) {
         Ok(0) => Err(Close::Left),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -141,6 +141,8 @@
     Errored,
     TimedOut,
     Unconnected,
+    /// Its connection broke before the node had all of it.
+    Cut,
     Dropped,
     /// The node answered with what is no answer: it may have run.
     Spoilt,
@@ -156,7 +158,7 @@
     }
 
     pub fn proves_unrun(self) -> bool {
-        matches!(self, Ending::Missed | Ending::TurnedAway | Ending::Unconnected | Ending::Moot)
+        matches!(self, Ending::Missed | Ending::TurnedAway | Ending::Unconnected | Ending::Cut | Ending::Moot)
     }
 }
 
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -1,12 +1,16 @@
 //! What an instance remembers, grouped by how long it lives: records and how they are kept. The rest is in
 //! `policy.rs`.
 
-use crate::{Currency, Ending, Standing, Workload};
+use crate::{Currency, Ending, Instance, Standing, Workload};
 use std::collections::{BTreeSet, VecDeque};
 
 /// The time of what has not happened, and the position of what told none.
 pub const NEVER: f64 = f64::NEG_INFINITY;
 
+/// A node that is gone is remembered for this long, and one that may only be called so for ten times as long:
+/// what is still out there has ended by then, and its drain is no question any more.
+const GONE_S: f64 = 60.0;
+
 /// Lives for one send.
 pub struct Execution {
     pub node: u32,
@@ -53,6 +57,8 @@
     pub since: f64,
     /// When it was last out of reach.
     pub fell: f64,
+    /// When a connection to it last broke, unless it was seen to run on.
+    pub broke: f64,
     pub listed_primary: bool,
     pub roll: u64,
     /// Lower bound of its position: it only grows, also across a restart.
@@ -109,9 +115,15 @@
         self.executions.iter().filter(|e| e.ended.is_none())
     }
 
+    /// When it has to be looked at, whatever else happens: timers end with it.
+    pub fn timers(&self, stmt: u32, step: f64) -> [(u64, u32); 3] {
+        let moments = [self.due - 2.0 * step, self.slo_end, self.halfway];
+        moments.map(|at| ((at.max(0.0) * 1e6) as u64, stmt))
+    }
+
     /// No node was ever sent a byte of it.
     pub fn unwritten(&self) -> bool {
-        let never = |e: &Execution| matches!(e.ended, Some(Ending::Unconnected | Ending::Moot));
+        let never = |e: &Execution| matches!(e.ended, Some(Ending::Unconnected | Ending::Cut | Ending::Moot));
         self.executions.iter().all(never)
     }
 
@@ -121,6 +133,26 @@
     }
 }
 
+impl Instance {
+    /// Nodes that are long gone leave, unless something open refers to them; tells which. One that the list
+    /// names again is a new one.
+    pub fn forget_gone(&mut self, now: f64) -> Vec<u32> {
+        let sent = self.statements.values().flat_map(|s| &s.executions);
+        let named: BTreeSet<u32> =
+            sent.map(|e| e.node).chain(self.groups.values().filter_map(|g| g.primary)).collect();
+        let left = |(id, node): &(&u32, &Node)| {
+            let kept = if self.drain.only_draining && !node.drained { 10.0 * GONE_S } else { GONE_S };
+            node.standing == Standing::Gone && now - node.told > kept && node.out == 0 && !named.contains(id)
+        };
+        let gone: Vec<u32> = self.nodes.iter().filter(left).map(|n| *n.0).collect();
+        for id in &gone {
+            let group = self.nodes.remove(id).and_then(|node| self.groups.get_mut(&node.group));
+            group.into_iter().for_each(|group| group.members.retain(|member| member != id));
+        }
+        gone
+    }
+}
+
 impl Node {
     /// From draining to gone is no news: the grace runs from the first word.
     pub fn stands(&mut self, at: Standing, now: f64) {
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -248,9 +248,10 @@
 }
 
 #[test_case(Ending::Unconnected, 1, true; "out of reach")]
-#[test_case(Ending::Dropped, 2, false; "two connections cut")]
-#[test_case(Ending::Dropped, 3, true; "cut in a row")]
-#[test_case(Ending::Spoilt, 3, true; "no answers in a row")]
+#[test_case(Ending::Dropped, 5, false; "five connections cut")]
+#[test_case(Ending::Dropped, 6, true; "cut in a row")]
+#[test_case(Ending::Cut, 6, true; "cut in a row before the last byte")]
+#[test_case(Ending::Spoilt, 6, true; "no answers in a row")]
 #[test_case(Ending::Errored, 9, false; "errors that nothing shows to be the node's")]
 fn faults(ending: Ending, times: u8, expected: bool) {
     let mut router = router(false);
@@ -481,7 +482,7 @@
 
 /// Found on a day on which half of the statements erred at any node: the nodes became suspects, and each such
 /// statement was executed eight times.
-#[test_case(&[B], Ending::Completed, 1, &[]; "another node completes it: the first is to blame")]
+#[test_case(&[B], Ending::Completed, 2, &[]; "another node completes it: the first is to blame")]
 #[test_case(&[B], Ending::Errored, 0, &["reject 1"]; "another errs too: it is the statement, and final")]
 fn errors_follow_the_node_or_the_statement(before: &[u32], ending: Ending, faults: u32, expected: &[&str]) {
     let mut router = router(false);
@@ -498,12 +499,43 @@
 #[test_case(Ending::Unconnected, true; "out of reach")]
 #[test_case(Ending::Errored, false; "an error")]
 #[test_case(Ending::Spoilt, false; "what is no answer")]
+#[test_case(Ending::Dropped, true; "a connection that broke")]
+#[test_case(Ending::Cut, true; "a connection that broke before the last byte")]
 fn who_was_out_of_reach_may_be_cold(ending: Ending, expected: bool) {
     let mut router = router(false);
     router.executed(T, 99, 0, B, ending, 0.1, false, None, f64::NEG_INFINITY);
     assert_eq!(router.nodes[&B].warmth(&router.cold, T + 1.0) < 1.0, expected);
 }
 
+/// Found on a day of connections that broke: a primary stood idle for seconds while all waited for it, as it
+/// counted as cold and was sent nothing that could show otherwise.
+#[test_case(0.05, 0.1, false; "what was sent before is answered")]
+#[test_case(0.15, 0.1, false; "what was sent right behind is answered")]
+#[test_case(0.5, 0.1, true; "only what was sent later is answered")]
+fn a_node_that_answers_on_has_not_restarted(answered: f64, took: f64, cold: bool) {
+    let mut router = router(false);
+    let end = |router: &mut Instance, at: f64, ending| {
+        router.executed(T + at, 99, 0, B, ending, took, false, None, f64::NEG_INFINITY);
+    };
+    end(&mut router, 0.0, Ending::Dropped);
+    assert_eq!(router.nodes[&B].warmth(&router.cold, T + 0.09), 1.0, "first it may show that it lives");
+    assert!(router.nodes[&B].warmth(&router.cold, T + 0.11) < 1.0);
+    end(&mut router, answered, Ending::Completed);
+    assert_eq!(router.nodes[&B].warmth(&router.cold, T + 1.0) < 1.0, cold);
+}
+
+#[test]
+fn timers_end_with_their_statement() {
+    let mut router = router(false);
+    for stmt in 0..100 {
+        router.arrived(T, stmt, LOOSE, G, 0, 9, 0.0, T + 86_400.0, 0.0);
+        settle(&mut router, T);
+        router.abandoned(stmt);
+        settle(&mut router, T);
+    }
+    assert!(router.timers.is_empty());
+}
+
 /// Found in a hunt: the writes held while a group was down, all with low lots, pushed it over when back.
 #[test]
 fn what_waited_for_a_cold_node_does_not_go_all_at_once() {
@@ -673,3 +705,28 @@
     take(&mut router, T, 2, LOOSE, 0, 0.0);
     assert!(router.statements[&2].lot >= 0.5);
 }
+
+#[test_case(Standing::Gone, 0, false, true; "gone for long")]
+#[test_case(Standing::Draining, 0, false, false; "it only drains")]
+#[test_case(Standing::Gone, 1, false, false; "something is out there")]
+#[test_case(Standing::Gone, 0, true, false; "it may only be called gone")]
+fn who_is_gone_leaves(standing: Standing, out: usize, only_draining: bool, expected: bool) {
+    let mut router = router(false);
+    router.drain.only_draining = only_draining;
+    router.nodes.get_mut(&C).unwrap().stands(standing, T);
+    router.nodes.get_mut(&C).unwrap().out = out;
+    assert!(router.forget_gone(T + 59.0).is_empty());
+    assert_eq!(router.forget_gone(T + 61.0), if expected { vec![C] } else { vec![] });
+    assert_eq!(router.groups[&G].members.contains(&C), !expected);
+}
+
+#[test]
+fn a_node_that_an_open_statement_was_sent_to_stays() {
+    let mut router = router(false);
+    take(&mut router, T, 1, LOOSE, 0, 0.0);
+    settle(&mut router, T);
+    let sent = router.statements[&1].executions[0].node;
+    router.nodes.get_mut(&sent).unwrap().stands(Standing::Gone, T);
+    router.nodes.get_mut(&sent).unwrap().out = 0;
+    assert!(router.forget_gone(T + 100.0).is_empty());
+}
