--- a/crates/protocol/src/client.rs
+++ b/crates/protocol/src/client.rs
@@ -8,6 +8,8 @@
 const SSL: u32 = 80_877_103;
 const GSS: u32 = 80_877_104;
 const CANCEL: u32 = 80_877_102;
+/// ReadyForQuery, outside of a transaction.
+const READY: &[u8] = b"Z\0\0\0\x05I";
 /// As large as PostgreSQL itself lets a startup message be.
 const LONGEST_START: usize = 10_000;
 
@@ -161,9 +163,10 @@
     }
 
     /// The row as the node gave it: its RowDescription, DataRow and CommandComplete.
-    pub fn completed(&mut self, output: &mut Ring, answer: &[u8]) {
-        output.push(answer);
-        self.ready(output);
+    pub fn completed(&mut self, output: &mut Ring, mut answer: Vec<u8>) {
+        answer.extend_from_slice(READY);
+        output.adopt(answer);
+        self.state = State::Idle;
     }
 
     /// Trying again is harmless, after so many seconds.
@@ -184,7 +187,7 @@
     }
 
     fn ready(&mut self, output: &mut Ring) {
-        put(output, b'Z', &[b"I"]);
+        output.push(READY);
         self.state = State::Idle;
     }
 }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -9,6 +9,13 @@
 
 /// Takes the next whole message: its type and body, or none while bytes are missing.
 pub fn next(ring: &mut Ring) -> Result<Option<(u8, Vec<u8>)>, Close> {
+    let Some((kind, length)) = whole(ring)? else { return Ok(None) };
+    ring.skip(5);
+    Ok(Some((kind, ring.take(length - 5))))
+}
+
+/// The type of the next message and how many bytes it takes in all, once it is whole.
+pub fn whole(ring: &mut Ring) -> Result<Option<(u8, usize)>, Close> {
     if ring.len() < 5 {
         return Ok(None);
     }
@@ -22,8 +29,7 @@
         ring.want(1 + length);
         return Ok(None);
     }
-    ring.skip(5);
-    Ok(Some((head[0], ring.take(length - 4))))
+    Ok(Some((head[0], 1 + length)))
 }
 
 /// Appends a message whose body is made of these parts.
--- a/crates/protocol/src/node.rs
+++ b/crates/protocol/src/node.rs
@@ -76,15 +76,22 @@
     }
 
     pub fn next(&mut self, input: &mut Ring) -> Result<Option<Heard>, Close> {
-        while let Some((kind, body)) = message::next(input)? {
+        while let Some((kind, length)) = message::whole(input)? {
             self.messages += 1;
             if self.messages > MOST_MESSAGES {
                 return Err(Close::Malformed("the node sends without end"));
             }
-            let heard = match self.state {
-                State::Starting => self.starting(kind, &body)?,
-                State::Idle => return Err(Close::Malformed("the node speaks without being asked")),
-                State::Executing => self.executing(kind, &body)?,
+            let heard = match (self.state, kind) {
+                (State::Idle, _) => return Err(Close::Malformed("the node speaks without being asked")),
+                (State::Executing, b'T' | b'D' | b'C') => self.part(kind, input, length).map(|()| None)?,
+                (state, _) => {
+                    let body = input.take(length).split_off(5);
+                    if state == State::Starting {
+                        self.starting(kind, &body)?
+                    } else {
+                        self.executing(kind, &body)?
+                    }
+                }
             };
             if heard.is_some() {
                 return Ok(heard);
@@ -112,7 +119,6 @@
         match kind {
             b'S' => self.status(body),
             b'N' => {}
-            b'T' | b'D' | b'C' if self.error.is_none() => self.part(kind, body)?,
             b'E' if self.error.is_none() && self.seen != b"TDC" => {
                 self.error = Some(message::error_code(body)?);
             }
@@ -122,22 +128,26 @@
         Ok(None)
     }
 
-    fn part(&mut self, kind: u8, body: &[u8]) -> Result<(), Close> {
-        if b"TDC".get(self.seen.len()) != Some(&kind) {
+    /// A piece of the row goes from the ring to its place as it is.
+    fn part(&mut self, kind: u8, input: &mut Ring, length: usize) -> Result<(), Close> {
+        if self.error.is_some() || b"TDC".get(self.seen.len()) != Some(&kind) {
             return Err(Close::Malformed("the node answers out of turn"));
         }
+        let begin = self.row.len();
+        if kind == b'D' {
+            // The rest of the answer, and what its client gets behind it, has room there, too.
+            self.row.reserve_exact(length + 128);
+        }
+        input.move_to(length, &mut self.row);
+        let body = &self.row[begin + 5..];
         if kind == b'T' && message::columns(body)? != 1 {
             return Err(Close::Malformed("a row has not one column"));
         }
         if kind == b'D' {
             let length = message::only_value(body)?.map_or(0, <[u8]>::len);
-            let end = self.row.len() + 5 + body.len();
-            self.value = end - length..end;
+            self.value = self.row.len() - length..self.row.len();
         }
         self.seen.push(kind);
-        self.row.push(kind);
-        self.row.extend((body.len() as u32 + 4).to_be_bytes());
-        self.row.extend(body);
         Ok(())
     }
 
--- a/crates/protocol/src/ring.rs
+++ b/crates/protocol/src/ring.rs
@@ -157,9 +157,29 @@
     }
 
     pub fn take(&mut self, count: usize) -> Vec<u8> {
-        let mut taken = vec![0; count.min(self.len)];
-        self.copy(0, &mut taken);
-        self.skip(count);
+        let mut taken = Vec::with_capacity(count.min(self.len));
+        self.move_to(count, &mut taken);
         taken
     }
+
+    /// Moves the first bytes behind others.
+    pub fn move_to(&mut self, count: usize, to: &mut Vec<u8>) {
+        let mut left = count.min(self.len);
+        while left > 0 {
+            let front = self.front();
+            let piece = front.len().min(left);
+            to.extend_from_slice(&front[..piece]);
+            self.skip(piece);
+            left -= piece;
+        }
+    }
+
+    /// Holds these bytes: where it is empty they are taken as they are, as large answers are much of all work.
+    pub fn adopt(&mut self, bytes: Vec<u8>) {
+        if self.len > 0 || bytes.is_empty() {
+            return self.push(&bytes);
+        }
+        let hold = self.memory.take(bytes.len());
+        (self.len, self.head, self.bytes, self.held) = (bytes.len(), 0, bytes, Some(hold));
+    }
 }
--- a/crates/protocol/src/tests/client.rs
+++ b/crates/protocol/src/tests/client.rs
@@ -23,7 +23,7 @@
     loop {
         match client.next(&mut input, &mut output) {
             Ok(Turn::Write) => {}
-            Ok(Turn::Execute(_)) => client.completed(&mut output, &message(b'D', b"v")),
+            Ok(Turn::Execute(_)) => client.completed(&mut output, message(b'D', b"v")),
             Ok(Turn::Read) => match pieces.next() {
                 Some(piece) => input.push(piece),
                 None => return (all(output), Ok(())),
--- a/crates/protocol/src/tests/ring.rs
+++ b/crates/protocol/src/tests/ring.rs
@@ -1,4 +1,4 @@
-use crate::Ring;
+use crate::{Memory, Ring};
 
 #[test]
 fn what_goes_in_comes_out_across_the_end() {
@@ -43,3 +43,30 @@
     assert_eq!(copied, [2; 30]);
     assert_eq!(ring.take(50).len(), 41);
 }
+
+#[test]
+fn bytes_are_adopted_as_they_are_where_nothing_stands_before_them() {
+    let mut ring = Ring::new(1 << 10);
+    let large = vec![7; 1 << 15];
+    let place = large.as_ptr();
+    ring.adopt(large);
+    assert_eq!((ring.len(), ring.front().as_ptr()), (1 << 15, place));
+    ring.adopt(vec![8; 3]);
+    ring.skip(1 << 15);
+    assert_eq!(ring.take(9), [8; 3]);
+    assert_eq!(ring.room().len(), 1 << 10, "nothing of it is kept");
+}
+
+#[test]
+fn a_message_that_is_known_to_come_takes_its_place_at_once_or_not_at_all() {
+    let memory = Memory::new(1 << 16);
+    let mut rings = [(); 2].map(|()| Ring::within(1 << 20, &memory));
+    for ring in &mut rings {
+        ring.push(&[0; 1 << 10]);
+        ring.want(40_000);
+    }
+    assert_eq!((rings[0].room().len(), rings[1].room().len()), (40_000 - 1024, 0), "the second waits");
+    rings[0].filled(39_000);
+    rings[0].skip(1 << 20);
+    assert_eq!(rings[1].room().len(), 40_000 - 1024);
+}
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -139,7 +139,7 @@
             Turn::Execute(statement) => match take(desk, names, memory, *statement) {
                 Err(fault) => machine.failed(output, fault),
                 Ok((ticket, _opened)) => match answer(stream, &mut input, &ticket).await? {
-                    Final::Completed(row) => machine.completed(output, &row),
+                    Final::Completed(row) => machine.completed(output, row),
                     Final::Rejected(after) => machine.rejected(output, after),
                     Final::Aborted => machine.aborted(output),
                 },
