--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -388,8 +388,7 @@
     pub fn settle(&mut self, now: f64, out: &mut dyn Outbox) {
         let due = ((now * 1e6) as u64, u32::MAX);
         while let Some(timer) = self.timers.first().copied().filter(|t| *t <= due) {
-            self.timers.remove(&timer);
-            self.touched.insert(timer.1);
+            _ = (self.timers.remove(&timer), self.touched.insert(timer.1));
         }
         if self.beat.is_none_or(|last| now - last >= BEAT_S - ROUNDING_S) {
             self.beat = Some(now);
@@ -455,12 +454,13 @@
 /// Rules for a node, then for a statement.
 impl Instance {
     /// A node that answers nothing looks idle, one that fails fast looks free: both would draw more work. Its
-    /// own pace says what it owes. Harm: one only slow for a moment is spared until its next answer.
+    /// pace says what it owes, once unheard for longer than this router may stand still. Harm: slow ones too.
     fn suspect(&mut self, id: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let usual = self.pace(self.nodes[&id].group);
         let node = self.nodes.get_mut(&id).expect("listed");
         node.await_until(now);
-        let owed = node.awaited * node.warmth(&self.cold, now) / node.pace.max(usual);
+        let awaited = if now - node.heard > SEARCH_S { node.awaited } else { 0.0 };
+        let owed = awaited * node.warmth(&self.cold, now) / node.pace.max(usual);
         let fires = node.suspected.is_none() && (owed > OWED_ANSWERS || node.faults >= FAULTS);
         if fires {
             out.log(&format!("{now:.3} node {id}: suspect, {owed:.0} answers owed, {} faults", node.faults));
@@ -555,9 +555,9 @@
 
 /// Choosing a node.
 impl Instance {
-    /// The best that members of a group show.
+    /// The best that members of a group show; what is quicker than the front's clock can't be told apart.
     fn pace(&self, group: u16) -> f64 {
-        self.members(group).map(|m| m.1.pace).fold(f64::INFINITY, f64::min)
+        self.members(group).map(|m| m.1.pace).fold(f64::INFINITY, f64::min).max(self.allowance.step)
     }
 
     /// Within two paces, six in seven answers that come at random are back. Never more than half of its time:
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -221,6 +221,19 @@
     assert_eq!(router.nodes[&B].suspected.is_some(), expected);
 }
 
+/// Found on a day of thousands of statements a second, answered in 2 ms: whenever the router got no processor for
+/// some milliseconds, all nodes became suspects at once.
+#[test_case(0.03, false; "for less than a node takes to show itself")]
+#[test_case(0.5, true; "for long")]
+fn a_router_that_stood_still_blames_nobody(still: f64, expected: bool) {
+    let mut router = router(false);
+    for node in router.nodes.values_mut() {
+        (node.out, node.awaited_until, node.pace, node.heard) = (8, T, 0.002, T);
+    }
+    settle(&mut router, T + still);
+    assert_eq!(router.nodes[&B].suspected.is_some(), expected);
+}
+
 /// Found on a standard day: a slow execution made all that were sent after it look overdue.
 #[test]
 fn what_was_just_sent_is_not_owed_since_the_last_answer() {
