--- a/crates/router/src/budget.rs
+++ b/crates/router/src/budget.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 /// What the process itself holds: standard streams, the listener, the poller, the signals' pipe, discovery.
 const OWN: usize = 24;
@@ -14,7 +15,7 @@
     most: Cell<usize>,
     freed: (Sender<()>, Receiver<()>),
     numbered: Cell<u64>,
-    idle: RefCell<BTreeMap<Rank, (Kind, Sender<()>)>>,
+    idle: RefCell<BTreeMap<Rank, (Kind, Instant, Sender<()>)>>,
     closing: Cell<Closing>,
 }
 
@@ -104,7 +105,7 @@
     /// Asks a waiting connection to close, if there is one: it does once its task has its turn, unless there
     /// is something to read on it.
     pub fn make_room(&self) -> bool {
-        self.idle.borrow_mut().pop_first().is_some_and(|(_, (_, unwant))| unwant.try_send(()).is_ok())
+        self.idle.borrow_mut().pop_first().is_some_and(|(_, (.., unwant))| unwant.try_send(()).is_ok())
     }
 
     /// From now on clients' connections close as they fall idle, but for the silent.
@@ -119,11 +120,23 @@
 
     fn close(&self, closing: Closing) {
         self.closing.set(closing);
-        for (kind, unwant) in self.idle.borrow().values().filter(|idle| self.closes(idle.0)) {
-            let _ = (kind, unwant.try_send(()));
+        for (.., unwant) in self.idle.borrow().values().filter(|idle| self.closes(idle.0)) {
+            let _ = unwant.try_send(());
         }
     }
 
+    /// Closes clients that wait for so long, while more are connected than ask at a time: some ask once and stay
+    /// for good, and their side may have no connection left to ask on either.
+    pub fn thin_out(&self, waited: Duration) {
+        let mut beyond = self.clients.get().saturating_sub(self.most.get() / 4);
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|_, (kind, since, unwant)| {
+            let goes = *kind == Kind::Client && since.elapsed() >= waited && beyond > 0;
+            beyond -= usize::from(goes && unwant.try_send(()).is_ok());
+            !goes
+        });
+    }
+
     fn closes(&self, kind: Kind) -> bool {
         match self.closing.get() {
             Closing::None => false,
@@ -148,7 +161,7 @@
         if self.budget.closes(kind) {
             let _ = unwant.try_send(());
         }
-        self.budget.idle.borrow_mut().insert(rank, (kind, unwant));
+        self.budget.idle.borrow_mut().insert(rank, (kind, Instant::now(), unwant));
         let _ = self.budget.freed.0.try_send(());
         Place { budget: self.budget.clone(), rank, unwanted }
     }
--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -12,6 +12,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// So long a connection without an open statement may wait in any case: who asks again does so sooner.
+const WAITS: Duration = Duration::from_millis(250);
+
+/// Closes clients that stay without asking, for as long as the router runs.
+pub async fn thin_out(budget: Rc<Budget>) {
+    loop {
+        Timer::after(WAITS / 4).await;
+        budget.thin_out(WAITS);
+    }
+}
+
 pub async fn listen(
     listener: Async<TcpListener>, tasks: Tasks, desk: Rc<Router>, names: Rc<Names>, memory: Rc<Memory>,
     budget: Rc<Budget>,
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -206,6 +206,7 @@
     let (heard, first_list) = async_channel::bounded(1);
     let watches = reload::Watches::begin(tasks.clone(), desk.clone(), roster.clone(), discovery, seq, heard);
     let file = file.to_string();
+    tasks.spawn("idle clients", listen::thin_out(budget.clone())).detach();
     tasks.spawn("what is gone", watch::forget(desk.clone(), roster)).detach();
     let reload = reload::reload(hangups, provision, move || checked(&file), watches, budget.clone());
     tasks.spawn("reload", reload).detach();
--- a/crates/router/src/tests/parts.rs
+++ b/crates/router/src/tests/parts.rs
@@ -76,6 +76,21 @@
     assert_eq!(asked(&[&silent, &client, &node]), [0, 1]);
 }
 
+/// Found in an incident: clients that asked once and stayed left the others no connection.
+#[test]
+fn who_stays_without_asking_goes_while_many_are_connected() {
+    let budget = Budget::new(24 + 16);
+    let mut leases: Vec<_> = (0..7).map(|_| budget.for_client().unwrap()).collect();
+    leases.iter_mut().take(6).for_each(|lease| lease.connected());
+    let kinds =
+        [Kind::Client, Kind::Client, Kind::Silent, Kind::Client, Kind::Client, Kind::Client, Kind::Node];
+    let places: Vec<_> = leases.iter().zip(kinds).map(|(lease, kind)| lease.wait(kind)).collect();
+    budget.thin_out(Duration::from_secs(60));
+    assert!(asked(&places.iter().collect::<Vec<_>>()).is_empty(), "nobody has waited for long");
+    budget.thin_out(Duration::ZERO);
+    assert_eq!(asked(&places.iter().collect::<Vec<_>>()), [0, 1], "a quarter stays, the longest idle go");
+}
+
 #[test]
 fn a_smaller_budget_takes_effect_as_connections_end() {
     let budget = Budget::new(24 + 16);
