--- a/crates/router/src/budget.rs
+++ b/crates/router/src/budget.rs
@@ -15,13 +15,16 @@
     most: Cell<usize>,
     freed: (Sender<()>, Receiver<()>),
     numbered: Cell<u64>,
-    idle: RefCell<BTreeMap<Rank, (Kind, Instant, Sender<()>)>>,
+    idle: RefCell<BTreeMap<Rank, Waiting>>,
     closing: Cell<Closing>,
 }
 
 /// Who makes room first: the silent, in the order in which they came, then whoever is idle for longest.
 type Rank = (bool, u64);
 
+/// Since when it waits, and what asks it to close.
+type Waiting = (Kind, Instant, Sender<()>);
+
 /// What a connection is while it waits.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Kind {
