--- a/crates/router/src/belief.rs
+++ b/crates/router/src/belief.rs
@@ -13,7 +13,7 @@
     while tracing::enabled!(tracing::Level::DEBUG) {
         Timer::after(PERIOD).await;
         desk.tell(|instance, now| {
-            for (id, node) in instance.nodes.iter().filter(|n| n.1.told == 0.0 || now - n.1.told < 60.0) {
+            for (id, node) in &instance.nodes {
                 let (busy, idle) = pool.stand(*id);
                 let group = &instance.groups[&node.group];
                 tracing::debug!(
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -130,7 +130,6 @@
                     let read = silent(stream, &mut input, lease, since);
                     wire::within(left, Close::Silent, read).await?;
                 } else {
-                    begun = None;
                     idle(stream, &mut input, lease, Kind::Client).await?;
                 }
                 continue;
--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -34,14 +34,13 @@
 ) {
     let out = desk.out(stmt, execution);
     let limit = Duration::from_secs_f64(limit.clamp(0.0, 86_400.0));
-    let (until, written, rested) = (Instant::now() + limit, Cell::new(false), Cell::new(Duration::ZERO));
+    let (until, written) = (Instant::now() + limit, Cell::new(false));
     let run = async {
         let (mut connection, waited) = pool.take(node, roster.dial(node)?).await?;
         if waited && !desk.still_stands(stmt, node) {
             pool.put(node, connection);
             return Err(Close::Withdrawn);
         }
-        rested.set(connection.rested);
         let left = until.saturating_duration_since(Instant::now());
         let answer = connection.query(&statement.for_node(left.as_secs_f64()), &written).await?;
         Ok((connection, answer))
@@ -64,11 +63,7 @@
             }
         }
         Err(close) => {
-            tracing::debug!(
-                "node {node}: execution ended, {close}, written {}, on a connection that had rested {:?}",
-                written.get(),
-                rested.get()
-            );
+            tracing::debug!("node {node}: execution ended, {close}, written {}", written.get());
             out.ended(ending::of_close(close, written.get()), None, f64::NEG_INFINITY, None, None);
         }
     }
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -27,8 +27,6 @@
     address: SocketAddr,
     /// Counts as busy until it is dropped or falls idle.
     busy: Option<Busy>,
-    /// How long it stood idle before it was taken.
-    pub rested: Duration,
     /// Given back with the connection.
     lease: Lease,
 }
@@ -131,7 +129,6 @@
             drop(idle.watch);
             if idle.connection.address == address && idle.connection.quiet() {
                 idle.connection.busy = Some(Busy::new(&self.busy(node)));
-                idle.connection.rested = idle.since.elapsed();
                 return Ok((idle.connection, false));
             }
         }
@@ -194,16 +191,7 @@
                 wire::read(&stream, &mut input).await?;
             }
             let stream = Rc::new(stream);
-            Ok(Connection {
-                stream,
-                machine,
-                input,
-                output,
-                address,
-                busy: Some(busy),
-                rested: Duration::ZERO,
-                lease,
-            })
+            Ok(Connection { stream, machine, input, output, address, busy: Some(busy), lease })
         };
         wire::within(self.dial_limit, Close::Silent, opened).await
     }
