badgerload sends from one event loop a thread, and keeps, replays, records, compares, plots

Need: the first path had a task and a reactor entry a statement, all threads on one reactor, no traces, no kept runs and no way to tell two runs apart. Change: an epoll loop a thread over connections that never wait; retries that carry their mark and heed advice, sessions that read back what they wrote, hot keys, bunches of one customer, a release on one group; run folders (scenario, summary, HDR log, every statement in Parquet), traces in CSV, JSON lines and Parquet with cutting, scaling and copies, a recorder, comparison by bootstrap, SVG plots, a search for the highest rate. A scripted server joins the emulator for the tests. Seen on the way: an answer cut off whose end arrived in the same event was waited for until its client's time, as a short read ended reading (epoll's edge); one that crossed a close was sent again on a connection that was closing, too. No figure of speed yet.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod group;
 pub mod node;
 pub mod script;
+pub mod scripted;
 #[cfg(test)]
 mod tests;
 
--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -161,27 +161,13 @@
     fn serve(&self, mut stream: TcpStream) -> Result<(), Close> {
         let _ = stream.set_nodelay(true);
         let (mut input, mut output) = (Ring::new(message::LONGEST), Ring::new(message::LONGEST));
-        while input.len() < 4 {
-            read(&mut stream, &mut input)?;
-        }
-        let length = input.take(4);
-        let length = u32::from_be_bytes([length[0], length[1], length[2], length[3]]) as usize;
-        if !(8..10_000).contains(&length) {
-            return Err(Close::Malformed("the startup's length can't be right"));
-        }
-        while input.len() < length - 4 {
-            read(&mut stream, &mut input)?;
-        }
-        input.skip(length - 4);
+        greet(&mut stream, &mut input)?;
         self.wait_while_hung();
         put(&mut output, b'R', &[&[0; 4]]);
         put_status(&mut output, "server_version", "15.0");
         put(&mut output, b'Z', &[b"I"]);
         loop {
-            while !output.is_empty() {
-                stream.write_all(output.front()).map_err(|_| Close::Broken)?;
-                output.skip(output.front().len());
-            }
+            send(&mut stream, &mut output)?;
             let (kind, body) = loop {
                 match message::next(&mut input)? {
                     Some(message) => break message,
@@ -338,21 +324,47 @@
     told
 }
 
-fn read(stream: &mut TcpStream, input: &mut Ring) -> Result<(), Close> {
+/// Reads a startup message.
+pub(crate) fn greet(stream: &mut TcpStream, input: &mut Ring) -> Result<(), Close> {
+    while input.len() < 4 {
+        read(stream, input)?;
+    }
+    let mut head = [0; 4];
+    input.copy(0, &mut head);
+    let length = u32::from_be_bytes(head) as usize;
+    if !(8..10_000).contains(&length) {
+        return Err(Close::Malformed("the startup's length can't be right"));
+    }
+    while input.len() < length {
+        read(stream, input)?;
+    }
+    input.skip(length);
+    Ok(())
+}
+
+pub(crate) fn send(stream: &mut TcpStream, output: &mut Ring) -> Result<(), Close> {
+    while !output.is_empty() {
+        stream.write_all(output.front()).map_err(|_| Close::Broken)?;
+        output.skip(output.front().len());
+    }
+    Ok(())
+}
+
+pub(crate) fn read(stream: &mut TcpStream, input: &mut Ring) -> Result<(), Close> {
     let count = stream.read(input.room()).map_err(|_| Close::Broken)?;
     input.filled(count);
     if count == 0 { Err(Close::Left) } else { Ok(()) }
 }
 
 /// The bytes that an INSERT writes in hex behind `\x`.
-fn value(text: &str) -> Vec<u8> {
+pub(crate) fn value(text: &str) -> Vec<u8> {
     let hex = text.split_once("'\\x").and_then(|(_, rest)| rest.split_once('\'')).map_or("", |(hex, _)| hex);
     let byte = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).unwrap_or("0"), 16).unwrap_or(0);
     hex.as_bytes().chunks(2).map(byte).collect()
 }
 
 /// One column `v` of type bytea, in binary; no record comes as null.
-fn row(output: &mut Ring, value: Option<&[u8]>, done: &str) {
+pub(crate) fn row(output: &mut Ring, value: Option<&[u8]>, done: &str) {
     let described: [&[u8]; 6] = [&[0, 1], b"v\0", &[0; 6], &17u32.to_be_bytes(), &[255; 6], &[0, 1]];
     put(output, b'T', &described);
     let length = value.map_or(-1, |v| v.len() as i32);
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -2,11 +2,23 @@
 //! a schedule drawn ahead, whatever the server does, and every wait is charged to the statement that waited.
 
 pub mod arrivals;
+pub mod attempts;
+pub mod compare;
 pub mod connection;
 pub mod count;
+pub mod engine;
+pub mod keep;
+pub mod plot;
+pub mod record;
 pub mod run;
 pub mod scenario;
+pub mod search;
+pub mod series;
+pub mod sheet;
+pub mod slab;
+pub mod trace;
 pub mod traffic;
+pub mod work;
 
 #[cfg(test)]
 mod tests;
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -1,297 +1,253 @@
-//! Sends on schedule, whatever the server does: each thread takes its share of the arrivals, and every statement
-//! is a task of its own that ends at its client's patience at the latest, so what is open is bounded by rate and
-//! patience however long a run is.
+//! One run: threads that send, one that counts, and a line of progress for who looks on.
 
-use crate::arrivals::Arrivals;
-use crate::connection::{Answer, Connection, Told};
-use crate::count::{Count, Outcome, Percentiles, histogram, micros};
+use crate::count::{Run, Summary, Times};
+use crate::engine::{Closed, Engine, Record, Shared, Sockets};
+use crate::keep::{self, Folder};
 use crate::scenario::Scenario;
-use crate::traffic::Traffic;
-use async_channel::{Receiver, Sender, unbounded};
-use async_executor::LocalExecutor;
-use async_io::Timer;
-use badgerstream_protocol::Close;
-use futures_lite::future;
-use hdrhistogram::Histogram;
-use serde::Serialize;
-use std::cell::{Cell, RefCell};
-use std::rc::Rc;
+use crate::trace::{self, Change, Changed, Survey};
+use crate::traffic::Plan;
+use crate::work::Work;
+use std::io::{IsTerminal, Write};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
+use std::sync::mpsc::{SyncSender, sync_channel};
+use std::thread;
 use std::time::{Duration, Instant};
 
-/// A generator later than this at the 99th percentile was itself the bottleneck; milliseconds.
-pub const MOST_LATE_MS: f64 = 5.0;
-
-#[derive(Debug, Serialize)]
-pub struct OfWorkload {
-    pub workload: String,
-    pub statements: u64,
-    pub completed: u64,
-    pub late: u64,
-    pub rejected: u64,
-    pub aborted: u64,
-    pub timed_out: u64,
-    pub unsent: u64,
-    /// From when a statement was due, milliseconds.
-    pub latency_ms: Percentiles,
-    /// From its last byte sent to the last one that came, milliseconds.
-    pub service_ms: Percentiles,
+/// Threads are up and connections can be asked for when the first statement is due.
+const BEFORE: Duration = Duration::from_millis(50);
+/// Batches of records on their way to who counts them.
+const BATCHES: usize = 256;
+/// Statements read ahead from a trace, a thread.
+const AHEAD: usize = 16;
+const READ: usize = 1024;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    #[error(transparent)]
+    Trace(#[from] trace::Fault),
+    #[error(transparent)]
+    Keep(#[from] keep::Fault),
+    #[error("{0}")]
+    Wrong(String),
 }
 
-#[derive(Debug, Serialize)]
-pub struct Summary {
-    /// `open`, or `closed`, which hides stalls and is there for comparison only.
-    pub loop_kind: &'static str,
-    /// How late the generator itself began statements, milliseconds.
-    pub own_lateness_ms: Percentiles,
-    /// The generator was the bottleneck: the figures are not the server's.
-    pub bottleneck: bool,
-    pub seconds: f64,
-    pub statements: u64,
-    pub workloads: Vec<OfWorkload>,
+/// A thread's statements.
+type Source = Box<dyn Iterator<Item = Work> + Send>;
+
+/// What a run goes by beside its statements.
+#[derive(Clone, Default)]
+pub struct Setup {
+    /// Parts the ids and marks of one run from another's.
+    pub run: u64,
+    /// Clients that wait for their answers, for comparison only.
+    pub closed: Option<usize>,
+    /// 0: go on; 1: begin nothing more; 2: give up what is open.
+    pub stop: Arc<AtomicU8>,
+    /// A line of progress, where there is a terminal to show it on.
+    pub progress: bool,
 }
 
-/// One thread's part of a run.
-struct Worker {
-    scenario: Rc<Scenario>,
-    traffic: Traffic,
-    run: u64,
-    start: Instant,
-    idle: RefCell<Vec<Connection>>,
-    open: Cell<usize>,
-    most: usize,
-    /// Places that fell free, for those that wait for one.
-    freed: (Sender<()>, Receiver<()>),
-    waiting: Cell<usize>,
-    counts: RefCell<Vec<Count>>,
-    lateness: RefCell<Histogram<u64>>,
+/// What came of a run.
+pub struct Played {
+    pub summary: Summary,
+    /// When the first moment was.
+    pub start: Instant,
+    /// All latencies, of all workloads.
+    pub latency: Times,
 }
 
 /// Plays the scenario; with `closed`, so many clients that each wait for their answer instead.
-pub fn run(scenario: &Scenario, run: u64, closed: Option<usize>) -> Summary {
-    let start = Instant::now() + Duration::from_millis(50);
-    let threads = scenario.threads;
-    let parts = std::thread::scope(|scope| {
-        let workers: Vec<_> = (0..threads)
-            .map(|place| scope.spawn(move || work(scenario, run, start, place, closed)))
-            .collect();
-        workers.into_iter().filter_map(|worker| worker.join().ok()).collect::<Vec<_>>()
-    });
-    let (mut counts, mut lateness) = (vec![Count::default(); scenario.workloads.len()], histogram());
-    for (part, late) in &parts {
-        counts.iter_mut().zip(part).for_each(|(sum, more)| sum.add(more));
-        lateness.add(late).expect("equal bounds");
-    }
-    let own = Percentiles::of(&lateness);
-    let of = |(count, w): (&Count, &crate::scenario::Workload)| {
-        let [completed, late, rejected, aborted, timed_out, unsent] = count.outcomes;
-        OfWorkload {
-            workload: w.name.clone(),
-            statements: count.outcomes.iter().sum(),
-            completed,
-            late,
-            rejected,
-            aborted,
-            timed_out,
-            unsent,
-            latency_ms: Percentiles::of(&count.latency),
-            service_ms: Percentiles::of(&count.service),
-        }
-    };
-    Summary {
-        loop_kind: if closed.is_some() { "closed" } else { "open" },
-        bottleneck: parts.len() < threads || own.p99 > MOST_LATE_MS,
-        own_lateness_ms: own,
-        seconds: start.elapsed().as_secs_f64(),
-        statements: counts.iter().flat_map(|count| count.outcomes).sum(),
-        workloads: counts.iter().zip(&scenario.workloads).map(of).collect(),
-    }
+///
+/// # Errors
+/// A folder that can't be written to.
+pub fn play(scenario: &Scenario, setup: &Setup, folder: Option<(&Path, &str)>) -> Result<Played, Fault> {
+    let scenario = Arc::new(scenario.clone());
+    let names: Vec<_> = scenario.workloads.iter().map(|w| w.name.clone()).collect();
+    let plan = |place| -> Source { Box::new(Plan::new(&scenario, place, scenario.threads)) };
+    let sources = (0..scenario.threads).map(plan).collect();
+    send(&scenario, names, sources, setup, folder)
 }
 
-fn work(
-    scenario: &Scenario, run: u64, start: Instant, place: usize, closed: Option<usize>,
-) -> (Vec<Count>, Histogram<u64>) {
-    let worker = Rc::new(Worker {
-        scenario: Rc::new(scenario.clone()),
-        traffic: Traffic::new(scenario),
-        run,
-        start,
-        idle: RefCell::default(),
-        open: Cell::new(0),
-        most: (scenario.connections / scenario.threads).max(1),
-        freed: unbounded(),
-        waiting: Cell::new(0),
-        counts: RefCell::new(vec![Count::default(); scenario.workloads.len()]),
-        lateness: RefCell::new(histogram()),
-    });
-    let executor = LocalExecutor::new();
-    async_io::block_on(executor.run(async {
-        let tasks = match closed {
-            None => worker.schedule(&executor, place).await,
-            Some(clients) => worker.loops(&executor, place, clients),
-        };
-        for task in tasks {
-            task.await;
-        }
-    }));
-    (worker.counts.take(), worker.lateness.replace(histogram()))
-}
-
-impl Worker {
-    /// Begins each statement of this thread's share when it is due; those still open are in the result.
-    async fn schedule<'a>(
-        self: &Rc<Self>, executor: &LocalExecutor<'a>, place: usize,
-    ) -> Vec<async_executor::Task<()>> {
-        let mut tasks: Vec<async_executor::Task<()>> = Vec::new();
-        let arrivals = Arrivals::new(&self.scenario.phases, self.scenario.seed);
-        for (i, due) in (0u64..).zip(arrivals) {
-            if i % self.scenario.threads as u64 != place as u64 {
-                continue;
-            }
-            let due = self.start + Duration::from_secs_f64(due);
-            if due > Instant::now() {
-                Timer::at(due).await;
-            }
-            let worker = self.clone();
-            tasks.push(executor.spawn(async move { worker.statement(i, due).await }));
-            // Handles of what has ended would add up over a long run.
-            if tasks.len() >= 1024 && i % 256 == place as u64 % 256 {
-                tasks.retain(|task| !task.is_finished());
-            }
-        }
-        tasks
+/// Replays a trace with the scenario's connections, threads and retries; its workloads and phases don't count.
+///
+/// # Errors
+/// A trace with a broken row, before anything is sent; a folder that can't be written to.
+pub fn replay(
+    file: &Path, change: Change, skip_broken: bool, scenario: &Scenario, setup: &Setup,
+    folder: Option<(&Path, &str)>,
+) -> Result<(Played, Survey), Fault> {
+    if let Some(problem) = change.problem() {
+        return Err(Fault::Wrong(problem.to_string()));
     }
-
-    /// Clients that send their next statement once the last one is answered, as long as the phases take.
-    fn loops<'a>(
-        self: &Rc<Self>, executor: &LocalExecutor<'a>, place: usize, clients: usize,
-    ) -> Vec<async_executor::Task<()>> {
-        let length: f64 = self.scenario.phases.iter().map(|phase| phase.for_ms / 1e3).sum();
-        let (end, threads) = (self.start + Duration::from_secs_f64(length), self.scenario.threads);
-        let client = |number: usize| {
-            let worker = self.clone();
-            executor.spawn(async move {
-                let mut i = number as u64;
-                while Instant::now() < end {
-                    worker.statement(i, Instant::now()).await;
-                    i += clients as u64;
-                }
-            })
-        };
-        (0..clients).filter(|number| number % threads == place).map(client).collect()
+    let survey = Survey::of(file)?;
+    if survey.broken > 0 && !skip_broken {
+        let first = trace::open(file)?.filter_map(Result::err).take(3).collect();
+        let (broken, rows) = (survey.broken, survey.rows);
+        return Err(trace::Fault::Broken { file: file.to_path_buf(), broken, rows, first }.into());
     }
-
-    async fn statement(&self, i: u64, due: Instant) {
-        let begun = Instant::now();
-        self.lateness.borrow_mut().saturating_record(micros(begun - due));
-        let statement = self.traffic.statement(&self.scenario, self.run, i);
-        let w = &self.scenario.workloads[statement.workload];
-        let (patience, slo) =
-            (Duration::from_secs_f64(w.patience_ms / 1e3), Duration::from_secs_f64(w.slo_ms / 1e3));
-        let written = Cell::new(None);
-        let asked = async {
-            let mut place = self.connection().await?;
-            let answer =
-                place.connection.as_mut().ok_or(Close::Refused)?.ask(&statement.text, &written).await?;
-            Ok((place, answer))
-        };
-        let over = async {
-            Timer::at(due + patience).await;
-            Err(Close::TimedOut)
-        };
-        let ended: Result<(Place<'_>, Answer), Close> = future::or(asked, over).await;
-        let mut counts = self.counts.borrow_mut();
-        let count = &mut counts[statement.workload];
-        match ended {
-            Ok((place, answer)) => {
-                let latency = answer.last - due;
-                let outcome = match answer.told {
-                    Told::Completed if latency <= slo => Outcome::Completed,
-                    Told::Completed => Outcome::Late,
-                    Told::Rejected => Outcome::Rejected,
-                    Told::Aborted => Outcome::Aborted,
-                };
-                count.ended(outcome, latency, written.get().map(|sent: Instant| answer.last - sent));
-                place.keep();
-            }
-            Err(close) => {
-                let timed_out = close == Close::TimedOut;
-                let outcome = match written.get() {
-                    Some(_) if timed_out => Outcome::TimedOut,
-                    Some(_) => Outcome::Aborted,
-                    None => Outcome::Unsent,
-                };
-                count.ended(outcome, due.elapsed(), None);
-            }
-        }
+    if survey.workloads.is_empty() {
+        return Err(trace::Fault::Empty(file.to_path_buf()).into());
     }
+    let names: Vec<_> = survey.workloads.keys().cloned().collect();
+    let threads = scenario.threads;
+    let (to, from): (Vec<_>, Vec<_>) = (0..threads).map(|_| sync_channel::<Vec<Work>>(AHEAD)).unzip();
+    let rows = trace::open(file)?.filter_map(Result::ok);
+    let places = names.clone();
+    // It ends with its file, or once nobody listens any more.
+    let reader = thread::spawn(move || hand_out(Changed::new(rows, change), &places, &to));
+    let sources = from.into_iter().map(|from| -> Source { Box::new(from.into_iter().flatten()) }).collect();
+    let played = send(scenario, names, sources, setup, folder)?;
+    drop(reader.join());
+    Ok((played, survey))
+}
 
-    /// An idle connection, a new one, or the next that falls free.
-    async fn connection(&self) -> Result<Place<'_>, Close> {
-        loop {
-            let idle = self.idle.borrow_mut().pop();
-            if let Some(connection) = idle {
-                let place = Place { worker: self, connection: Some(connection), kept: false };
-                if place.connection.as_ref().is_some_and(Connection::open_still) {
-                    return Ok(place);
-                }
-                // Dropped, it makes room for a new one.
-                continue;
-            }
-            if self.open.get() < self.most {
-                self.open.set(self.open.get() + 1);
-                // Given up before it is open, it frees its place all the same.
-                let mut place = Place { worker: self, connection: None, kept: false };
-                place.connection = Some(Connection::open(self.scenario.target).await?);
-                return Ok(place);
-            }
-            let _waits = Waits::new(&self.waiting);
-            let _ = self.freed.1.recv().await;
+/// Rows go to the threads, those of one session to the same.
+fn hand_out(rows: impl Iterator<Item = trace::Row>, names: &[String], to: &[SyncSender<Vec<Work>>]) {
+    let mut ahead: Vec<Vec<Work>> = to.iter().map(|_| Vec::new()).collect();
+    for (number, row) in (0u64..).zip(rows) {
+        let Ok(workload) = names.binary_search(&row.workload) else { continue };
+        let work = row.work(number, workload as u16);
+        let place = if work.session == 0 { number } else { work.session };
+        let place = (place % to.len() as u64) as usize;
+        ahead[place].push(work);
+        // Small at first, so that the first statements are not kept waiting.
+        if ahead[place].len() >= READ.min(16 + number as usize)
+            && to[place].send(std::mem::take(&mut ahead[place])).is_err()
+        {
+            return;
         }
     }
+    to.iter().zip(ahead).for_each(|(to, rest)| drop(to.send(rest)));
+}
 
-    fn free(&self) {
-        if self.freed.0.len() < self.waiting.get() {
-            let _ = self.freed.0.try_send(());
+fn send(
+    scenario: &Scenario, workloads: Vec<String>, sources: Vec<Source>, setup: &Setup,
+    folder: Option<(&Path, &str)>,
+) -> Result<Played, Fault> {
+    let folder = folder.map(|(path, text)| Folder::new(path, text)).transpose()?;
+    let shared = Arc::new(Shared {
+        start: Instant::now() + BEFORE,
+        run: setup.run,
+        target: scenario.target,
+        workloads,
+        holding: scenario.holding,
+        retries: scenario.retries,
+        stop: AtomicU8::new(0),
+        begun: AtomicU64::new(0),
+        ended: AtomicU64::new(0),
+    });
+    let (to, from) = sync_channel(BATCHES);
+    let over = AtomicBool::new(false);
+    let mut run = Run { closed: setup.closed.is_some(), ..Run::default() };
+    let (tally, kept) = thread::scope(|scope| {
+        let (names, kept) = (&shared.workloads, folder.as_ref());
+        let counts = scope.spawn(move || keep::collect(&from, names, kept));
+        scope.spawn(|| watch(&shared, setup, &over));
+        let threads = sources.len();
+        let senders: Vec<_> = (0..)
+            .zip(sources)
+            .map(|(place, source)| {
+                let thread = Thread { place, threads, closed: setup.closed };
+                let (shared, to) = (shared.clone(), to.clone());
+                scope.spawn(move || thread.work(shared, source, scenario, to))
+            })
+            .collect();
+        drop(to);
+        for sender in senders {
+            match sender.join() {
+                Ok(Ok(sockets)) => run.sockets.add(&sockets),
+                Ok(Err(e)) => run.problems.push(format!("a thread could not send: {e}")),
+                Err(_) => run.problems.push("a thread has panicked: its statements are missing".to_string()),
+            }
         }
+        over.store(true, Ordering::Relaxed);
+        let nothing = || (crate::count::Tally::new(&shared.workloads), Ok(()));
+        counts.join().unwrap_or_else(|_| {
+            run.problems.push("who counts has panicked".to_string());
+            nothing()
+        })
+    });
+    run.seconds = shared.start.elapsed().as_secs_f64();
+    run.interrupted = shared.stop.load(Ordering::Relaxed) > 0;
+    keep::problem(&mut run, &kept);
+    let summary = tally.summary(&run);
+    if let Some(folder) = &folder {
+        folder.summary(&summary)?;
     }
+    kept?;
+    Ok(Played { summary, start: shared.start, latency: tally.latency() })
 }
 
-/// Counts who waits, until it no longer does.
-struct Waits<'a>(&'a Cell<usize>);
+struct Thread {
+    place: usize,
+    threads: usize,
+    closed: Option<usize>,
+}
 
-impl<'a> Waits<'a> {
-    fn new(waiting: &'a Cell<usize>) -> Waits<'a> {
-        waiting.set(waiting.get() + 1);
-        Waits(waiting)
+impl Thread {
+    /// This one's part of a number that all share.
+    fn part(&self, whole: usize) -> usize {
+        whole / self.threads + usize::from(self.place < whole % self.threads)
     }
-}
 
-impl Drop for Waits<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+    fn work(
+        &self, shared: Arc<Shared>, source: Source, scenario: &Scenario, to: SyncSender<Vec<Record>>,
+    ) -> std::io::Result<Sockets> {
+        let until = (scenario.seconds() * 1e9) as u64;
+        let closed = self.closed.map(|clients| Closed { clients: self.part(clients), until });
+        let seed = scenario.seed ^ (self.place as u64 + 1);
+        Engine::new(shared, source, self.part(scenario.connections), closed, seed, to)?.run()
     }
 }
 
-/// A connection in use. Dropped without having been kept, it is closed: an answer may still be on its way.
-struct Place<'a> {
-    worker: &'a Worker,
-    connection: Option<Connection>,
-    kept: bool,
+/// Hands on the wish to stop, and shows how far it is.
+fn watch(shared: &Shared, setup: &Setup, over: &AtomicBool) {
+    let shows = setup.progress && std::io::stderr().is_terminal();
+    let mut shown = Instant::now();
+    let mut before = 0;
+    while !over.load(Ordering::Relaxed) {
+        thread::sleep(Duration::from_millis(20));
+        shared.stop.fetch_max(setup.stop.load(Ordering::Relaxed), Ordering::Relaxed);
+        if shows && shown.elapsed() >= Duration::from_secs(1) {
+            let (begun, ended) = (shared.begun.load(Ordering::Relaxed), shared.ended.load(Ordering::Relaxed));
+            let rate = (begun - before) as f64 / shown.elapsed().as_secs_f64();
+            let line = format!(
+                "\r{:.0} s: {begun} begun, {rate:.0} a second, {} open   ",
+                shared.start.elapsed().as_secs_f64(),
+                begun - ended.min(begun)
+            );
+            // A terminal that is gone is no reason to stop.
+            let _ = std::io::stderr().write_all(line.as_bytes());
+            (shown, before) = (Instant::now(), begun);
+        }
+    }
+    if shows {
+        let _ = std::io::stderr().write_all(b"\r\x1b[K");
+    }
 }
 
-impl Place<'_> {
-    fn keep(mut self) {
-        self.worker.idle.borrow_mut().extend(self.connection.take());
-        self.kept = true;
-        self.worker.free();
-    }
+/// As many descriptors as the system lets a process have; tells how many.
+pub fn descriptors() -> u64 {
+    use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+    let limit = getrlimit(Resource::Nofile);
+    // Refused, it stays as it is.
+    let _ = setrlimit(Resource::Nofile, Rlimit { current: limit.maximum, maximum: limit.maximum });
+    getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX)
 }
 
-impl Drop for Place<'_> {
-    fn drop(&mut self) {
-        if !self.kept {
-            self.worker.open.set(self.worker.open.get() - 1);
-            self.worker.free();
-        }
+/// Where a scenario is only needed for who sends and how.
+pub fn bare(target: SocketAddr) -> Scenario {
+    Scenario {
+        target,
+        seed: 0,
+        connections: 256,
+        holding: Default::default(),
+        threads: 1,
+        retries: Default::default(),
+        workloads: Vec::new(),
+        phases: Vec::new(),
     }
 }
