One heap of what waits for its moment, one reading of a whole message

Need: three heaps of the load generator ordered by time had the same comparison written out; the scripted server read messages by hand as the emulator's node does. Change: load::soonest, emulator::node::next. No behaviour, bound or assertion has changed.

--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -168,12 +168,7 @@
         put(&mut output, b'Z', &[b"I"]);
         loop {
             send(&mut stream, &mut output)?;
-            let (kind, body) = loop {
-                match message::next(&mut input)? {
-                    Some(message) => break message,
-                    None => read(&mut stream, &mut input)?,
-                }
-            };
+            let (kind, body) = next(&mut stream, &mut input)?;
             if kind != b'Q' {
                 return Err(Close::Left);
             }
@@ -342,6 +337,16 @@
     Ok(())
 }
 
+/// The next whole message.
+pub(crate) fn next(stream: &mut TcpStream, input: &mut Ring) -> Result<(u8, Vec<u8>), Close> {
+    loop {
+        match message::next(input)? {
+            Some(message) => return Ok(message),
+            None => read(stream, input)?,
+        }
+    }
+}
+
 pub(crate) fn send(stream: &mut TcpStream, output: &mut Ring) -> Result<(), Close> {
     while !output.is_empty() {
         stream.write_all(output.front()).map_err(|_| Close::Broken)?;
@@ -350,7 +355,7 @@
     Ok(())
 }
 
-pub(crate) fn read(stream: &mut TcpStream, input: &mut Ring) -> Result<(), Close> {
+fn read(stream: &mut TcpStream, input: &mut Ring) -> Result<(), Close> {
     let count = stream.read(input.room()).map_err(|_| Close::Broken)?;
     input.filled(count);
     if count == 0 { Err(Close::Left) } else { Ok(()) }
--- a/crates/emulator/src/scripted.rs
+++ b/crates/emulator/src/scripted.rs
@@ -1,7 +1,7 @@
 //! A server of the protocol that does to each statement what a script says, for tests of whoever speaks to one:
 //! it answers, rejects, drips, breaks off, falls silent or speaks out of turn, and can stand still as a whole.
 
-use crate::node::{self, greet, locked, read, send};
+use crate::node::{self, greet, locked, send};
 use badgerstream_protocol::message::{self, put, put_error, put_status};
 use badgerstream_protocol::{Close, Ring};
 use std::io::{Read, Write};
@@ -113,12 +113,7 @@
         put(&mut output, b'Z', &[b"I"]);
         loop {
             send(&mut stream, &mut output)?;
-            let (kind, body) = loop {
-                match message::next(&mut input)? {
-                    Some(message) => break message,
-                    None => read(&mut stream, &mut input)?,
-                }
-            };
+            let (kind, body) = node::next(&mut stream, &mut input)?;
             if kind != b'Q' {
                 return Err(Close::Left);
             }
--- a/crates/load/src/arrivals.rs
+++ b/crates/load/src/arrivals.rs
@@ -4,8 +4,7 @@
 //! (Neyman and Scott): each moment brings a bunch, spread evenly at random over a short while.
 
 use crate::scenario::{Phase, Shape, Together};
-use std::cmp::{Ordering, Reverse};
-use std::collections::BinaryHeap;
+use crate::soonest::Soonest;
 use std::iter::Peekable;
 
 /// The rate goes from `from` to `to` a second over `length` seconds.
@@ -121,33 +120,11 @@
     }
 }
 
-struct Pending(Arrival);
-
-impl PartialEq for Pending {
-    fn eq(&self, other: &Pending) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl Eq for Pending {}
-
-impl PartialOrd for Pending {
-    fn partial_cmp(&self, other: &Pending) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Pending {
-    fn cmp(&self, other: &Pending) -> Ordering {
-        self.0.at.total_cmp(&other.0.at).then(self.0.bunch.cmp(&other.0.bunch))
-    }
-}
-
 /// All arrivals of a scenario, in their order.
 pub struct Arrivals {
     moments: Peekable<Moments>,
     /// Members of bunches that have begun: as many as fall into `within_ms`.
-    pending: BinaryHeap<Reverse<Pending>>,
+    pending: Soonest<Arrival>,
     bunches: u64,
     chance: fastrand::Rng,
 }
@@ -163,7 +140,7 @@
         let moments = Moments { pieces, at: 0, begun: 0.0, over: 0.0, chance };
         // Bunches draw from a sequence of their own: moments stay the same with and without them.
         let chance = fastrand::Rng::with_seed(seed ^ 0xb00c);
-        Arrivals { moments: moments.peekable(), pending: BinaryHeap::new(), bunches: 0, chance }
+        Arrivals { moments: moments.peekable(), pending: Soonest::default(), bunches: 0, chance }
     }
 }
 
@@ -172,10 +149,10 @@
 
     fn next(&mut self) -> Option<Arrival> {
         loop {
-            let first = self.pending.peek().map(|Reverse(pending)| pending.0.at);
+            let first = self.pending.at();
             let coming = self.moments.peek().map(|moment| moment.0);
             if first.is_some_and(|first| coming.is_none_or(|coming| first <= coming)) {
-                return self.pending.pop().map(|Reverse(pending)| pending.0);
+                return self.pending.pop();
             }
             let (at, release, together) = self.moments.next()?;
             let Some(together) = together else {
@@ -184,7 +161,8 @@
             self.bunches += 1;
             for _ in 0..together.statements {
                 let at = at + self.chance.f64() * together.within_ms / 1e3;
-                self.pending.push(Reverse(Pending(Arrival { at, bunch: Some(self.bunches), release })));
+                let arrival = Arrival { at, bunch: Some(self.bunches), release };
+                self.pending.push(at, self.bunches, arrival);
             }
         }
     }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod series;
 pub mod sheet;
 pub mod slab;
+mod soonest;
 pub mod trace;
 pub mod traffic;
 pub mod work;
--- a/crates/load/src/trace/change.rs
+++ b/crates/load/src/trace/change.rs
@@ -2,8 +2,8 @@
 //! keeps the order of all rows, and a copy's sessions and keys are its own.
 
 use super::{Row, named};
-use std::cmp::{Ordering, Reverse};
-use std::collections::{BinaryHeap, HashSet};
+use crate::soonest::Soonest;
+use std::collections::HashSet;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Change {
@@ -64,32 +64,6 @@
     }
 }
 
-struct Pending {
-    at: f64,
-    number: u64,
-    row: Row,
-}
-
-impl PartialEq for Pending {
-    fn eq(&self, other: &Pending) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl Eq for Pending {}
-
-impl PartialOrd for Pending {
-    fn partial_cmp(&self, other: &Pending) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Pending {
-    fn cmp(&self, other: &Pending) -> Ordering {
-        self.at.total_cmp(&other.at).then(self.number.cmp(&other.number))
-    }
-}
-
 /// Changed rows in the order in which they are due. What is held back is what the spread covers.
 pub struct Changed<R> {
     rows: R,
@@ -98,7 +72,7 @@
     before: HashSet<u64>,
     /// Those that began within it.
     within: HashSet<u64>,
-    pending: BinaryHeap<Reverse<Pending>>,
+    pending: Soonest<Row>,
     number: u64,
     /// Up to here, in changed time, nothing more can come.
     safe: f64,
@@ -114,7 +88,7 @@
             change,
             before: HashSet::new(),
             within: HashSet::new(),
-            pending: BinaryHeap::new(),
+            pending: Soonest::default(),
             number: 0,
             safe: f64::NEG_INFINITY,
             over: false,
@@ -167,7 +141,7 @@
                     row.session = format!("{}.{copy}", row.session);
                 }
             }
-            self.pending.push(Reverse(Pending { at: row.at_ms, number: self.number, row }));
+            self.pending.push(row.at_ms, self.number, row);
             self.number += 1;
         }
     }
@@ -178,9 +152,9 @@
 
     fn next(&mut self) -> Option<Row> {
         loop {
-            let ready = self.pending.peek().is_some_and(|Reverse(first)| self.over || first.at < self.safe);
+            let ready = self.pending.at().is_some_and(|first| self.over || first < self.safe);
             if ready || self.over {
-                return self.pending.pop().map(|Reverse(pending)| pending.row);
+                return self.pending.pop();
             }
             match self.rows.next() {
                 Some(row) => self.take(row),
--- a/crates/load/src/trace/read.rs
+++ b/crates/load/src/trace/read.rs
@@ -1,13 +1,12 @@
 //! Reading a trace, a row at a time: CSV, JSON lines and Parquet by the file's ending.
 
 use super::{Broken, Fault, Row};
+use crate::soonest::Soonest;
 use parquet::errors::ParquetError;
 use parquet::file::reader::{FileReader, SerializedFileReader};
 use parquet::record::{Field, Row as Cells, reader::RowIter};
 use parquet::schema::types::Type;
 use serde_json::{Map, Value};
-use std::cmp::{Ordering, Reverse};
-use std::collections::BinaryHeap;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Lines};
 use std::path::Path;
@@ -27,33 +26,10 @@
     over: bool,
     /// A kept run's statements stand in the order in which they ended: how far back in time one may go.
     disorder: f64,
-    held: BinaryHeap<Reverse<Held>>,
+    held: Soonest<Row>,
     newest: f64,
 }
 
-/// A good row that waits for those before it.
-struct Held(Row, u64);
-
-impl PartialEq for Held {
-    fn eq(&self, other: &Held) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl Eq for Held {}
-
-impl PartialOrd for Held {
-    fn partial_cmp(&self, other: &Held) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Held {
-    fn cmp(&self, other: &Held) -> Ordering {
-        self.0.at_ms.total_cmp(&other.0.at_ms).then(self.1.cmp(&other.1))
-    }
-}
-
 /// Opens a trace, or a kept run's statements.
 ///
 /// # Errors
@@ -77,7 +53,7 @@
         }
         _ => return Err(Fault::Kind(path.to_path_buf())),
     };
-    Ok(Reader { form, row: 0, before: 0.0, over: false, disorder, held: BinaryHeap::new(), newest: 0.0 })
+    Ok(Reader { form, row: 0, before: 0.0, over: false, disorder, held: Soonest::default(), newest: 0.0 })
 }
 
 /// How far a kept run's rows go back in time at most: those of a run have a column that no trace has.
@@ -125,10 +101,8 @@
 
     fn next(&mut self) -> Option<Self::Item> {
         loop {
-            let ready =
-                |Reverse(held): &Reverse<Held>| self.over || held.0.at_ms + self.disorder <= self.newest;
-            if self.held.peek().is_some_and(ready) {
-                return self.held.pop().map(|Reverse(held)| Ok(held.0));
+            if self.held.at().is_some_and(|first| self.over || first + self.disorder <= self.newest) {
+                return self.held.pop().map(Ok);
             }
             if self.over {
                 return None;
@@ -140,7 +114,7 @@
             match self.checked(raw) {
                 Ok(row) if self.disorder > 0.0 => {
                     self.newest = self.newest.max(row.at_ms);
-                    self.held.push(Reverse(Held(row, self.row)));
+                    self.held.push(row.at_ms, self.row, row);
                 }
                 row => return Some(row),
             }
