What sessions do later waits in the one heap that is there for it

Need: read once more, traffic::Plan kept a heap of due times beside a map of statements, where load::soonest holds both. Change: Plan uses Soonest. The order is the same: by due time in whole nanoseconds, then by number.

--- a/crates/load/src/traffic.rs
+++ b/crates/load/src/traffic.rs
@@ -3,9 +3,8 @@
 
 use crate::arrivals::{Arrival, Arrivals};
 use crate::scenario::{LARGEST, Scenario, Size, Workload};
+use crate::soonest::Soonest;
 use crate::work::Work;
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
 use std::sync::Arc;
 
 /// A session's reads have numbers of their own, so far beyond the write's.
@@ -179,9 +178,8 @@
     coming: Option<(u64, Arrival)>,
     number: u64,
     part: (u64, u64),
-    /// What sessions do later, by due time and number.
-    later: BinaryHeap<Reverse<(u64, u64)>>,
-    works: HashMap<u64, Work>,
+    /// What sessions do later.
+    later: Soonest<Work>,
 }
 
 impl Plan {
@@ -193,8 +191,7 @@
             coming: None,
             number: 0,
             part: (place as u64, threads as u64),
-            later: BinaryHeap::new(),
-            works: HashMap::new(),
+            later: Soonest::default(),
         };
         plan.advance();
         plan
@@ -217,18 +214,16 @@
     type Item = Work;
 
     fn next(&mut self) -> Option<Work> {
-        let coming = self.coming.map(|(_, arrival)| (arrival.at * 1e9) as u64);
-        let later = self.later.peek().map(|Reverse((due, _))| *due);
-        if later.is_some_and(|later| coming.is_none_or(|coming| later < coming)) {
-            let Reverse((_, number)) = self.later.pop()?;
-            return self.works.remove(&number);
+        // Whole nanoseconds on both sides: exact in an f64 for a hundred days.
+        let coming = self.coming.map(|(_, arrival)| (arrival.at * 1e9).floor());
+        if self.later.at().is_some_and(|later| coming.is_none_or(|coming| later < coming)) {
+            return self.later.pop();
         }
         let (number, arrival) = self.coming?;
         self.advance();
         let (work, later) = self.traffic.statement(number, &arrival);
         for read in later {
-            self.later.push(Reverse((read.due, read.number)));
-            self.works.insert(read.number, read);
+            self.later.push(read.due as f64, read.number, read);
         }
         Some(work)
     }
