A replica's lag is bounded by what it answered and missed, not by when it spoke last

There answers tell no positions and only probes do, but the module took the time since a node's last answer less its last position for its lag (current(), likely), so replicas that answer all the time never looked new enough and session reads stayed on the full primary. Ruled out: rooms and suspicion (few nodes strained, none suspect). Now the word on a position dates itself; where nodes check, a completed read proves the position it needed and a miss its lack, and a read goes by likelihood only until two misses.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -32,6 +32,8 @@
 const IN_VAIN: f64 = 0.65;
 /// Strain that no further answer confirms fades over this.
 const FADE_S: f64 = 10.0;
+/// After so many misses a read goes only where it is known to be answered.
+const MISSES: usize = 2;
 /// So many errors show that a statement errs by itself, whoever executes it.
 const ERRORS: usize = 2;
 /// A suspect's first trial comes after this, and none after more than eight times as long.
@@ -224,6 +226,8 @@
         let open = self.statements.get(&stmt);
         let late = open.and_then(|s| s.executions.get(index)).is_some_and(|e| self.late(e, now));
         let committed = done && open.is_some_and(Statement::writes);
+        let read = open.filter(|s| self.replication.checked && !s.writes());
+        let needed = read.and_then(|s| s.executions.get(index).map(|e| s.needs(e.sent)));
         self.learn(late && (done || ending == Ending::TimedOut), !done);
         if done {
             count(&mut self.borne, now);
@@ -238,7 +242,13 @@
             node.executed(now, ending, took, slo, usual, self.in_vain > IN_VAIN);
             // A commit is rounded up: the node is sure to stand only at what lies before, never ahead of now.
             let lsn = if position <= now + ROUNDING_S { position - ROUNDING_S } else { NEVER };
-            node.lsn = node.lsn.max(lsn);
+            node.stood_at(now, lsn);
+            match needed.filter(|needed| *needed > NEVER) {
+                // Who checks what it answers stood there, also where answers tell no position.
+                Some(needed) if done => node.reached(now, needed),
+                Some(needed) if ending == Ending::Missed && lsn == NEVER => node.fell_short(now, needed),
+                _ => {}
+            }
             match role {
                 Some(Role::Primary) => node.claimed = node.claimed.max(now),
                 Some(Role::Replica) => node.denied = now,
@@ -288,7 +298,7 @@
         self.witness_role(now, id, role, lsn);
         let position = self.position(id, lsn);
         let Some(node) = self.nodes.get_mut(&id) else { return };
-        node.lsn = node.lsn.max(position);
+        node.reached(now, position);
         match primary {
             // A primary stands at the present, so its own position dates the claim, however late the report.
             Some(true) => node.claimed = node.claimed.max(lsn),
@@ -321,6 +331,19 @@
         HOLD_SHARE * self.kind.timeout
     }
 
+    /// The position that a read executed at `at` must see.
+    fn needs(&self, at: f64) -> f64 {
+        match self.kind.currency {
+            Currency::Primary | Currency::Loose => NEVER,
+            Currency::Recent { bound } => at - bound + ROUNDING_S,
+            Currency::Latest | Currency::OwnWrites => self.owed,
+        }
+    }
+
+    fn misses(&self) -> usize {
+        self.executions.iter().filter(|e| e.ended == Some(Ending::Missed)).count()
+    }
+
     pub(crate) fn last_use(&self) -> f64 {
         if self.kind.late_worth > 0.0 { self.due } else { self.slo_end.min(self.due) }
     }
@@ -841,15 +864,14 @@
     /// Guards rule 5: a member not believed primary answers a read only from a position known to do.
     pub fn current(&self, s: &Statement, id: u32, now: f64) -> bool {
         let node = &self.nodes[&id];
-        let needed = match s.kind.currency {
-            Currency::Primary | Currency::Loose => return true,
-            Currency::Recent { bound } => now - bound + ROUNDING_S,
-            Currency::Latest | Currency::OwnWrites => s.owed,
-        };
+        let needed = s.needs(now);
+        if needed == NEVER && !matches!(s.kind.currency, Currency::OwnWrites) {
+            return true;
+        }
         let leads = self.groups[&s.group].primary == Some(id) && node.claimed > node.denied;
-        // Where nodes check, a likely position will do, or one unheard lately: a miss is cheap.
-        let fresh = s.kind.currency != Currency::Latest && now - node.heard >= IDLE_S;
-        let likely = fresh || now - 2.0 * (node.heard - node.lsn) >= needed;
+        // Where nodes check, a likely position will do, or one that may have caught up since: a miss is cheap.
+        let fresh = s.kind.currency != Currency::Latest && now - node.placed >= node.lag.max(IDLE_S);
+        let likely = (fresh || now - 2.0 * node.lag >= needed) && s.misses() < MISSES;
         !self.log_in_doubt(s) && (leads || node.lsn >= needed || self.replication.checked && likely)
     }
 
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -79,6 +79,9 @@
     /// Lower bound of its position: it only grows, also across a restart.
     pub lsn: f64,
     pub heard: f64,
+    /// How far it was behind at most, by the last word on that, and when that came.
+    pub lag: f64,
+    pub placed: f64,
     /// When it was primary and when it was none, by its own latest word on each.
     pub claimed: f64,
     pub denied: f64,
@@ -182,6 +185,27 @@
         self.drained |= at == Standing::Draining;
     }
 
+    /// Its own word on where it stands now.
+    pub fn stood_at(&mut self, now: f64, lsn: f64) {
+        if lsn > NEVER {
+            (self.lag, self.placed) = (now - lsn, now);
+            self.lsn = self.lsn.max(lsn);
+        }
+    }
+
+    /// It stands there or beyond: it may be further than an old word tells.
+    pub fn reached(&mut self, now: f64, lsn: f64) {
+        if lsn > NEVER {
+            self.lsn = self.lsn.max(lsn);
+            (self.lag, self.placed) = (self.lag.min(now - self.lsn), now);
+        }
+    }
+
+    /// It had not come that far.
+    pub fn fell_short(&mut self, now: f64, lsn: f64) {
+        (self.lag, self.placed) = (self.lag.max(now - lsn), now);
+    }
+
     /// Waiting for executions that are out adds up from the last answer on, each from its own send.
     pub fn await_until(&mut self, now: f64) {
         self.awaited += self.out as f64 * (now - self.awaited_until);
@@ -191,7 +215,7 @@
     pub fn new(group: u16, zone: u8, rooms: (f64, f64), prior: (f64, f64)) -> Node {
         let ((room, least_room), (pace, answers)) = (rooms, prior);
         let (lsn, heard, probed, cut) = (NEVER, NEVER, NEVER, NEVER);
-        let (claimed, denied) = (NEVER, NEVER);
+        let (claimed, denied, placed, lag) = (NEVER, NEVER, NEVER, f64::INFINITY);
         Node {
             group,
             zone,
@@ -201,6 +225,8 @@
             answers,
             lsn,
             heard,
+            lag,
+            placed,
             probed,
             cut,
             claimed,
