--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -8,6 +8,7 @@
 use crate::succession::{Evidence, Next, Succession, Verdict};
 use crate::{Allowance, ColdStart, Currency, Drain, Ending, Fairness, Outbox, Quota};
 use crate::{Repeat, Replication, Role, Standing, Within, Workload};
+use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The design's figures: how long a touch of the primary marks a session, and how long a node may go unheard.
@@ -41,8 +42,13 @@
 /// Executions out at a node, from all routers, before its room is learnt, and the least it is left with.
 const ROOM: f64 = 16.0;
 const LEAST_ROOM: f64 = 4.0;
-/// Room grows while answers take less than this share of their SLO time, and shrinks beyond.
+/// Room grows while answers take less than this share of their SLO time, and shrinks beyond; or so many times
+/// what they take at their best, up to half of the SLO time: work may be long against it.
 const STRAIN: f64 = 0.22;
+const EASE: f64 = 1.8;
+const MOST_STRAIN: f64 = 0.3;
+/// Answers over which their mean is taken for that.
+const EASE_ANSWERS: f64 = 50.0;
 /// The weight of one answer in a node's pace and strain, and of how many its first guess stands.
 const GAIN: f64 = 0.1;
 const PRIOR: f64 = 4.0;
@@ -66,13 +72,17 @@
     pub warm: f64,
     /// The share of late executions that were never answered, lately.
     pub in_vain: f64,
+    /// Answers, the mean share of the SLO time that they take lately, and the least that it has been.
+    pub ease: (f64, f64, f64),
+    /// By workload: answers, and the share of its SLO time that they take.
+    pub takes: Vec<(f64, f64)>,
     pub fairness: Fairness,
     /// Importance asked for and met in time, by workload and by customer.
     pub shares: [Vec<(f64, f64)>; 2],
     chance: fastrand::Rng,
     pub nodes: BTreeMap<u32, Node>,
     pub groups: BTreeMap<u16, Group>,
-    pub statements: BTreeMap<u32, Statement>,
+    pub statements: FxHashMap<u32, Statement>,
     /// When a session last touched the primary here, and the commit of its last write answered here.
     pub sessions: BTreeMap<u64, (f64, f64)>,
     pub timers: BTreeSet<(u64, u32)>,
@@ -113,6 +123,7 @@
         let mut born = Instance::default();
         (born.chance, born.routers) = (fastrand::Rng::with_seed(seed), routers.max(1) as f64);
         born.usage = vec![(NEVER, 0.0); quotas.len()];
+        born.takes = vec![(0.0, 0.0); workloads.len()];
         born.shares = [vec![(0.0, 0.0); workloads.len()], vec![(0.0, 0.0); quotas.len()]];
         (born.workloads, born.quotas, born.replication, born.cold) = (workloads, quotas, replication, cold);
         (born.fairness, born.drain, born.allowance) = (fairness, drain, allowance);
@@ -227,11 +238,15 @@
         let late = open.and_then(|s| s.executions.get(index)).is_some_and(|e| self.late(e, now));
         let committed = done && open.is_some_and(Statement::writes);
         let read = open.filter(|s| self.replication.checked && !s.writes());
+        let share = open.filter(|_| done).map(|s| (s.served_as[0], took / s.kind.slo));
+        let length = open.and_then(|s| s.executions.get(index)).map(|e| e.length);
         let needed = read.and_then(|s| s.executions.get(index).map(|e| s.needs(e.sent)));
         self.learn(late && (done || ending == Ending::TimedOut), !done);
         if done {
             count(&mut self.borne, now);
         }
+        share.into_iter().for_each(|(workload, share)| self.eases(workload, share));
+        let strain = self.most_strain();
         let usual = self.nodes.get(&id).map_or(0.0, |n| self.asked(n.group, id) * n.pace);
         self.witness_end(now, stmt, id, ending, role, Some(lsn).filter(|_| committed));
         self.recovered(id, ending);
@@ -239,7 +254,8 @@
         let mut statement = self.statements.get_mut(&stmt);
         if let Some(node) = self.nodes.get_mut(&id) {
             let slo = statement.as_ref().map(|s| s.kind.slo);
-            node.executed(now, ending, took, slo, usual, self.in_vain > IN_VAIN);
+            let signs = Signs { usual, strain, length, lossy: self.in_vain > IN_VAIN };
+            node.executed(now, ending, took, slo, signs);
             // A commit is rounded up: the node is sure to stand only at what lies before, never ahead of now.
             let lsn = if position <= now + ROUNDING_S { position - ROUNDING_S } else { NEVER };
             node.stood_at(now, lsn);
@@ -349,10 +365,18 @@
     }
 }
 
+/// What an ending is weighed with: how many are usually out, the strain that is borne, whether answers get lost.
+#[derive(Clone, Copy)]
+struct Signs {
+    usual: f64,
+    strain: f64,
+    length: Option<f64>,
+    lossy: bool,
+}
+
 impl Node {
-    fn executed(&mut self, now: f64, ending: Ending, took: f64, slo: Option<f64>, usual: f64, lossy: bool) {
-        self.await_until(now);
-        self.out = self.out.saturating_sub(1);
+    fn executed(&mut self, now: f64, ending: Ending, took: f64, slo: Option<f64>, signs: Signs) {
+        self.leaves(now, signs.length);
         if ending.spoken() {
             (self.heard, self.awaited) = (now, 0.0);
         }
@@ -365,40 +389,41 @@
                 (self.suspected, self.trials, self.trial_at, self.missing) = (bad, 0, NEVER, 0);
                 self.broke = if now - took < self.broke + SEARCH_S { 0.0 } else { self.broke };
                 self.answers += 1.0;
+                let took = took / signs.length.unwrap_or(1.0);
                 self.pace += (took - self.pace) * f64::max(GAIN, 1.0 / self.answers);
-                self.strained(now, slo.map_or(self.strain, |slo| took / slo), usual);
+                self.strained(now, slo.map_or(self.strain, |slo| took / slo), signs);
             }
             // Who turns work away for want of room would have taken longer than anybody waits.
-            Ending::TurnedAway => self.strained(now, 1.0, usual),
+            Ending::TurnedAway => self.strained(now, 1.0, signs),
             Ending::Spoilt => self.faults += 1, // It runs, and is as warm as before.
             // Who is out of reach may be starting anew, whatever the list tells: it counts as cold from now,
             // unless it answers what was sent before or right behind: then only a connection broke.
             Ending::Dropped | Ending::Cut => (self.faults, self.broke) = (self.faults + 1, now),
             Ending::Unconnected => (self.faults, self.fell) = (self.faults + FAULTS, now),
-            Ending::TimedOut => self.unanswered(now, slo.map_or(0.0, |slo| took / slo), usual, lossy),
+            Ending::TimedOut => self.unanswered(now, slo.map_or(0.0, |slo| took / slo), signs),
             Ending::Errored | Ending::Missed | Ending::Cancelled | Ending::Moot => {}
         }
     }
 
     /// What one more answer tells of the queue; where they come seldom each counts for more. Room grows only
     /// where it is used (`usual` are out on average), and is cut once a jam, however many statements met it.
-    fn strained(&mut self, now: f64, share: f64, usual: f64) {
+    fn strained(&mut self, now: f64, share: f64, signs: Signs) {
         let gain = f64::max(GAIN, 1.0 - (-(now - self.strained_at) / MARK_S).exp());
         (self.strain, self.strained_at) = (self.strain + (share - self.strain) * gain, now);
-        let used = if self.room < 1.0 { self.room < usual } else { self.out as f64 + 2.0 >= self.room };
-        if self.strain <= STRAIN && used {
+        let used = if self.room < 1.0 { self.room < signs.usual } else { self.out as f64 + 2.0 >= self.room };
+        if self.strain <= signs.strain && used {
             self.room += f64::min(1.0 / self.room, self.room);
-        } else if self.strain > STRAIN && now - self.cut >= self.pace {
+        } else if self.strain > signs.strain && now - self.cut >= self.pace {
             (self.room, self.cut) = ((self.room * (1.0 - gain.min(0.5))).max(self.least_room), now);
         }
     }
 
     /// Nothing came back in this share of the SLO time. One by itself may be a lost answer, where late ones
     /// mostly stay out; two in a row are a jam.
-    fn unanswered(&mut self, now: f64, share: f64, usual: f64, lossy: bool) {
+    fn unanswered(&mut self, now: f64, share: f64, signs: Signs) {
         self.missing += 1;
-        if share > self.strain && (self.missing > 1 || !lossy) {
-            self.strained(now, share.min(1.0), usual);
+        if share > self.strain && (self.missing > 1 || !signs.lossy) {
+            self.strained(now, share.min(1.0), signs);
         }
     }
 
@@ -449,7 +474,8 @@
         while let Some(timer) = self.timers.first().copied().filter(|t| *t <= due) {
             _ = (self.timers.remove(&timer), self.touched.insert(timer.1));
         }
-        if self.beat.is_none_or(|last| now - last >= BEAT_S - ROUNDING_S) {
+        let beat = self.beat.is_none_or(|last| now - last >= BEAT_S - ROUNDING_S);
+        if beat {
             self.beat = Some(now);
             self.look_over(now, out);
             out.wake(BEAT_S);
@@ -457,12 +483,16 @@
         self.settle_recovery(now, out);
         self.believe(now, out);
         self.settle_succession(now, out);
-        let mut queue: Vec<u32> = std::mem::take(&mut self.touched).into_iter().collect();
+        let (touched, mut full) = (std::mem::take(&mut self.touched), BTreeSet::new());
+        let mut queue: Vec<u32> = touched.iter().copied().collect();
         for group in std::mem::take(&mut self.touched_groups) {
             queue.extend(self.groups[&group].waiting.iter());
         }
         queue.sort_by_cached_key(|id| self.statements.get(id).map_or((0, 0), |s| self.rank(s, now)));
         for stmt in queue {
+            if !beat && !touched.contains(&stmt) && self.stuck(stmt, now, &mut full) {
+                continue;
+            }
             let mut fires = |r: &Rule| self.statements.contains_key(&stmt) && r(self, stmt, now, out);
             while STATEMENT_RULES.iter().any(&mut fires) {}
         }
@@ -471,6 +501,16 @@
         }
     }
 
+    /// Between beats a statement that nothing happened to need not be looked at while its group is full: with
+    /// hundreds that wait, looking costs more than serving. Harm: what is asked for them comes a beat later.
+    fn stuck(&self, stmt: u32, now: f64, full: &mut BTreeSet<u16>) -> bool {
+        let Some(s) = self.statements.get(&stmt) else { return true };
+        let taken = |m: (u32, &Node)| m.1.suspected.is_some() || m.1.out as f64 >= m.1.room.max(1.0);
+        let alone = self.succession.is_none();
+        let full = full.contains(&s.group) || self.members(s.group).all(taken) && full.insert(s.group);
+        alone && full && now + self.needed(s) < s.last_use()
+    }
+
     /// The worthiest first, and of these the youngest: in a jam the oldest would all be too late.
     fn rank(&self, s: &Statement, now: f64) -> (i64, i64) {
         let late = now + self.needed(s) > s.slo_end;
@@ -658,7 +698,7 @@
     /// Within two paces, six in seven answers that come at random are back. Never more than half of its time:
     /// nodes that are slow, or of no known pace, are tried still, and for clients that soon lose patience.
     fn needed(&self, s: &Statement) -> f64 {
-        (2.0 * self.pace(s.group)).min(s.kind.slo.min(s.last_use() - s.arrived) / 2.0)
+        (2.0 * self.pace(s.group) * self.length(s.served_as[0])).min(s.kind.slo.min(s.last_use() - s.arrived) / 2.0)
     }
 
     /// The design's steps 1 to 5.
@@ -702,6 +742,23 @@
         replica.or_else(|| primary.filter(|_| !asked() && self.unknown(s, now).is_none()))
     }
 
+    /// Where replicas are too far behind for the rest, a third of them, the same at every router, takes the reads
+    /// of any age: long ones can keep a replica from applying, and spread evenly they hold back all. Harm: less
+    /// room for them.
+    fn gathers(&self, s: &Statement, now: f64) -> Vec<u32> {
+        let bound = |w: &Workload| if let Currency::Recent { bound } = w.currency { bound } else { MARK_S };
+        let most = self.workloads.iter().map(bound).fold(MARK_S, f64::min) / 2.0;
+        let replicas = self.members(s.group).filter(|m| Some(m.0) != self.groups[&s.group].primary);
+        let mut ids: Vec<u32> = replicas.map(|m| m.0).collect();
+        let late = |id: &u32| self.nodes[id].lag > most && now - self.nodes[id].placed < self.nodes[id].lag;
+        if s.kind.currency != Currency::Loose || !ids.iter().any(late) {
+            return Vec::new();
+        }
+        ids.sort_unstable();
+        ids.truncate(ids.len().div_ceil(3));
+        ids
+    }
+
     fn members(&self, group: u16) -> impl Iterator<Item = (u32, &Node)> {
         self.groups[&group].members.iter().map(|m| (*m, &self.nodes[m]))
     }
@@ -733,7 +790,10 @@
         let size = group.members.len();
         let order = (0..size).map(|i| (group.counter + i) % size);
         let replicas = order.filter(|i| Some(group.members[*i]) != group.primary);
-        let next = { replicas }.find(|i| self.open(s, group.members[*i], now))?;
+        let open: Vec<usize> = replicas.filter(|i| self.open(s, group.members[*i], now)).collect();
+        let gathers = self.gathers(s, now);
+        let gathered = open.iter().find(|i| gathers.contains(&group.members[**i]));
+        let next = *gathered.or(open.first())?;
         let chosen = group.members[next];
         self.groups.get_mut(&s.group).expect("known").counter = (next + 1) % size;
         Some(chosen)
@@ -777,10 +837,40 @@
     /// It may never be answered: sent to what is a suspect now, or late while what is late mostly stays out.
     pub(crate) fn overdue(&self, e: &Execution, now: f64) -> bool {
         let (node, usual) = (&self.nodes[&e.node], self.pace(self.nodes[&e.node].group));
-        let stuck = node.suspected.is_some_and(|at| e.sent <= at || now - e.sent > 2.0 * usual);
+        let stuck = node.suspected.is_some_and(|at| e.sent <= at || now - e.sent > 2.0 * usual * e.length);
         stuck || self.in_vain > IN_VAIN && self.late(e, now)
     }
 
+    /// How long this workload's statements take against all: a pace is that of one of length 1. Until their own
+    /// answers tell, workloads are thought to take like shares of their SLO times.
+    fn length(&self, workload: usize) -> f64 {
+        let usual = if self.ease.0 > 0.0 { self.ease.1.max(1e-6) } else { 1.0 };
+        let takes = |i: usize| {
+            let (answers, share) = self.takes[i];
+            self.workloads[i].slo * (PRIOR * usual + answers * share) / (PRIOR + answers)
+        };
+        let count = |i: usize| self.shares[0][i].0 / self.workloads[i].importance.max(1e-9);
+        let all = |of: &dyn Fn(usize) -> f64| (0..self.workloads.len()).map(of).sum::<f64>();
+        let mean = all(&|i| count(i) * takes(i)) / all(&count);
+        if mean > 0.0 { takes(workload) / mean } else { 1.0 }
+    }
+
+    /// What answers take at their best is learnt from what they took in the calmest while so far.
+    fn eases(&mut self, workload: usize, share: f64) {
+        let own = &mut self.takes[workload];
+        own.0 = f64::min(own.0 + 1.0, EASE_ANSWERS);
+        own.1 += (share - own.1) / own.0;
+        let (answers, mean, least) = &mut self.ease;
+        *answers += 1.0;
+        *mean += (share - *mean) / answers.min(EASE_ANSWERS);
+        let rise = (*mean - *least).max(0.0) / (100.0 * EASE_ANSWERS);
+        *least = if *answers < EASE_ANSWERS / 2.0 { *mean } else { mean.min(*least + rise) };
+    }
+
+    fn most_strain(&self) -> f64 {
+        STRAIN.max((EASE * self.ease.2).min(MOST_STRAIN))
+    }
+
     fn learn(&mut self, late: bool, in_vain: bool) {
         self.in_vain += f64::from(late) * (f64::from(in_vain) - self.in_vain) * 2.0 * GAIN;
     }
@@ -789,8 +879,8 @@
     /// own: what is only long beats its copy, a lost answer never comes. `in_vain` counts which it is.
     fn late(&self, e: &Execution, now: f64) -> bool {
         let node = &self.nodes[&e.node];
-        let strained = node.strain > 2.0 * STRAIN || node.suspected.is_some();
-        !strained && now - e.sent > OVERDUE * node.pace.max(self.pace(node.group))
+        let strained = node.strain > 2.0 * self.most_strain() || node.suspected.is_some();
+        !strained && now - e.sent > OVERDUE * e.length * node.pace.max(self.pace(node.group))
     }
 }
 
@@ -855,7 +945,7 @@
         let node = &self.nodes[&id];
         // No news is no strain: a node that was down must not stay out of use once it is back.
         let strain = node.strain * (-(now - node.strained_at) / FADE_S).exp();
-        if node.room >= 1.0 || strain <= STRAIN {
+        if node.room >= 1.0 || strain <= self.most_strain() {
             return (node.out as f64) < node.room.max(1.0);
         }
         node.out == 0 && s.lot * self.asked(s.group, id) * strain * s.kind.slo <= node.room
@@ -885,6 +975,7 @@
             return false;
         }
         let term = self.succession.as_ref().map_or(0, |succession| succession.term(s.group));
+        let length = self.length(s.served_as[0]);
         let (group, limit) = (self.groups.get_mut(&s.group).expect("known"), s.last_use() - now);
         group.waiting.remove(&stmt);
         if s.session != 0 && group.primary == Some(id) {
@@ -892,11 +983,10 @@
         }
         self.succession.iter_mut().for_each(|succession| succession.sent(stmt));
         self.sending(id, now);
-        let sent = Execution { term, asks, ..Execution::new(id, now) };
+        let sent = Execution { term, asks, length, ..Execution::new(id, now) };
         self.statements.get_mut(&stmt).expect("open").executions.push(sent);
         let node = self.nodes.get_mut(&id).expect("listed");
-        node.await_until(now);
-        node.out += 1;
+        node.enters(now, length);
         if node.suspected.is_some() {
             (node.trial_at, node.trials) = (now, node.trials + 1);
         }
@@ -935,8 +1025,10 @@
         for (execution, e) in (0..).zip(&s.executions).filter(|e| e.1.ended.is_none()) {
             self.learn(self.late(e, now), true);
             let usual = self.asked(s.group, e.node) * self.nodes[&e.node].pace;
+            let (strain, length) = (self.most_strain(), Some(e.length));
+            let signs = Signs { usual, strain, length, lossy: self.in_vain > IN_VAIN };
             let node = self.nodes.get_mut(&e.node).expect("listed");
-            node.unanswered(now, (now - e.sent) / s.kind.slo, usual, self.in_vain > IN_VAIN);
+            node.unanswered(now, (now - e.sent) / s.kind.slo, signs);
             if self.allowance.cancelling && s.due.is_finite() {
                 out.cancel(stmt, execution);
             }
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -16,6 +16,8 @@
     pub node: u32,
     pub sent: f64,
     pub ended: Option<Ending>,
+    /// How long it takes against all others.
+    pub length: f64,
     /// The term of its group in which it was sent.
     pub term: u64,
     /// It only asks how an earlier one ended.
@@ -89,6 +91,8 @@
     /// Time waited for executions that are out, added up over them since the last answer.
     pub awaited: f64,
     pub awaited_until: f64,
+    /// How many answers an execution that is out owes in the time of an average one.
+    pub quickness: f64,
     pub answers: f64,
     pub pace: f64,
     pub strain: f64,
@@ -120,7 +124,7 @@
 
 impl Execution {
     pub fn new(node: u32, sent: f64) -> Execution {
-        Execution { node, sent, ended: None, term: 0, asks: false, barred: false }
+        Execution { node, sent, ended: None, length: 1.0, term: 0, asks: false, barred: false }
     }
 }
 
@@ -208,10 +212,25 @@
 
     /// Waiting for executions that are out adds up from the last answer on, each from its own send.
     pub fn await_until(&mut self, now: f64) {
-        self.awaited += self.out as f64 * (now - self.awaited_until);
+        self.awaited += self.out as f64 * self.quickness * (now - self.awaited_until);
         self.awaited_until = now;
     }
 
+    pub fn enters(&mut self, now: f64, length: f64) {
+        self.await_until(now);
+        let owes = self.out as f64 * self.quickness + 1.0 / length;
+        self.out += 1;
+        self.quickness = owes / self.out as f64;
+    }
+
+    /// Without a length it was as the others.
+    pub fn leaves(&mut self, now: f64, length: Option<f64>) {
+        self.await_until(now);
+        let owes = self.out as f64 * self.quickness - length.map_or(self.quickness, |length| 1.0 / length);
+        self.out = self.out.saturating_sub(1);
+        self.quickness = if self.out > 0 { (owes / self.out as f64).max(0.0) } else { 1.0 };
+    }
+
     pub fn new(group: u16, zone: u8, rooms: (f64, f64), prior: (f64, f64)) -> Node {
         let ((room, least_room), (pace, answers)) = (rooms, prior);
         let (lsn, heard, probed, cut) = (NEVER, NEVER, NEVER, NEVER);
@@ -227,6 +246,7 @@
             heard,
             lag,
             placed,
+            quickness: 1.0,
             probed,
             cut,
             claimed,
