--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -33,8 +33,6 @@
 const IN_VAIN: f64 = 0.65;
 /// Strain that no further answer confirms fades over this.
 const FADE_S: f64 = 10.0;
-/// After so many misses a read goes only where it is known to be answered.
-const MISSES: usize = 2;
 /// So many errors show that a statement errs by itself, whoever executes it.
 const ERRORS: usize = 2;
 /// A suspect's first trial comes after this, and none after more than eight times as long.
@@ -356,10 +354,6 @@
         }
     }
 
-    fn misses(&self) -> usize {
-        self.executions.iter().filter(|e| e.ended == Some(Ending::Missed)).count()
-    }
-
     pub(crate) fn last_use(&self) -> f64 {
         if self.kind.late_worth > 0.0 { self.due } else { self.slo_end.min(self.due) }
     }
@@ -698,7 +692,7 @@
     /// Within two paces, six in seven answers that come at random are back. Never more than half of its time:
     /// nodes that are slow, or of no known pace, are tried still, and for clients that soon lose patience.
     fn needed(&self, s: &Statement) -> f64 {
-        (2.0 * self.pace(s.group) * self.length(s.served_as[0])).min(s.kind.slo.min(s.last_use() - s.arrived) / 2.0)
+        (2.0 * self.pace(s.group)).min(s.kind.slo.min(s.last_use() - s.arrived) / 2.0)
     }
 
     /// The design's steps 1 to 5.
@@ -961,7 +955,7 @@
         let leads = self.groups[&s.group].primary == Some(id) && node.claimed > node.denied;
         // Where nodes check, a likely position will do, or one that may have caught up since: a miss is cheap.
         let fresh = s.kind.currency != Currency::Latest && now - node.placed >= node.lag.max(IDLE_S);
-        let likely = (fresh || now - 2.0 * node.lag >= needed) && s.misses() < MISSES;
+        let likely = fresh || now - 2.0 * node.lag >= needed;
         !self.log_in_doubt(s) && (leads || node.lsn >= needed || self.replication.checked && likely)
     }
 
