--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -787,7 +787,7 @@
         let open: Vec<usize> = replicas.filter(|i| self.open(s, group.members[*i], now)).collect();
         let gathers = self.gathers(s, now);
         let gathered = open.iter().find(|i| gathers.contains(&group.members[**i]));
-        let next = *gathered.or(open.first())?;
+        let next = *gathered.or(open.first().filter(|_| gathers.is_empty()))?;
         let chosen = group.members[next];
         self.groups.get_mut(&s.group).expect("known").counter = (next + 1) % size;
         Some(chosen)
