--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -75,6 +75,13 @@
     pub currency: Currency,
 }
 
+impl Workload {
+    /// How old the data may be that its statements are answered from, where that is told as an age.
+    pub fn bound(&self) -> Option<f64> {
+        if let Currency::Recent { bound } = self.currency { Some(bound) } else { None }
+    }
+}
+
 /// A customer's agreed rate, over all routers together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Quota {
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -4,7 +4,7 @@
 //! docs/design.md tells the mechanism. Inputs record facts; sends pass `permitted`, answers `conclude`.
 
 use crate::recovery::Recovery;
-use crate::state::{Execution, Group, NEVER, Node, Statement, shares_of};
+use crate::state::*;
 use crate::succession::{Evidence, Next, Succession, Verdict};
 use crate::{Allowance, ColdStart, Currency, Drain, Ending, Fairness, Outbox, Quota};
 use crate::{Repeat, Replication, Role, Standing, Within, Workload};
@@ -40,18 +40,15 @@
 /// Executions out at a node, from all routers, before its room is learnt, and the least it is left with.
 const ROOM: f64 = 16.0;
 const LEAST_ROOM: f64 = 4.0;
-/// Room grows while answers take less than this share of their SLO time, and shrinks beyond; or so many times
-/// what they take at their best, up to half of the SLO time: work may be long against it.
+/// Room grows while answers take less than this share of their SLO time, and shrinks beyond; where work is long
+/// against it, less than so many times what answers take at their best, up to a second share.
 const STRAIN: f64 = 0.22;
 const EASE: f64 = 1.8;
-const MOST_STRAIN: f64 = 0.3;
-/// Answers over which their mean is taken for that.
+const MOST_STRAIN: f64 = 0.35;
 const EASE_ANSWERS: f64 = 50.0;
 /// The weight of one answer in a node's pace and strain, and of how many its first guess stands.
 const GAIN: f64 = 0.1;
 const PRIOR: f64 = 4.0;
-/// Positions and ages come in rounded milliseconds.
-const ROUNDING_S: f64 = 0.001;
 
 /// Lives from one start of the router to the next; knows only what its own inputs told it.
 #[derive(Default)]
@@ -70,10 +67,10 @@
     pub warm: f64,
     /// The share of late executions that were never answered, lately.
     pub in_vain: f64,
-    /// Answers, the mean share of the SLO time that they take lately, and the least that it has been.
-    pub ease: (f64, f64, f64),
-    /// By workload: answers, and the share of its SLO time that they take.
-    pub takes: Vec<(f64, f64)>,
+    /// What answers took lately, over all and by workload, and the least share that all have taken.
+    pub taken: Taken,
+    pub takes: Vec<Taken>,
+    pub least: f64,
     pub fairness: Fairness,
     /// Importance asked for and met in time, by workload and by customer.
     pub shares: [Vec<(f64, f64)>; 2],
@@ -121,7 +118,7 @@
         let mut born = Instance::default();
         (born.chance, born.routers) = (fastrand::Rng::with_seed(seed), routers.max(1) as f64);
         born.usage = vec![(NEVER, 0.0); quotas.len()];
-        born.takes = vec![(0.0, 0.0); workloads.len()];
+        born.takes = vec![Taken::default(); workloads.len()];
         born.shares = [vec![(0.0, 0.0); workloads.len()], vec![(0.0, 0.0); quotas.len()]];
         (born.workloads, born.quotas, born.replication, born.cold) = (workloads, quotas, replication, cold);
         (born.fairness, born.drain, born.allowance) = (fairness, drain, allowance);
@@ -235,34 +232,30 @@
         let open = self.statements.get(&stmt);
         let late = open.and_then(|s| s.executions.get(index)).is_some_and(|e| self.late(e, now));
         let committed = done && open.is_some_and(Statement::writes);
-        let read = open.filter(|s| self.replication.checked && !s.writes());
         let share = open.filter(|_| done).map(|s| (s.served_as[0], took / s.kind.slo));
+        let needed = open.and_then(|s| s.needed_by(index)).filter(|_| self.replication.checked);
         let length = open.and_then(|s| s.executions.get(index)).map(|e| e.length);
-        let needed = read.and_then(|s| s.executions.get(index).map(|e| s.needs(e.sent)));
         self.learn(late && (done || ending == Ending::TimedOut), !done);
         if done {
             count(&mut self.borne, now);
         }
         share.into_iter().for_each(|(workload, share)| self.eases(workload, share));
-        let strain = self.most_strain();
         let usual = self.nodes.get(&id).map_or(0.0, |n| self.asked(n.group, id) * n.pace);
         self.witness_end(now, stmt, id, ending, role, Some(lsn).filter(|_| committed));
         self.recovered(id, ending);
         let position = self.position(id, lsn);
+        let (strain, lossy) = (self.most_strain(), self.in_vain > IN_VAIN);
         let mut statement = self.statements.get_mut(&stmt);
         if let Some(node) = self.nodes.get_mut(&id) {
             let slo = statement.as_ref().map(|s| s.kind.slo);
-            let signs = Signs { usual, strain, length, lossy: self.in_vain > IN_VAIN };
+            let signs = Signs { usual, strain, length, lossy };
             node.executed(now, ending, took, slo, signs);
             // A commit is rounded up: the node is sure to stand only at what lies before, never ahead of now.
             let lsn = if position <= now + ROUNDING_S { position - ROUNDING_S } else { NEVER };
             node.stood_at(now, lsn);
-            match needed.filter(|needed| *needed > NEVER) {
-                // Who checks what it answers stood there, also where answers tell no position.
-                Some(needed) if done => node.reached(now, needed),
-                Some(needed) if ending == Ending::Missed && lsn == NEVER => node.fell_short(now, needed),
-                _ => {}
-            }
+            // Who checks what it answers stood there, also where answers tell no position.
+            let told = needed.filter(|_| done || ending == Ending::Missed && lsn == NEVER);
+            told.into_iter().for_each(|needed| node.showed(now, needed, done));
             match role {
                 Some(Role::Primary) => node.claimed = node.claimed.max(now),
                 Some(Role::Replica) => node.denied = now,
@@ -345,29 +338,11 @@
         HOLD_SHARE * self.kind.timeout
     }
 
-    /// The position that a read executed at `at` must see.
-    fn needs(&self, at: f64) -> f64 {
-        match self.kind.currency {
-            Currency::Primary | Currency::Loose => NEVER,
-            Currency::Recent { bound } => at - bound + ROUNDING_S,
-            Currency::Latest | Currency::OwnWrites => self.owed,
-        }
-    }
-
     pub(crate) fn last_use(&self) -> f64 {
         if self.kind.late_worth > 0.0 { self.due } else { self.slo_end.min(self.due) }
     }
 }
 
-/// What an ending is weighed with: how many are usually out, the strain that is borne, whether answers get lost.
-#[derive(Clone, Copy)]
-struct Signs {
-    usual: f64,
-    strain: f64,
-    length: Option<f64>,
-    lossy: bool,
-}
-
 impl Node {
     fn executed(&mut self, now: f64, ending: Ending, took: f64, slo: Option<f64>, signs: Signs) {
         self.leaves(now, signs.length);
@@ -478,10 +453,9 @@
         self.believe(now, out);
         self.settle_succession(now, out);
         let (touched, mut full) = (std::mem::take(&mut self.touched), BTreeSet::new());
-        let mut queue: Vec<u32> = touched.iter().copied().collect();
-        for group in std::mem::take(&mut self.touched_groups) {
-            queue.extend(self.groups[&group].waiting.iter());
-        }
+        let groups = std::mem::take(&mut self.touched_groups);
+        let waiting = groups.iter().flat_map(|group| &self.groups[group].waiting);
+        let mut queue: Vec<u32> = touched.iter().chain(waiting).copied().collect();
         queue.sort_by_cached_key(|id| self.statements.get(id).map_or((0, 0), |s| self.rank(s, now)));
         for stmt in queue {
             if !beat && !touched.contains(&stmt) && self.stuck(stmt, now, &mut full) {
@@ -500,9 +474,8 @@
     fn stuck(&self, stmt: u32, now: f64, full: &mut BTreeSet<u16>) -> bool {
         let Some(s) = self.statements.get(&stmt) else { return true };
         let taken = |m: (u32, &Node)| m.1.suspected.is_some() || m.1.out as f64 >= m.1.room.max(1.0);
-        let alone = self.succession.is_none();
         let full = full.contains(&s.group) || self.members(s.group).all(taken) && full.insert(s.group);
-        alone && full && now + self.needed(s) < s.last_use()
+        full && self.succession.is_none() && now + self.needed(s) < s.last_use()
     }
 
     /// The worthiest first, and of these the youngest: in a jam the oldest would all be too late.
@@ -740,17 +713,15 @@
     /// of any age: long ones can keep a replica from applying, and spread evenly they hold back all. Harm: less
     /// room for them.
     fn gathers(&self, s: &Statement, now: f64) -> Vec<u32> {
-        let bound = |w: &Workload| if let Currency::Recent { bound } = w.currency { bound } else { MARK_S };
-        let most = self.workloads.iter().map(bound).fold(MARK_S, f64::min) / 2.0;
-        let replicas = self.members(s.group).filter(|m| Some(m.0) != self.groups[&s.group].primary);
-        let mut ids: Vec<u32> = replicas.map(|m| m.0).collect();
-        let late = |id: &u32| self.nodes[id].lag > most && now - self.nodes[id].placed < self.nodes[id].lag;
-        if s.kind.currency != Currency::Loose || !ids.iter().any(late) {
-            return Vec::new();
-        }
-        ids.sort_unstable();
-        ids.truncate(ids.len().div_ceil(3));
-        ids
+        let most = self.workloads.iter().filter_map(Workload::bound).fold(MARK_S, f64::min) / 2.0;
+        let late = |n: &Node| n.lag > most && now - n.placed < n.lag;
+        let primary = self.groups[&s.group].primary;
+        let replica = |m: &(u32, &Node)| Some(m.0) != primary && m.1.in_service(&self.drain);
+        let mut replicas: Vec<(u32, &Node)> = self.members(s.group).filter(replica).collect();
+        let gather = s.kind.currency == Currency::Loose && replicas.iter().any(|m| late(m.1));
+        replicas.sort_unstable_by_key(|m| m.0);
+        let third = if gather { replicas.len().div_ceil(3) } else { 0 };
+        replicas[..third].iter().map(|m| m.0).collect()
     }
 
     fn members(&self, group: u16) -> impl Iterator<Item = (u32, &Node)> {
@@ -784,10 +755,10 @@
         let size = group.members.len();
         let order = (0..size).map(|i| (group.counter + i) % size);
         let replicas = order.filter(|i| Some(group.members[*i]) != group.primary);
-        let open: Vec<usize> = replicas.filter(|i| self.open(s, group.members[*i], now)).collect();
         let gathers = self.gathers(s, now);
-        let gathered = open.iter().find(|i| gathers.contains(&group.members[**i]));
-        let next = *gathered.or(open.first().filter(|_| gathers.is_empty()))?;
+        let within = |id: u32| gathers.is_empty() || gathers.contains(&id);
+        let next =
+            { replicas }.find(|i| within(group.members[*i]) && self.open(s, group.members[*i], now))?;
         let chosen = group.members[next];
         self.groups.get_mut(&s.group).expect("known").counter = (next + 1) % size;
         Some(chosen)
@@ -837,32 +808,26 @@
 
     /// How long this workload's statements take against all: a pace is that of one of length 1. Until their own
     /// answers tell, workloads are thought to take like shares of their SLO times.
-    fn length(&self, workload: usize) -> f64 {
-        let usual = if self.ease.0 > 0.0 { self.ease.1.max(1e-6) } else { 1.0 };
-        let takes = |i: usize| {
-            let (answers, share) = self.takes[i];
-            self.workloads[i].slo * (PRIOR * usual + answers * share) / (PRIOR + answers)
-        };
+    pub fn length(&self, workload: usize) -> f64 {
+        let usual = if self.taken.answers > 0.0 { self.taken.share.max(1e-6) } else { 1.0 };
+        let takes = |i: usize| self.workloads[i].slo * self.takes[i].expected(usual, PRIOR);
         let count = |i: usize| self.shares[0][i].0 / self.workloads[i].importance.max(1e-9);
-        let all = |of: &dyn Fn(usize) -> f64| (0..self.workloads.len()).map(of).sum::<f64>();
-        let mean = all(&|i| count(i) * takes(i)) / all(&count);
+        let sum = |of: &dyn Fn(usize) -> f64| (0..self.workloads.len()).map(of).sum::<f64>();
+        let mean = sum(&|i| count(i) * takes(i)) / sum(&count);
         if mean > 0.0 { takes(workload) / mean } else { 1.0 }
     }
 
     /// What answers take at their best is learnt from what they took in the calmest while so far.
     fn eases(&mut self, workload: usize, share: f64) {
-        let own = &mut self.takes[workload];
-        own.0 = f64::min(own.0 + 1.0, EASE_ANSWERS);
-        own.1 += (share - own.1) / own.0;
-        let (answers, mean, least) = &mut self.ease;
-        *answers += 1.0;
-        *mean += (share - *mean) / answers.min(EASE_ANSWERS);
-        let rise = (*mean - *least).max(0.0) / (100.0 * EASE_ANSWERS);
-        *least = if *answers < EASE_ANSWERS / 2.0 { *mean } else { mean.min(*least + rise) };
+        self.takes[workload].add(share, EASE_ANSWERS);
+        self.taken.add(share, EASE_ANSWERS);
+        let (mean, new) = (self.taken.share, self.taken.answers < EASE_ANSWERS / 2.0);
+        let risen = self.least + (mean - self.least) / (100.0 * EASE_ANSWERS);
+        self.least = if new { mean } else { mean.min(risen) };
     }
 
     fn most_strain(&self) -> f64 {
-        STRAIN.max((EASE * self.ease.2).min(MOST_STRAIN))
+        STRAIN.max((EASE * self.least).min(MOST_STRAIN))
     }
 
     fn learn(&mut self, late: bool, in_vain: bool) {
@@ -948,10 +913,10 @@
     /// Guards rule 5: a member not believed primary answers a read only from a position known to do.
     pub fn current(&self, s: &Statement, id: u32, now: f64) -> bool {
         let node = &self.nodes[&id];
-        let needed = s.needs(now);
-        if needed == NEVER && !matches!(s.kind.currency, Currency::OwnWrites) {
+        if matches!(s.kind.currency, Currency::Primary | Currency::Loose) {
             return true;
         }
+        let needed = s.needs(now);
         let leads = self.groups[&s.group].primary == Some(id) && node.claimed > node.denied;
         // Where nodes check, a likely position will do, or one that may have caught up since: a miss is cheap.
         let fresh = s.kind.currency != Currency::Latest && now - node.placed >= node.lag.max(IDLE_S);
@@ -1019,8 +984,8 @@
         for (execution, e) in (0..).zip(&s.executions).filter(|e| e.1.ended.is_none()) {
             self.learn(self.late(e, now), true);
             let usual = self.asked(s.group, e.node) * self.nodes[&e.node].pace;
-            let (strain, length) = (self.most_strain(), Some(e.length));
-            let signs = Signs { usual, strain, length, lossy: self.in_vain > IN_VAIN };
+            let (strain, lossy) = (self.most_strain(), self.in_vain > IN_VAIN);
+            let signs = Signs { usual, strain, length: Some(e.length), lossy };
             let node = self.nodes.get_mut(&e.node).expect("listed");
             node.unanswered(now, (now - e.sent) / s.kind.slo, signs);
             if self.allowance.cancelling && s.due.is_finite() {
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -6,6 +6,8 @@
 
 /// The time of what has not happened, and the position of what told none.
 pub const NEVER: f64 = f64::NEG_INFINITY;
+/// Positions and ages come in rounded milliseconds.
+pub const ROUNDING_S: f64 = 0.001;
 
 /// A node that is gone is remembered for this long, and one that may only be called so for ten times as long:
 /// what is still out there has ended by then, and its drain is no question any more.
@@ -122,6 +124,37 @@
     pub asked: (f64, f64),
 }
 
+/// Answers counted, and the share of their SLO time that they took on average of late.
+#[derive(Clone, Copy, Default)]
+pub struct Taken {
+    pub answers: f64,
+    pub share: f64,
+}
+
+/// What an ending is weighed with.
+#[derive(Clone, Copy)]
+pub struct Signs {
+    /// How many are out at the node on average.
+    pub usual: f64,
+    /// The strain that is borne.
+    pub strain: f64,
+    pub length: Option<f64>,
+    /// Most of what is late is never answered.
+    pub lossy: bool,
+}
+
+impl Taken {
+    pub fn add(&mut self, share: f64, most: f64) {
+        self.answers = f64::min(self.answers + 1.0, most);
+        self.share += (share - self.share) / self.answers;
+    }
+
+    /// The mean with a first guess that stands for so many answers.
+    pub fn expected(&self, guess: f64, weight: f64) -> f64 {
+        (weight * guess + self.answers * self.share) / (weight + self.answers)
+    }
+}
+
 impl Execution {
     pub fn new(node: u32, sent: f64) -> Execution {
         Execution { node, sent, ended: None, length: 1.0, term: 0, asks: false, barred: false }
@@ -149,6 +182,21 @@
         self.executions.iter().all(never)
     }
 
+    /// The position that a read executed at `at` must see.
+    pub fn needs(&self, at: f64) -> f64 {
+        match self.kind.currency {
+            Currency::Primary | Currency::Loose => NEVER,
+            Currency::Recent { bound } => at - bound + ROUNDING_S,
+            Currency::Latest | Currency::OwnWrites => self.owed,
+        }
+    }
+
+    /// The position that an execution of a read had to see, if any.
+    pub fn needed_by(&self, execution: usize) -> Option<f64> {
+        let needed = self.executions.get(execution).map(|e| self.needs(e.sent));
+        needed.filter(|needed| *needed > NEVER)
+    }
+
     pub fn may_have_run(&self) -> impl Iterator<Item = &Execution> {
         let ran = |e: &&Execution| !e.asks && !e.barred && !e.ended.is_some_and(Ending::proves_unrun);
         self.executions.iter().filter(ran)
@@ -205,9 +253,13 @@
         }
     }
 
-    /// It had not come that far.
-    pub fn fell_short(&mut self, now: f64, lsn: f64) {
-        (self.lag, self.placed) = (self.lag.max(now - lsn), now);
+    /// It answered what needed this position, or had not come that far.
+    pub fn showed(&mut self, now: f64, lsn: f64, reached: bool) {
+        if reached {
+            self.reached(now, lsn);
+        } else {
+            (self.lag, self.placed) = (self.lag.max(now - lsn), now);
+        }
     }
 
     /// Waiting for executions that are out adds up from the last answer on, each from its own send.
--- a/crates/routing/src/succeed.rs
+++ b/crates/routing/src/succeed.rs
@@ -2,12 +2,10 @@
 //! evidence, a statement a wish, a verdict a mark on the statement. It decides nothing; without settings
 //! nothing of it acts.
 
-use crate::state::{NEVER, Statement};
+use crate::state::{NEVER, ROUNDING_S, Statement};
 use crate::{Allowance, Currency, Ending, Instance, Repeat, Role, Standing};
 use badgerstream_succession::{Evidence, Next, Phase, Settings, Succession, Verdict, Wish, next};
 
-/// Positions and ages come in rounded milliseconds.
-const ROUNDING_S: f64 = 0.001;
 /// How often the outcome of one statement is asked for.
 const INQUIRIES: usize = 2;
 
