--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -232,10 +232,11 @@
         let open = self.statements.get(&stmt);
         let late = open.and_then(|s| s.executions.get(index)).is_some_and(|e| self.late(e, now));
         let committed = done && open.is_some_and(Statement::writes);
-        let share = open.filter(|_| done).map(|s| (s.served_as[0], took / s.kind.slo));
+        let ended = done || ending == Ending::TimedOut;
+        let share = open.filter(|_| ended).map(|s| (s.served_as[0], took / s.kind.slo));
         let needed = open.and_then(|s| s.needed_by(index)).filter(|_| self.replication.checked);
         let length = open.and_then(|s| s.executions.get(index)).map(|e| e.length);
-        self.learn(late && (done || ending == Ending::TimedOut), !done);
+        self.learn(late && ended, !done);
         if done {
             count(&mut self.borne, now);
         }
@@ -819,8 +820,7 @@
 
     /// What answers take at their best is learnt from what they took in the calmest while so far.
     fn eases(&mut self, workload: usize, share: f64) {
-        self.takes[workload].add(share, EASE_ANSWERS);
-        self.taken.add(share, EASE_ANSWERS);
+        [&mut self.takes[workload], &mut self.taken].map(|taken| taken.add(share, EASE_ANSWERS));
         let (mean, new) = (self.taken.share, self.taken.answers < EASE_ANSWERS / 2.0);
         let risen = self.least + (mean - self.least) / (100.0 * EASE_ANSWERS);
         self.least = if new { mean } else { mean.min(risen) };
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -4,6 +4,7 @@
 use crate::*;
 use test_case::test_case;
 
+mod further;
 mod succession;
 
 /// Clock reading at which tests begin, and the group that they use.
