--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -820,7 +820,7 @@
 
     /// What answers take at their best is learnt from what they took in the calmest while so far.
     fn eases(&mut self, workload: usize, share: f64) {
-        [&mut self.takes[workload], &mut self.taken].map(|taken| taken.add(share, EASE_ANSWERS));
+        [&mut self.takes[workload], &mut self.taken].into_iter().for_each(|t| t.add(share, EASE_ANSWERS));
         let (mean, new) = (self.taken.share, self.taken.answers < EASE_ANSWERS / 2.0);
         let risen = self.least + (mean - self.least) / (100.0 * EASE_ANSWERS);
         self.least = if new { mean } else { mean.min(risen) };
@@ -918,8 +918,8 @@
         }
         let needed = s.needs(now);
         let leads = self.groups[&s.group].primary == Some(id) && node.claimed > node.denied;
-        // Where nodes check, a likely position will do, or one that may have caught up since: a miss is cheap.
-        let fresh = s.kind.currency != Currency::Latest && now - node.placed >= node.lag.max(IDLE_S);
+        // Where nodes check, a likely position will do, or one untold for a second: a miss is cheap.
+        let fresh = s.kind.currency != Currency::Latest && now - node.placed >= IDLE_S;
         let likely = fresh || now - 2.0 * node.lag >= needed;
         !self.log_in_doubt(s) && (leads || node.lsn >= needed || self.replication.checked && likely)
     }
