--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -44,7 +44,7 @@
 /// against it, less than so many times what answers take at their best, up to a second share.
 const STRAIN: f64 = 0.22;
 const EASE: f64 = 1.8;
-const MOST_STRAIN: f64 = 0.35;
+const MOST_STRAIN: f64 = 0.3;
 const EASE_ANSWERS: f64 = 50.0;
 /// The weight of one answer in a node's pace and strain, and of how many its first guess stands.
 const GAIN: f64 = 0.1;
