--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -144,7 +144,11 @@
 }
 
 impl Taken {
+    /// An SLO time of zero has no shares.
     pub fn add(&mut self, share: f64, most: f64) {
+        if !share.is_finite() {
+            return;
+        }
         self.answers = f64::min(self.answers + 1.0, most);
         self.share += (share - self.share) / self.answers;
     }
--- a/crates/routing/src/tests/further.rs
+++ b/crates/routing/src/tests/further.rs
@@ -145,3 +145,14 @@
     router.touch_group(G);
     assert_eq!(settle(&mut router, T + 0.43), ["reject 1"]);
 }
+
+#[test]
+fn a_workload_whose_slo_time_is_zero_spoils_no_pace() {
+    let mut router = router(false);
+    take(&mut router, T, 1, LOOSE, 0, 0.0);
+    let s = router.statements.get_mut(&1).unwrap();
+    s.kind.slo = 0.0;
+    s.executions.push(sent(B, T, None));
+    router.executed(T + 0.1, 1, 0, B, Ending::Completed, 0.1, true, None, NEVER);
+    assert!(router.taken.share == 0.0 && router.length(LOOSE).is_finite());
+}
