--- a/crates/cluster/src/judge/figures.rs
+++ b/crates/cluster/src/judge/figures.rs
@@ -7,6 +7,7 @@
 use crate::router::WORKLOADS;
 use crate::store::Kind;
 use serde::Serialize;
+use std::collections::BTreeSet;
 
 /// Bursts are counted over any so long a time, and windows of the report are as long.
 const WINDOW_US: u64 = 100_000;
@@ -45,6 +46,15 @@
     pub turned_away: usize,
     pub opened: usize,
     pub probes: usize,
+    /// Rejected and aborted, probes and connections asked for, for each statement that was asked.
+    pub refused_share: f64,
+    pub probes_each: f64,
+    pub opened_each: f64,
+    /// The least evenness of what clients were served of what they asked, front by front, over any three seconds
+    /// from the third second behind the last start or deed on (Jain's index).
+    pub evenness_least: Option<f64>,
+    /// Pairs of a router and a node between which statements went in the calm.
+    pub pairs_calm: usize,
     /// Executions that reached nodes for each statement that was asked.
     pub executions_each: f64,
     /// The most that a cold node was sent, as a share of what it bears; 0 where none was cold.
@@ -142,9 +152,44 @@
     figures.shares = shares(evidence, behind.unwrap_or(start));
     figures.evenness = full.and_then(|(at, _)| evenness(&shares(evidence, at)));
     figures.windows = windows(evidence, &lists);
+    let each = |count: usize| count as f64 / figures.asked.max(1) as f64;
+    figures.refused_share = each(figures.rejected + figures.aborted);
+    figures.probes_each = each(figures.probes);
+    figures.opened_each = each(figures.opened);
+    figures.evenness_least = evenness_of_fronts(evidence, behind.unwrap_or(calm.0) + FULL_FOR_US, end);
+    let sent = evidence.seen.arrivals.iter().filter(|a| a.kind == Kind::Statement);
+    let calmly = sent.filter(|a| (calm.0..calm.1).contains(&a.at_us));
+    figures.pairs_calm = calmly.map(|a| (a.router, a.node)).collect::<BTreeSet<_>>().len();
     figures
 }
 
+/// Fronts that ask for less worth than this over the time say nothing of fairness.
+const LEAST_DUE: f64 = 20.0;
+
+fn evenness_of_fronts(evidence: &Evidence, from: u64, to: u64) -> Option<f64> {
+    let asked = &evidence.heard.asked;
+    let of = |at: u64| {
+        let first = asked.partition_point(|a| a.due_us < at);
+        let mut fronts = vec![(0.0, 0.0); evidence.script.routers];
+        for a in asked[first..].iter().take_while(|a| a.due_us < at + FULL_FOR_US) {
+            if let Some(front) = fronts.get_mut(a.front) {
+                front.0 += worth(a);
+                front.1 += if a.outcome == Outcome::Completed { worth(a) } else { 0.0 };
+            }
+        }
+        let shares: Vec<f64> = fronts.iter().filter(|f| f.0 >= LEAST_DUE).map(|f| f.1 / f.0).collect();
+        jain(&shares)
+    };
+    let starts = (0..).map(|step| from + step * SECOND_US).take_while(|at| at + FULL_FOR_US <= to);
+    starts.filter_map(of).reduce(f64::min)
+}
+
+/// Jain's index: 1 for all alike, 1 / n where one has all.
+fn jain(shares: &[f64]) -> Option<f64> {
+    let (sum, squares) = shares.iter().fold((0.0, 0.0), |(s, q), x| (s + x, q + x * x));
+    (squares > 0.0).then(|| sum * sum / (shares.len() as f64 * squares))
+}
+
 fn behind_only(times: &[u64], from: u64) -> Vec<u64> {
     times[times.partition_point(|at| *at < from)..].to_vec()
 }
@@ -191,11 +236,8 @@
     shares
 }
 
-/// Jain's index.
 fn evenness(shares: &[usize]) -> Option<f64> {
-    let parts = shares.iter().map(|share| *share as f64);
-    let (sum, squares) = parts.fold((0.0, 0.0), |(s, q), x| (s + x, q + x * x));
-    (squares > 0.0).then(|| sum * sum / (shares.len() as f64 * squares))
+    jain(&shares.iter().map(|share| *share as f64).collect::<Vec<_>>())
 }
 
 fn windows(evidence: &Evidence, lists: &[u64]) -> Vec<Window> {
--- a/crates/cluster/src/play.rs
+++ b/crates/cluster/src/play.rs
@@ -149,14 +149,14 @@
 pub fn play(script: &Script, setup: &Setup) -> Result<Evidence, Fault> {
     let plan = script.draw(setup.seed);
     let mut rig = Rig::build(script, setup)?;
-    for router in 0..script.routers {
+    for router in 0..script.up() {
         rig.start(router)?;
     }
     for router in rig.routers.iter().flatten() {
         router.serves()?;
     }
     let begun = Instant::now();
-    while !rig.addresses.iter().all(|router| future::block_on(admitted(*router))) {
+    while !rig.addresses.iter().take(script.up()).all(|router| future::block_on(admitted(*router))) {
         if begun.elapsed() > ENDING {
             return Err(Fault::Wrong("a router admits nobody".to_string()));
         }
@@ -274,7 +274,7 @@
             memory_mb: 64,
             descriptors: 512,
             known,
-            routers: self.script.routers,
+            routers: self.script.told.unwrap_or(self.script.routers),
             slo_ms: load.slo_ms,
             timeout_ms: load.patience_ms,
             mark_memory_ms: 60_000.0,
--- a/crates/cluster/src/script.rs
+++ b/crates/cluster/src/script.rs
@@ -13,6 +13,12 @@
     #[serde(default)]
     pub store: Store,
     pub routers: usize,
+    /// How many of them are there from the beginning; the others are started by a step. Without it all are.
+    #[serde(default)]
+    pub up: Option<usize>,
+    /// How many routers each is told of; without it all that there are.
+    #[serde(default)]
+    pub told: Option<usize>,
     #[serde(default)]
     pub load: Load,
     /// The list that a router finds in its file when it starts again.
@@ -317,6 +323,12 @@
         if !(1..=MOST_ROUTERS).contains(&self.routers) {
             return wrong("routers", "is no number from 1 to 64");
         }
+        if self.up.is_some_and(|up| !(1..=self.routers).contains(&up)) {
+            return wrong("up", "is no number from 1 to the number of routers");
+        }
+        if self.told.is_some_and(|told| told == 0) {
+            return wrong("told", "is no number from 1 on");
+        }
         if s.groups == 0 || s.members == 0 || s.nodes() > MOST_NODES {
             return wrong("store.members", "and groups make no node, or more than 64");
         }
@@ -375,10 +387,16 @@
         (!fits).then(|| "names a router, node, group or share that is not there".to_string())
     }
 
+    /// How many routers are there from the beginning.
+    pub fn up(&self) -> usize {
+        self.up.unwrap_or(self.routers)
+    }
+
     /// What is done when: all lots are drawn here.
     pub fn draw(&self, seed: u64) -> Plan {
         let mut chance = fastrand::Rng::with_seed(seed);
-        let (mut plan, mut same, mut down) = (Plan::new(), Vec::new(), BTreeSet::new());
+        let (mut plan, mut same) = (Plan::new(), Vec::new());
+        let mut down: BTreeSet<usize> = (self.up()..self.routers).collect();
         let mut steps: Vec<&Step> = self.steps.iter().collect();
         steps.sort_by_key(|step| step.at_ms);
         for step in steps {
--- /dev/null
+++ b/crates/fleet/src/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Rules by case, and sums over any number of routers as properties.
+
+mod rules;
+mod sums;
--- a/crates/lab/src/comeback.rs
+++ b/crates/lab/src/comeback.rs
@@ -1,9 +1,9 @@
 //! `comeback`: most routers are restarted at once, or break otherwise, while the load goes on. Real routers,
 //! store and clients as processes, every link through a relay; judged by `badgerstream-cluster`.
 
-use crate::router::{Fault, Program, folder, program};
-use badgerstream_cluster::judge::{self, Figures, Verdict};
-use badgerstream_cluster::play::{Setup, play};
+use crate::router::Fault;
+use crate::runs::{Runs, plot};
+use badgerstream_cluster::judge::Verdict;
 use badgerstream_cluster::script::Script;
 use serde::Serialize;
 use serde_json::{Value, json};
@@ -154,7 +154,7 @@
 pub fn own(routers: usize) -> String {
     let names: Vec<String> = (0..routers).map(|router| format!("router-{router}")).collect();
     json!({"recovery": {"routers": names, "held_field": "x4", "opened_field": "x5", "handshake_ms": 100.0, "opens_in_100ms": 4.0,
-                        "linger_ms": 1000.0}})
+                        "linger_ms": 1000.0, "turns_below": 4}})
     .to_string()
 }
 
@@ -176,38 +176,20 @@
 /// What can't be read, or a process that can't be started.
 pub fn run(options: &Options) -> Result<Report, Fault> {
     let script = read(options)?;
-    let folder = folder(options.keep.as_deref())?;
-    let this = program()?;
-    let router = options
-        .router
-        .as_ref()
-        .map_or_else(|| Program::ours(&this), |path| Program { path: path.clone(), before: Vec::new() });
     let own = match &options.settings {
         Some(file) => std::fs::read_to_string(file).map_err(|e| Fault::File(file.clone(), e))?,
         None => own(script.routers),
     };
-    let one = |own: Option<&str>, name: &str| {
-        let folder = folder.join(name);
-        std::fs::create_dir_all(&folder).map_err(|e| Fault::File(folder.clone(), e))?;
-        let setup = Setup { router: &router, own, helper: &this, folder: &folder, seed: options.seed };
-        let verdict = judge::judge(&play(&script, &setup)?);
-        let text = serde_json::to_string(&verdict).map_err(|e| Fault::Wrong(e.to_string()))?;
-        let file = folder.join("verdict.json");
-        std::fs::write(&file, text).map_err(|e| Fault::File(file, e))?;
-        Ok::<Verdict, Fault>(verdict)
+    let runs = Runs {
+        script: &script,
+        own: &own,
+        seed: options.seed,
+        router: options.router.as_deref(),
+        keep: options.keep.as_deref(),
     };
-    let both = options.beside;
-    let baseline = (options.baseline || both).then(|| one(None, "baseline")).transpose()?;
-    let with = (!options.baseline).then(|| one(Some(&own), "with")).transpose()?;
+    let (with, baseline) = runs.play(options.baseline, options.beside)?;
     if let Some(place) = &options.plot {
-        let runs: Vec<(&str, &Figures)> = [("with recovery", &with), ("baseline", &baseline)]
-            .into_iter()
-            .filter_map(|(name, of)| Some((name, &of.as_ref()?.figures)))
-            .collect();
-        judge::plot(&runs, place).map_err(Fault::Wrong)?;
-    }
-    if options.keep.is_none() {
-        let _ = std::fs::remove_dir_all(&folder);
+        plot(with.as_ref(), baseline.as_ref(), "with recovery", place)?;
     }
     let broken = broken(options, &script, with.as_ref(), baseline.as_ref());
     Ok(Report {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,7 +4,11 @@
 pub use badgerstream_cluster::router;
 
 pub mod client;
+pub mod cluster_fleet;
 pub mod comeback;
+pub mod crowd;
+pub mod fleet;
 pub mod honest_load;
 pub mod primary_changes;
+pub mod runs;
 pub mod succession_cost;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,7 +3,7 @@
 
 use badgerstream_cluster::{clients, play, store};
 use badgerstream_lab::router::Fault;
-use badgerstream_lab::{comeback, honest_load, primary_changes, succession_cost};
+use badgerstream_lab::{cluster_fleet, comeback, fleet, honest_load, primary_changes, succession_cost};
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
 
@@ -28,6 +28,10 @@
     HonestLoad(honest_load::Options),
     /// Most routers are restarted at once, or break otherwise, under load: many processes, faults between them
     Comeback(comeback::Options),
+    /// What the choices of hundreds of routers add up to, in simulated time
+    Fleet(fleet::Options),
+    /// The same with real processes, and faults between them
+    ClusterFleet(cluster_fleet::Options),
     /// The store of a rig, as a process of an experiment
     #[command(hide = true, name = play::STORE)]
     ClusterStore,
@@ -61,6 +65,23 @@
             }
             (if options.json { json(report) } else { String::new() }, !report.broken.is_empty())
         }),
+        Experiment::Fleet(options) => told(fleet::run(&options), |report| {
+            if !options.json {
+                fleet::print(report);
+            }
+            (if options.json { json(report) } else { String::new() }, !report.broken.is_empty())
+        }),
+        Experiment::ClusterFleet(options) if options.print => {
+            let script = cluster_fleet::script(options.plan, options.routers, options.nodes);
+            println!("{}", serde_json::to_string_pretty(&script).unwrap_or_default());
+            ExitCode::SUCCESS
+        }
+        Experiment::ClusterFleet(options) => told(cluster_fleet::run(&options), |report| {
+            if !options.json {
+                cluster_fleet::print(report);
+            }
+            (if options.json { json(report) } else { String::new() }, !report.broken.is_empty())
+        }),
         Experiment::Scripted => ExitCode::from(u8::from(honest_load::scripted().is_err())),
         Experiment::HonestLoad(options) => {
             told(honest_load::run(&options), |report| (json(report), !report.broken.is_empty()))
--- a/crates/provision/src/own.rs
+++ b/crates/provision/src/own.rs
@@ -1,7 +1,7 @@
 //! Our own settings: a file of JSON5 beside the one that the platform hands over. What is wrong in it is told
 //! with its line and column.
 
-use badgerstream_routing::{recovery, succession};
+use badgerstream_routing::{fleet, recovery, succession};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
@@ -13,6 +13,8 @@
     pub succession: Option<succession::Settings>,
     /// What happens while many routers come back at once.
     pub recovery: Option<recovery::Settings>,
+    /// What is decided as one of many routers.
+    pub fleet: Option<fleet::Settings>,
 }
 
 /// Why such a file can't be used.
@@ -31,7 +33,8 @@
         json5_file(text, |own: &Own| {
             let succession = own.succession.as_ref().and_then(|s| s.fault(bytes)).map(|f| ("succession", f));
             let recovery = || own.recovery.as_ref().and_then(|r| r.fault()).map(|f| ("recovery", f));
-            let (part, (field, why)) = succession.or_else(recovery)?;
+            let fleet = || own.fleet.as_ref().and_then(|f| f.fault()).map(|f| ("fleet", f));
+            let (part, (field, why)) = succession.or_else(recovery).or_else(fleet)?;
             Some((format!("{part}.{field}"), why))
         })
     }
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -15,9 +15,10 @@
 #[cfg(test)]
 mod tests;
 
+pub use badgerstream_fleet::place;
 pub use phase::{Phase, Sign};
 pub use settings::Settings;
-pub use turns::{WINDOW_S, place};
+pub use turns::WINDOW_S;
 
 use node::Node;
 use phase::Course;
@@ -303,7 +304,11 @@
             Phase::Sounding => return Open::After(LOOK_S),
             Phase::Turns | Phase::Climbing | Phase::Full => {}
         }
-        if phase == Phase::Turns || now < known.crowded_until {
+        let held = stand.busy + stand.idle;
+        // Behind turns, too, one more at each of many routers is a burst: who has one can wait for its turn. Who has
+        // many is one of few.
+        let small = held < self.settings.turns_below && (held > 0 || phase == Phase::Climbing);
+        if phase == Phase::Turns || now < known.crowded_until || small {
             let turn = self.turns.turn(now, known.place).filter(|slot| known.unused(*slot));
             let Some(slot) = turn.filter(|_| stand.opening == 0) else {
                 return Open::After(self.turns.next(now, known.place));
@@ -312,7 +317,6 @@
             return Open::Now;
         }
         // Slow start: no more at once than there are.
-        let held = stand.busy + stand.idle;
         let most = if phase == Phase::Climbing { held / 2 } else { held };
         if stand.opening < most.max(1) { Open::Now } else { Open::After(LOOK_S) }
     }
--- a/crates/recovery/src/settings.rs
+++ b/crates/recovery/src/settings.rs
@@ -32,6 +32,9 @@
     pub linger_ms: f64,
     /// Connections beyond what was in use at once over so long are given up.
     pub surplus_ms: f64,
+    /// Behind turns, too, a further connection at a node waits for this router's turn while it holds fewer than so
+    /// many there; 0 where only slow start is to bind.
+    pub turns_below: usize,
     /// Fields of a load report: connections that the node holds, and those opened in the last 100 ms. Without
     /// them only handshakes and refusals tell of others.
     pub held_field: String,
@@ -54,6 +57,7 @@
             refused_most_ms: 2000.0,
             linger_ms: 0.0,
             surplus_ms: 3000.0,
+            turns_below: 0,
             held_field: String::new(),
             opened_field: String::new(),
         }
--- a/crates/recovery/src/tests/fleet.rs
+++ b/crates/recovery/src/tests/fleet.rs
@@ -120,6 +120,19 @@
         }
     }
 
+    /// With turns for who holds few, the bound holds to the end: through climbing and at full pace.
+    #[test]
+    fn the_sum_stays_under_the_bound_through_climbing(
+        routers in 8usize..60, nodes in 1usize..6, within in 0.0..0.3f64, seed in any::<u64>(),
+    ) {
+        let settings = Settings { turns_below: 4, ..named(routers) };
+        let bound = settings.opens(routers as f64) as usize + 2 + routers.div_ceil(nodes);
+        let (_, calls) = play(&settings, routers, nodes, within, seed, 4.0);
+        for (node, calls) in calls.iter().enumerate() {
+            prop_assert!(burst(calls) <= bound, "node {node}: {} of {bound}", burst(calls));
+        }
+    }
+
     #[test]
     fn every_phase_ends_and_nobody_starves(
         routers in 1usize..40, nodes in 1usize..6, seed in any::<u64>(),
--- a/crates/recovery/src/tests/rules.rs
+++ b/crates/recovery/src/tests/rules.rs
@@ -163,6 +163,21 @@
     assert_eq!(recovery.may_open(now, 0, stand) == Open::Now, may);
 }
 
+#[test_case(Phase::Full, 0, true; "without one it is opened at once")]
+#[test_case(Phase::Full, 1, false; "who has one waits for its turn")]
+#[test_case(Phase::Full, 4, true; "who has many is one of few")]
+#[test_case(Phase::Climbing, 0, false; "while it climbs the first one waits, too")]
+fn small_routers_open_in_turn_behind_turns(phase: Phase, held: usize, at_once: bool) {
+    let (mut recovery, now) = at(phase);
+    recovery.reset(Settings { turns_below: 4, ..recovery.settings().clone() }, &name(7));
+    let stand = Stand { busy: held, ..NONE };
+    // A cycle's moments, of which one is its own.
+    let opens =
+        (0..45).filter(|i| recovery.may_open(now + 0.01 * f64::from(*i), 0, stand) == Open::Now).count();
+    assert_eq!(opens > 2, at_once, "{opens} of 45");
+    assert!(opens > 0, "its turn never came");
+}
+
 #[test]
 fn a_crowded_node_is_opened_in_turn_by_those_who_did_not_restart_too() {
     let (mut recovery, now) = at(Phase::Full);
--- a/crates/recovery/src/turns.rs
+++ b/crates/recovery/src/turns.rs
@@ -12,12 +12,6 @@
     step: f64,
 }
 
-/// A node's place in the order of slots, from its name: the same at every router and in every version (FNV-1a).
-pub fn place(name: &str) -> u64 {
-    let mixed = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    name.bytes().fold(0xcbf2_9ce4_8422_2325, mixed)
-}
-
 impl Turns {
     /// `opens` is the bound of all routers together, a node and window.
     pub fn new(rank: u64, routers: u64, opens: f64) -> Turns {
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -16,6 +16,8 @@
     pub took_over: Option<(f64, f64)>,
     /// How many connections it holds, and how many were opened there in the last 100 ms.
     pub connections: Option<(f64, f64)>,
+    /// How many connections it holds by the field that counts routers, and how many of them are this router's.
+    pub held: Option<(f64, f64)>,
 }
 
 impl Report {
@@ -27,6 +29,9 @@
         if let Some((held, opened)) = self.connections {
             instance.crowded(now, node, held, opened);
         }
+        if let Some((held, own)) = self.held {
+            instance.holds(now, node, held, own);
+        }
     }
 }
 
@@ -35,6 +40,7 @@
 pub struct Fields {
     pub log: Option<Rc<(String, String)>>,
     pub connections: Option<Rc<(String, String)>>,
+    pub held: Option<Rc<String>>,
 }
 
 use futures_lite::future;
@@ -212,9 +218,11 @@
         let pair = |(a, b): (&String, &String)| (!a.is_empty()).then(|| Rc::new((a.clone(), b.clone())));
         let succession = inner.instance.succession.as_ref().map(|of| of.settings());
         let recovery = inner.instance.recovery.as_ref().map(|of| of.settings());
+        let fleet = inner.instance.fleet.as_ref().map(|of| of.settings());
         Fields {
             log: succession.and_then(|of| pair((&of.branch_field, &of.promoted_field))),
             connections: recovery.and_then(|of| pair((&of.held_field, &of.opened_field))),
+            held: fleet.filter(|of| !of.held_field.is_empty()).map(|of| Rc::new(of.held_field.clone())),
         }
     }
 
--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -60,7 +60,8 @@
             pool.put(node, connection);
             let role = answer.primary.map(|leads| if leads { Role::Primary } else { Role::Replica });
             let lsn = answer.as_of.unwrap_or(f64::NEG_INFINITY);
-            let report = answer.vitals.as_deref().map(|vitals| report(vitals, &desk.fields()));
+            let own = pool.held(node);
+            let report = answer.vitals.as_deref().map(|vitals| report(vitals, &desk.fields(), own));
             match answer.row {
                 Ok(row) => out.ended(Ending::Completed, role, lsn, report, Some(row)),
                 Err(code) => out.ended(ending::of_error(code, asks), role, lsn, report, None),
@@ -79,12 +80,13 @@
 /// Positions in load reports come as whole milliseconds, and nothing says that they are rounded down.
 const ROUNDING_S: f64 = 0.001;
 
-/// Role, position and log that a load report tells.
-pub fn report(vitals: &str, fields: &Fields) -> Report {
+/// Role, position and log that a load report tells; `own` is how many connections this router has there.
+pub fn report(vitals: &str, fields: &Fields, own: usize) -> Report {
     let primary = vital(vitals, badgerstream_provision::ROLE).map(|told| told >= 0.5);
     let lsn = vital(vitals, badgerstream_provision::POSITION).map_or(f64::NEG_INFINITY, |at| at - ROUNDING_S);
     let both = |f: &Rc<(String, String)>| vital(vitals, &f.0).zip(vital(vitals, &f.1));
     let (took_over, connections) =
         (fields.log.as_ref().and_then(both), fields.connections.as_ref().and_then(both));
-    Report { primary, lsn, took_over, connections }
+    let held = fields.held.as_ref().and_then(|field| vital(vitals, field)).map(|held| (held, own as f64));
+    Report { primary, lsn, took_over, connections, held }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -203,6 +203,7 @@
     instance.succeed(own.succession, provision.seed);
     let clock = decide::Clock::new();
     instance.recover(clock.now(), own.recovery, provision.seed, &provision.name);
+    instance.join(own.fleet, provision.seed, &provision.name);
     let zones = pairs.text("zones")?.split(',').map(str::to_string).collect();
     let roster = watch::Roster::new(zones);
     let seq =
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -185,6 +185,12 @@
         self.nodes.borrow().get(&node).map_or((0, 0), |s| (s.busy.get(), s.idle.len()))
     }
 
+    /// How many connections to a node are up.
+    pub fn held(&self, node: u32) -> usize {
+        let up = |s: &Stand| s.busy.get().saturating_sub(s.opening) + s.idle.len();
+        self.nodes.borrow().get(&node).map_or(0, up)
+    }
+
     #[cfg(test)]
     pub fn idle(&self) -> usize {
         self.nodes.borrow().values().map(|s| s.idle.len()).sum()
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -18,7 +18,7 @@
     let told = match wire::within(pool.dial_limit(), Close::TimedOut, asked).await {
         Ok(answer) => answer.row.ok().map(|row| {
             let value = row.get(answer.value).unwrap_or_default();
-            report(std::str::from_utf8(value).unwrap_or_default(), &desk.fields())
+            report(std::str::from_utf8(value).unwrap_or_default(), &desk.fields(), pool.held(node))
         }),
         Err(close) => {
             tracing::debug!("node {node}: probe ended, {close}");
--- a/crates/router/src/reload.rs
+++ b/crates/router/src/reload.rs
@@ -81,6 +81,7 @@
                 watches.desk.tell(|instance, now| {
                     instance.succeed(own.succession, told.seed);
                     instance.recover(now, own.recovery, told.seed, &started.name);
+                    instance.join(own.fleet, told.seed, &started.name);
                     watches.roster.name_all(instance);
                 });
                 watches.moved(told.discovery);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,8 @@
 mod recover;
 pub mod state;
 mod succeed;
+mod together;
+pub use badgerstream_fleet as fleet;
 pub use badgerstream_recovery as recovery;
 pub use badgerstream_succession as succession;
 pub use policy::Instance;
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -3,6 +3,7 @@
 //! the rules and sends what they conclude through an `Outbox`. The types of both directions are in `lib.rs`;
 //! docs/design.md tells the mechanism. Inputs record facts; sends pass `permitted`, answers `conclude`.
 
+use crate::fleet::Fleet;
 use crate::recovery::Recovery;
 use crate::state::*;
 use crate::succession::{Evidence, Next, Succession, Verdict};
@@ -11,8 +12,7 @@
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The design's figures: how long a touch of the primary marks a session, and how long a node may go unheard.
-const MARK_S: f64 = 3.0;
+/// The design's figure: how long a node may go unheard; the other, a session's mark, is `MARK_S`.
 const IDLE_S: f64 = 1.0;
 /// Health is looked over this often, also when nothing comes in; a lost primary is looked for at this pace.
 const BEAT_S: f64 = 0.05;
@@ -85,6 +85,8 @@
     pub succession: Option<Succession>,
     /// What is held back while many routers come back at once; without it nothing is.
     pub recovery: Option<Recovery>,
+    /// What is decided as one of many routers; without it each does as it alone would.
+    pub fleet: Option<Fleet>,
     touched: BTreeSet<u32>,
     touched_groups: BTreeSet<u16>,
     roll: u64,
@@ -424,11 +426,6 @@
     }
 }
 
-/// One more: a rate a second over about the last `MARK_S`, as of the last event.
-fn count(rate: &mut (f64, f64), now: f64) {
-    *rate = (now, rate.1 * (-(now - rate.0) / MARK_S).exp() + 1.0 / MARK_S);
-}
-
 /// What serving one more of the worst-served adds: else the least important gets nothing in a jam.
 fn lift(shares: &[(f64, f64)], index: usize) -> f64 {
     let served = |s: &(f64, f64)| if s.0 > 0.0 { s.1 / s.0 } else { 1.0 };
@@ -563,6 +560,7 @@
         if fires {
             (node.probed, node.probing) = (now, true);
             out.probe(id);
+            self.probing(id, now);
         }
         fires
     }
@@ -624,7 +622,7 @@
         if live || held {
             return false;
         }
-        if let Some(node) = self.choose(stmt, now) {
+        if let Some(node) = self.choose(stmt, now).filter(|_| self.may_repeat(stmt, now)) {
             return self.execute(stmt, node, now, out);
         }
         let s = self.statements.get_mut(&stmt).expect("open");
@@ -651,7 +649,7 @@
     fn copy_overdue(&mut self, stmt: u32, now: f64, out: &mut dyn Outbox) -> bool {
         let s = &self.statements[&stmt];
         let fires = s.live().next().is_some() && s.live().all(|e| self.overdue(e, now));
-        let useful = fires && self.allowance.second_copies && now + self.needed(s) < s.last_use();
+        let useful = fires && self.may_copy(now) && now + self.needed(s) < s.last_use();
         useful && self.choose(stmt, now).is_some_and(|node| self.execute(stmt, node, now, out))
     }
 }
@@ -757,8 +755,10 @@
         let replicas = order.filter(|i| Some(group.members[*i]) != group.primary);
         let gathers = self.gathers(s, now);
         let within = |id: u32| gathers.is_empty() || gathers.contains(&id);
-        let next =
-            { replicas }.find(|i| within(group.members[*i]) && self.open(s, group.members[*i], now))?;
+        let able = |i: &usize| within(group.members[*i]) && self.open(s, group.members[*i], now);
+        // Who keeps to some replicas takes any other where none of these will do.
+        let kept = |i: &usize| self.keeps(s.group, group.members[*i]) && able(i);
+        let next = replicas.clone().find(kept).or_else(|| { replicas }.find(able))?;
         let chosen = group.members[next];
         self.groups.get_mut(&s.group).expect("known").counter = (next + 1) % size;
         Some(chosen)
@@ -789,7 +789,7 @@
         let met = s.executions.iter().any(|e| e.node == id && !again(e));
         // A suspect is tried by one execution at a time, each trial later than the one before.
         let due = now - node.trial_at >= TRIAL_S * 2f64.powi(node.trials.min(3));
-        let trial = due && s.kind.repeat != Repeat::NonIdempotent;
+        let trial = due && s.kind.repeat != Repeat::NonIdempotent && self.may_try(id, now);
         // A whole group that looks bad shares one trouble: suspicion alone never leaves it without a member.
         let bad = |m: (u32, &Node)| m.1.suspected.is_some() || !m.1.in_service(&self.drain);
         let trusted = node.suspected.is_none() || trial || self.members(s.group).all(bad);
@@ -940,7 +940,7 @@
             self.sessions.entry(s.session).or_insert((now, NEVER)).0 = now;
         }
         self.succession.iter_mut().for_each(|succession| succession.sent(stmt));
-        self.sending(id, now);
+        self.sending(stmt, id, now);
         let sent = Execution { term, asks, length, ..Execution::new(id, now) };
         self.statements.get_mut(&stmt).expect("open").executions.push(sent);
         let node = self.nodes.get_mut(&id).expect("listed");
--- a/crates/routing/src/recover.rs
+++ b/crates/routing/src/recover.rs
@@ -26,6 +26,7 @@
     /// A node's name, the same at every router.
     pub fn named(&mut self, id: u32, name: &str) {
         self.recovery.iter_mut().for_each(|recovery| recovery.named(id, name));
+        self.fleet.iter_mut().for_each(|fleet| fleet.named(id, name));
     }
 
     /// Discovery has spoken, if only to say that nothing has changed.
@@ -51,6 +52,7 @@
     /// Goes on from phase to phase. Who waits is looked at when that may help, and the first node is asked how
     /// things stand, as no statement may have come yet.
     pub(crate) fn settle_recovery(&mut self, now: f64, out: &mut dyn Outbox) {
+        self.settle_fleet(now, out);
         let Some(recovery) = &mut self.recovery else { return };
         let moved = recovery.pass(now);
         recovery.lines().iter().for_each(|line| out.log(line));
@@ -70,6 +72,9 @@
 
     /// Whether one more statement may go there, as far as coming back goes.
     pub(crate) fn let_through(&self, id: u32, now: f64) -> bool {
+        if !self.turn_at_new(id, now) {
+            return false;
+        }
         let Some(recovery) = &self.recovery else { return true };
         // Who comes back has sent nothing that a drain would have to be patient with, not even as a last resort.
         let drains = self.nodes[&id].standing == Standing::Draining && recovery.phase() < Phase::Full;
@@ -77,10 +82,12 @@
     }
 
     pub(crate) fn may_probe(&self, id: u32, now: f64) -> bool {
-        self.recovery.as_ref().is_none_or(|recovery| recovery.may_probe(now, id))
+        self.turn_to_probe(id, now)
+            && self.recovery.as_ref().is_none_or(|recovery| recovery.may_probe(now, id))
     }
 
-    pub(crate) fn sending(&mut self, id: u32, now: f64) {
+    pub(crate) fn sending(&mut self, stmt: u32, id: u32, now: f64) {
+        self.sends(stmt, id, now);
         self.recovery.iter_mut().for_each(|recovery| recovery.sent(now, id));
     }
 
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -159,6 +159,13 @@
     }
 }
 
+impl Group {
+    /// Statements a second that came for it, as of now.
+    pub fn asked_lately(&self, now: f64) -> f64 {
+        self.asked.1 * (-(now - self.asked.0).max(0.0) / MARK_S).exp()
+    }
+}
+
 impl Execution {
     pub fn new(node: u32, sent: f64) -> Execution {
         Execution { node, sent, ended: None, length: 1.0, term: 0, asks: false, barred: false }
@@ -221,6 +228,7 @@
         let gone: Vec<u32> = self.nodes.iter().filter(left).map(|n| *n.0).collect();
         for id in &gone {
             self.recovery.iter_mut().for_each(|recovery| recovery.forget(*id));
+            self.fleet.iter_mut().for_each(|fleet| fleet.forget(*id));
             if let (Some(succession), Some(node)) = (&mut self.succession, self.nodes.get(id)) {
                 succession.forget(node.group, *id);
             }
@@ -319,3 +327,11 @@
     let served_as = s.served_as;
     shares.iter_mut().zip(served_as).filter_map(|(all, i)| all.get_mut(i))
 }
+
+/// Rates fade over this, the time for which a touch of the primary marks a session, too.
+pub const MARK_S: f64 = 3.0;
+
+/// One more: a rate a second over about the last `MARK_S`, as of the last event.
+pub fn count(rate: &mut (f64, f64), now: f64) {
+    *rate = (now, rate.1 * (-(now - rate.0) / MARK_S).exp() + 1.0 / MARK_S);
+}
