--- a/crates/cluster/src/tests/judging.rs
+++ b/crates/cluster/src/tests/judging.rs
@@ -174,3 +174,21 @@
     assert_eq!((figures.burst_opened, figures.burst_probes, figures.opened), (5, 1, 6));
     assert_eq!(figures.windows[20].opened_most, 3);
 }
+
+/// Two fronts, a completed write each every 10 ms; of the second one's only so many in ten.
+#[test_case(10, 1.0; "both are served alike")]
+#[test_case(5, 0.9; "one has half")]
+#[test_case(0, 0.5; "one has nothing")]
+fn evenness_is_told_by_what_each_front_was_served(of_ten: u64, index: f64) {
+    let mut evidence = stream(0..0);
+    evidence.deeds = vec![deed(2000, What::Killed), deed(2000, What::Started)];
+    let mut other = evidence.heard.asked.clone();
+    for (i, asked) in (0..).zip(&mut other) {
+        (asked.front, asked.number) = (1, asked.number + 10_000);
+        asked.outcome = if i % 10 < of_ten { Outcome::Completed } else { Outcome::Rejected };
+    }
+    evidence.heard.asked.extend(other);
+    evidence.heard.asked.sort_by_key(|asked| asked.due_us);
+    let told = judge(&evidence).figures.evenness_least.unwrap();
+    assert!((told - index).abs() < 0.01, "{told}");
+}
--- a/crates/cluster/src/tests/scripts.rs
+++ b/crates/cluster/src/tests/scripts.rs
@@ -28,7 +28,18 @@
     assert!(matches!(links[1], (2500, Act::Links { fault: None, .. })), "healed");
 }
 
+#[test]
+fn who_is_not_up_at_first_is_down() {
+    let text =
+        "{routers: 6, up: 2, calm_ms: 1000, for_ms: 5000, steps: [{at_ms: 2000, do: {start: 'down'}}]}";
+    let plan = Script::read(text).unwrap().draw(1);
+    let started: Vec<_> = plan.iter().map(|(_, act)| act.clone()).collect();
+    assert_eq!(started, (2..6).map(Act::Start).collect::<Vec<_>>());
+}
+
 #[test_case("routers: 10", "routers: 0", "line 1, column 2: routers is no number"; "no router")]
+#[test_case("routers: 10", "routers: 10, up: 11", "up is no number from 1"; "more at first than there are")]
+#[test_case("routers: 10", "routers: 10, told: 0", "told is no number"; "told of nobody")]
 #[test_case("calm_ms: 1000", "calm_ms: 9000", "calm_ms is under 500, or nothing is left"; "no time behind the calm")]
 #[test_case("at_ms: 1000, do", "at_ms: 10, do", "steps number 1: 10 ms is no moment"; "within the calm")]
 #[test_case("share: 0.7", "share: 1.7", "steps number 1: names a router"; "more than all")]
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -45,7 +45,7 @@
 
 const KINDS: usize = 4;
 /// Where no rate is told, each router has a turn within so long, in the order of `Kind`; seconds.
-const WITHIN_S: [f64; KINDS] = [8.0, 0.5, 4.0, 1.0];
+const WITHIN_S: [f64; KINDS] = [8.0, 0.5, 1.0, 1.0];
 /// A router with little traffic has so many times as much before it keeps to all replicas.
 const BUSY: f64 = 2.0;
 
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -13,7 +13,7 @@
     pub idle_probes_per_s: f64,
     /// Probes that decisions wait for, a node and second; 0 for each router's turn within half a second.
     pub searches_per_s: f64,
-    /// Trials of a suspect, a node and second; 0 for each router's turn within four seconds.
+    /// Trials of a suspect, a node and second; 0 for each router's turn within a second.
     pub trials_per_s: f64,
     /// First sends to a node that has just started, a second; 0 for each router's turn within a second.
     pub first_sends_per_s: f64,
--- a/crates/lab/src/cluster_fleet.rs
+++ b/crates/lab/src/cluster_fleet.rs
@@ -131,7 +131,7 @@
         "routers": routers,
         "up": if grows { 5.min(routers) } else { routers },
         "told": if grows { 5 } else { routers },
-        "load": {"per_s": 25.0 * (groups * MEMBERS) as f64, "connections": 20 * routers, "patience_ms": 2000.0,
+        "load": {"per_s": 50.0 * (groups * MEMBERS) as f64, "connections": 20 * routers, "patience_ms": 2000.0,
                  "slo_ms": 400.0, "writes": 0.2, "retries": 3},
         "notice_ms": 500,
         "calm_ms": CALM_MS,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod primary_changes;
 pub mod runs;
 pub mod succession_cost;
+pub mod tally;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,7 +3,9 @@
 
 use badgerstream_cluster::{clients, play, store};
 use badgerstream_lab::router::Fault;
-use badgerstream_lab::{cluster_fleet, comeback, fleet, honest_load, primary_changes, succession_cost};
+use badgerstream_lab::{
+    cluster_fleet, comeback, fleet, honest_load, primary_changes, succession_cost, tally,
+};
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
 
@@ -32,6 +34,8 @@
     Fleet(fleet::Options),
     /// The same with real processes, and faults between them
     ClusterFleet(cluster_fleet::Options),
+    /// What routers gave up, by which rule, added up from their logs
+    Tally(tally::Options),
     /// The store of a rig, as a process of an experiment
     #[command(hide = true, name = play::STORE)]
     ClusterStore,
@@ -82,6 +86,12 @@
             }
             (if options.json { json(report) } else { String::new() }, !report.broken.is_empty())
         }),
+        Experiment::Tally(options) => told(tally::run(&options), |report| {
+            if !options.json {
+                tally::print(report);
+            }
+            (if options.json { json(report) } else { String::new() }, false)
+        }),
         Experiment::Scripted => ExitCode::from(u8::from(honest_load::scripted().is_err())),
         Experiment::HonestLoad(options) => {
             told(honest_load::run(&options), |report| (json(report), !report.broken.is_empty()))
--- a/crates/lab/tests/coming_back.rs
+++ b/crates/lab/tests/coming_back.rs
@@ -2,40 +2,13 @@
 //! faults between them. Verdicts go by the ledger, by counts and by order, never by how long something took. Where
 //! a case guards what recovery does, the same script without it must come out differently.
 
-use badgerstream_cluster::judge::{self, Verdict};
-use badgerstream_cluster::play::{Deed, Evidence, Setup, What, play};
-use badgerstream_cluster::relay::Route;
-use badgerstream_cluster::router::Program;
-use badgerstream_cluster::script::Script;
+mod rigged;
+
+use badgerstream_cluster::play::What;
 use badgerstream_cluster::store::{Arrived, Kind};
-use std::path::{Path, PathBuf};
-use std::sync::{Condvar, Mutex, PoisonError};
+use rigged::{Played, played, script};
 use test_case::test_case;
 
-/// A connection that lasts so long is used: each front has thirty statements a second.
-const LASTS_US: u64 = 1_500_000;
-
-struct Played {
-    evidence: Evidence,
-    verdict: Verdict,
-    folder: PathBuf,
-}
-
-fn helper() -> &'static Path {
-    Path::new(env!("CARGO_BIN_EXE_badgerlab"))
-}
-
-/// Eight routers and six nodes of a hard store; `steps` and what else a case needs come as JSON5.
-fn script(steps: &str, more: &str) -> Script {
-    let text = format!(
-        "{{store: {{groups: 2, members: 3, service_ms: 10, slots: 2, handshake_ms: 60, cold_ms: 2000, late_ms: 100}},
-          routers: 8, load: {{per_s: 240, connections: 160, patience_ms: 3000, slo_ms: 1500, retries: 5}},
-          calm_ms: 2000, for_ms: 7000, notice_ms: 300, {more}
-          steps: [{steps}]}}"
-    );
-    Script::read(&text).unwrap_or_else(|e| panic!("{e}: {text}"))
-}
-
 fn own(more: &str) -> String {
     own_with("handshake_ms: 150", more)
 }
@@ -49,99 +22,6 @@
     )
 }
 
-/// A play is some twelve processes: more of them at once than the machine has room for would show the machine.
-struct Places(Mutex<usize>, Condvar);
-
-static PLACES: Places = Places(Mutex::new(0), Condvar::new());
-
-impl Places {
-    fn with<T>(&self, played: impl FnOnce() -> T) -> T {
-        let most = std::thread::available_parallelism().map_or(1, |cores| (cores.get() / 3).max(1));
-        let taken = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut taken =
-            self.1.wait_while(taken, |taken| *taken >= most).unwrap_or_else(PoisonError::into_inner);
-        *taken += 1;
-        drop(taken);
-        let done = std::panic::catch_unwind(std::panic::AssertUnwindSafe(played));
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
-        self.1.notify_one();
-        done.unwrap_or_else(|cause| std::panic::resume_unwind(cause))
-    }
-}
-
-/// A play during which the rig itself stood still for longer says nothing of the routers: it is played again.
-const STOOD_STILL_MS: u64 = 120;
-const TRIES: usize = 4;
-
-fn played(name: &str, script: &Script, own: Option<&str>) -> Played {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let once = || {
-        let _ = std::fs::remove_dir_all(&folder);
-        std::fs::create_dir_all(&folder).unwrap();
-        let router = Program::ours(helper());
-        let setup = Setup { router: &router, own, helper: helper(), folder: &folder, seed: 3 };
-        PLACES.with(|| play(script, &setup)).unwrap()
-    };
-    let mut evidence = once();
-    for _ in 1..TRIES {
-        if evidence.stood_still_ms <= STOOD_STILL_MS {
-            break;
-        }
-        println!("{name}: the rig stood still for {} ms, played again", evidence.stood_still_ms);
-        evidence = once();
-    }
-    let verdict = judge::judge(&evidence);
-    Played { evidence, verdict, folder }
-}
-
-impl Played {
-    fn keeps_the_rules(&self) -> &Played {
-        assert!(self.verdict.broken.is_empty(), "{:#?}", self.verdict.broken);
-        self
-    }
-
-    /// When the first thing was done to anything.
-    fn fault(&self) -> u64 {
-        self.evidence
-            .deeds
-            .iter()
-            .find(|deed| deed.what != What::Admitted)
-            .map_or(u64::MAX, |deed| deed.at_us)
-    }
-
-    /// Connections asked for behind the first fault.
-    fn opened(&self) -> usize {
-        let asks = |kind| matches!(kind, Kind::Opened | Kind::Full);
-        let behind = self.evidence.seen.arrivals.iter().filter(|a| a.at_us >= self.fault());
-        behind.filter(|a| asks(a.kind)).count()
-    }
-
-    /// Whether each router had statements executed after its last start, if clients were led to it again by then.
-    fn all_came_back(&self) -> bool {
-        (0..self.evidence.script.routers).all(|router| {
-            let of = |d: &&Deed| d.what == What::Started && d.router == Some(router);
-            let started = self.evidence.deeds.iter().rfind(of).map_or(0, |deed| deed.at_us);
-            let sent =
-                |a: &Arrived| a.router == Some(router) && a.kind == Kind::Statement && a.at_us > started;
-            // A connection that was refused, or came in its last moments, asked nothing.
-            let led = |r: &Route| {
-                r.router == router && r.from_us > started && r.to_us.saturating_sub(r.from_us) > LASTS_US
-            };
-            let served = self.evidence.seen.arrivals.iter().any(sent);
-            served || !self.evidence.routes.iter().any(led)
-        })
-    }
-
-    fn logs(&self) -> Vec<String> {
-        let read = |router| std::fs::read_to_string(self.folder.join(format!("router-{router}.log")));
-        (0..self.evidence.script.routers).map(|router| read(router).unwrap_or_default()).collect()
-    }
-
-    fn said(&self, what: &str) -> usize {
-        self.logs().iter().map(|log| log.matches(what).count()).sum()
-    }
-}
-
 const HERD: &str =
     "{at_ms: 2000, do: {kill: {share: 0.7}}}, {at_ms: 2300, within_ms: 50, do: {start: 'down'}}";
 const ALL: &str = "{at_ms: 2000, do: {kill: 'all'}}, {at_ms: 2300, within_ms: 50, do: {start: 'down'}}";
--- a/crates/provision/src/tests.rs
+++ b/crates/provision/src/tests.rs
@@ -84,12 +84,15 @@
 #[test]
 fn the_file_with_every_setting_says_what_goes_without_saying() {
     let told = Own::read(include_str!("../../../deploy/settings.json5"), 16 << 20).unwrap();
-    assert_eq!(told, Own::read("{succession: {}, recovery: {}}", 16 << 20).unwrap());
+    assert_eq!(told, Own::read("{succession: {}, recovery: {}, fleet: {}}", 16 << 20).unwrap());
 }
 
 #[test_case("{recovery: {\n  opens_in_100ms: 0.2}}", (2, 3), "recovery.opens_in_100ms is 0.2"; "less than one")]
 #[test_case("{recovery: {\n  routers: ['a', 'a']}}", (2, 3), "names \"a\" twice"; "one router twice")]
 #[test_case("{recovery: {\n  held_field: 'x4'}}", (2, 3), "go together"; "half of the fields")]
+#[test_case("{fleet: {\n  copies: 1.5}}", (2, 3), "fleet.copies is 1.5, no share"; "more copies than statements")]
+#[test_case("{fleet: {\n  routers: ['a', 'a']}}", (2, 3), "names \"a\" twice"; "one of the fleet twice")]
+#[test_case("{fleet: {\n  subset: -1}}", (2, 11), "expected"; "fewer than none")]
 #[test_case("{recovery: {list_wait_ms: 'soon'}}", (1, 27), "expected number"; "no number")]
 #[test_case("{succession: {hold: {statements: 9, bytes: 64}\n", (1, 14), "EOF"; "cut")]
 #[test_case("{\n  succesion: {}}", (2, 3), "unknown field `succesion`"; "a slip of the pen")]
--- a/crates/router/src/belief.rs
+++ b/crates/router/src/belief.rs
@@ -1,4 +1,5 @@
-//! What the decisions believe of each node beside what stands on the sockets, a line a node and second at `debug`.
+//! What the decisions believe of each node beside what stands on the sockets, a line a node and second at `debug`,
+//! and what was given up by which rule (`badgerstream::tally`).
 
 use crate::execute::Router;
 use crate::pool::Pool;
@@ -10,9 +11,15 @@
 
 /// Tells for as long as the router runs, if anybody wants to know.
 pub async fn tell(desk: Rc<Router>, pool: Rc<Pool>) {
-    while tracing::enabled!(tracing::Level::DEBUG) {
+    let wanted = || {
+        tracing::enabled!(tracing::Level::DEBUG)
+            || tracing::enabled!(target: "badgerstream::tally", tracing::Level::DEBUG)
+    };
+    while wanted() {
         Timer::after(PERIOD).await;
         desk.tell(|instance, now| {
+            instance.note_waiting(now);
+            tracing::debug!(target: "badgerstream::tally", "tally {}", instance.tally.line());
             for (id, node) in &instance.nodes {
                 let (busy, idle) = pool.stand(*id);
                 let group = &instance.groups[&node.group];
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod recover;
 pub mod state;
 mod succeed;
+pub mod tally;
 mod together;
 pub use badgerstream_fleet as fleet;
 pub use badgerstream_recovery as recovery;
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -3,12 +3,11 @@
 //! the rules and sends what they conclude through an `Outbox`. The types of both directions are in `lib.rs`;
 //! docs/design.md tells the mechanism. Inputs record facts; sends pass `permitted`, answers `conclude`.
 
-use crate::fleet::Fleet;
-use crate::recovery::Recovery;
 use crate::state::*;
 use crate::succession::{Evidence, Next, Succession, Verdict};
 use crate::{Allowance, ColdStart, Currency, Drain, Ending, Fairness, Outbox, Quota};
 use crate::{Repeat, Replication, Role, Standing, Within, Workload};
+use crate::{fleet::Fleet, recovery::Recovery, tally::Tally};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -87,6 +86,7 @@
     pub recovery: Option<Recovery>,
     /// What is decided as one of many routers; without it each does as it alone would.
     pub fleet: Option<Fleet>,
+    pub tally: Tally,
     touched: BTreeSet<u32>,
     touched_groups: BTreeSet<u16>,
     roll: u64,
@@ -932,8 +932,7 @@
         if !self.permitted(s, id, now, asks) {
             return false;
         }
-        let term = self.succession.as_ref().map_or(0, |succession| succession.term(s.group));
-        let length = self.length(s.served_as[0]);
+        let (term, length) = (self.term(s.group), self.length(s.served_as[0]));
         let (group, limit) = (self.groups.get_mut(&s.group).expect("known"), s.last_use() - now);
         group.waiting.remove(&stmt);
         if s.session != 0 && group.primary == Some(id) {
@@ -972,6 +971,7 @@
         } else {
             out.abort(stmt);
         }
+        self.note(stmt, now);
         self.forget(stmt, now, out)
     }
 
--- a/crates/routing/src/recover.rs
+++ b/crates/routing/src/recover.rs
@@ -91,8 +91,9 @@
         self.recovery.iter_mut().for_each(|recovery| recovery.sent(now, id));
     }
 
-    /// When a client that is rejected should come back, unless something better is known.
+    /// A statement came: when its client should come back if it is rejected, unless something better is known.
     pub(crate) fn come_back(&mut self) -> f64 {
+        self.tally.taken += 1;
         let most = self.allowance.retry_after;
         self.recovery.as_mut().map_or(f64::INFINITY, |recovery| recovery.advice(most))
     }
--- a/crates/routing/src/succeed.rs
+++ b/crates/routing/src/succeed.rs
@@ -35,6 +35,11 @@
         self.touch_all();
     }
 
+    /// The term that a group is in; 0 where terms are not counted.
+    pub(crate) fn term(&self, group: u16) -> u64 {
+        self.succession.as_ref().map_or(0, |succession| succession.term(group))
+    }
+
     /// What a front knows of a statement beyond its routing: its size, and whether it carries a mark by which
     /// its outcome can be asked for.
     pub fn carries(&mut self, stmt: u32, bytes: usize, marked: bool) {
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -6,6 +6,7 @@
 
 mod further;
 mod succession;
+mod together;
 
 /// Clock reading at which tests begin, and the group that they use.
 const T: f64 = 1000.0;
--- a/crates/routing/src/together.rs
+++ b/crates/routing/src/together.rs
@@ -55,6 +55,7 @@
     }
 
     pub(crate) fn probing(&mut self, id: u32, now: f64) {
+        self.tally.probes += 1;
         let kind = self.probes_as(id);
         self.fleet.iter_mut().for_each(|fleet| fleet.did(kind, now, id));
     }
@@ -97,6 +98,7 @@
 
     /// A statement goes there: what let it go is used.
     pub(crate) fn sends(&mut self, stmt: u32, id: u32, now: f64) {
+        self.tally.sent += 1;
         let (new, suspect) = (self.is_new(id, now), self.nodes[&id].suspected.is_some());
         let Some((fleet, s)) = self.fleet.as_mut().zip(self.statements.get(&stmt)) else { return };
         if s.live().next().is_some() {
