--- a/crates/lab/src/cluster_fleet.rs
+++ b/crates/lab/src/cluster_fleet.rs
@@ -147,7 +147,7 @@
         (0..routers).filter(|_| named).map(|router| format!("router-{router}")).collect();
     json!({
         "recovery": {"routers": names, "held_field": "x4", "opened_field": "x5", "handshake_ms": 100.0,
-                     "opens_in_100ms": 4.0, "linger_ms": 1000.0, "turns_below": 4},
+                     "opens_in_100ms": 4.0, "linger_ms": 1000.0},
         "fleet": {"routers": names, "held_field": "x4", "subset": 2, "little_per_s": 20.0},
     })
     .to_string()
--- a/crates/lab/src/comeback.rs
+++ b/crates/lab/src/comeback.rs
@@ -154,7 +154,7 @@
 pub fn own(routers: usize) -> String {
     let names: Vec<String> = (0..routers).map(|router| format!("router-{router}")).collect();
     json!({"recovery": {"routers": names, "held_field": "x4", "opened_field": "x5", "handshake_ms": 100.0, "opens_in_100ms": 4.0,
-                        "linger_ms": 1000.0, "turns_below": 4}})
+                        "linger_ms": 1000.0}})
     .to_string()
 }
 
