--- a/crates/cluster/src/clients.rs
+++ b/crates/cluster/src/clients.rs
@@ -76,11 +76,28 @@
 /// Parts these statements from other runs'; there is one a store.
 const RUN: u64 = 1;
 
+/// The first moments ramp up: else they would be a mass start by themselves. Then the rate is the same, but for a crowd.
+fn phases(sending: &Sending) -> Vec<serde_json::Value> {
+    let (load, ramp_ms, end) = (&sending.load, sending.calm_ms as f64 / 2.0, sending.for_ms as f64);
+    let flat = |for_ms: f64, per_s: f64| serde_json::json!({"for_ms": for_ms, "shape": {"constant": {"per_s": per_s}}});
+    let ramp = serde_json::json!({"ramp": {"from_per_s": load.per_s / 20.0, "to_per_s": load.per_s}});
+    let mut phases = vec![serde_json::json!({"for_ms": ramp_ms, "shape": ramp})];
+    match load.crowd {
+        None => phases.push(flat(end - ramp_ms, load.per_s)),
+        Some(crowd) => {
+            let (at, within) = (crowd.at_ms as f64, crowd.within_ms as f64);
+            phases.push(flat(at - ramp_ms, load.per_s));
+            phases.push(flat(within, load.per_s + crowd.statements as f64 * 1e3 / within));
+            // None where the crowd is the end.
+            phases.extend((end > at + within).then(|| flat(end - at - within, load.per_s)));
+        }
+    }
+    phases
+}
+
 /// Every fourth write carries no mark; each marked one may be read back by its session.
 fn scenario(sending: &Sending, front: SocketAddr) -> serde_json::Result<Scenario> {
     let load = &sending.load;
-    // The first moments ramp up: else they would be a mass start by themselves.
-    let ramp_ms = sending.calm_ms as f64 / 2.0;
     let common = |i: usize| {
         serde_json::json!({"name": WORKLOADS[i].0, "groups": sending.groups, "keys": 4000,
             "patience_ms": load.patience_ms + GRACE_MS, "slo_ms": load.slo_ms})
@@ -102,10 +119,7 @@
             with(2, serde_json::json!({"share": load.writes * 0.75, "writes": true, "marked": true})),
             with(3, serde_json::json!({"share": load.writes * 0.25, "writes": true})),
         ],
-        "phases": [
-            {"for_ms": ramp_ms, "shape": {"ramp": {"from_per_s": load.per_s / 20.0, "to_per_s": load.per_s}}},
-            {"for_ms": sending.for_ms as f64 - ramp_ms, "shape": {"constant": {"per_s": load.per_s}}},
-        ],
+        "phases": phases(sending),
     }))
 }
 
--- a/crates/cluster/src/script.rs
+++ b/crates/cluster/src/script.rs
@@ -120,11 +120,30 @@
     pub writes: f64,
     /// Tries behind the first one, after a rejection or where no connection came up.
     pub retries: u32,
+    /// Clients that come all at once, beside the others.
+    pub crowd: Option<Crowd>,
+}
+
+/// So many statements, spread over all routers, are due within so long: each that finds no connection opens one.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Crowd {
+    pub at_ms: u64,
+    pub within_ms: u64,
+    pub statements: usize,
 }
 
 impl Default for Load {
     fn default() -> Load {
-        Load { per_s: 300.0, connections: 400, patience_ms: 2000.0, slo_ms: 400.0, writes: 0.2, retries: 3 }
+        Load {
+            per_s: 300.0,
+            connections: 400,
+            patience_ms: 2000.0,
+            slo_ms: 400.0,
+            writes: 0.2,
+            retries: 3,
+            crowd: None,
+        }
     }
 }
 
@@ -344,6 +363,17 @@
         if !positive(l.patience_ms) || !positive(l.slo_ms) || !(0.0..=0.9).contains(&l.writes) {
             return wrong("load.patience_ms", "slo_ms or writes is no time or no share up to 0.9");
         }
+        if let Some(crowd) = l.crowd
+            && (crowd.at_ms < self.calm_ms
+                || crowd.within_ms == 0
+                || crowd.at_ms + crowd.within_ms > self.for_ms
+                || !(1..=100_000).contains(&crowd.statements))
+        {
+            return wrong(
+                "load.crowd",
+                "is nobody, takes no time, or comes before the calm is over or behind the end",
+            );
+        }
         if self.calm_ms < 500 || self.for_ms <= self.calm_ms {
             return wrong("calm_ms", "is under 500, or nothing is left behind it");
         }
