--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -232,7 +232,7 @@
         .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
     tracing_subscriber::fmt().with_env_filter(level).with_ansi(false).with_writer(std::io::stderr).init();
     let Ready { desk, roster, names, seq, dial_limit, node_idle_limit } = router(&provision, own)?;
-    let (hangups, ends) = (reload::signals()?, shutdown::signals()?);
+    let hangups = reload::signals()?;
     let listener = Async::<TcpListener>::bind(address).map_err(|e| format!("listening on {address}: {e}"))?;
     let (tasks, budget) = (spawn::Tasks::default(), budget::Budget::new(provision.descriptors));
     let memory = |of: f64| Memory::new(part(&provision, of));
@@ -269,7 +269,7 @@
         Err("the decisions or the listener have ended".to_string())
     };
     let ended = async {
-        shutdown::shutdown(ends, budget).await;
+        shutdown::shutdown(budget).await;
         Ok(())
     };
     async_io::block_on(tasks.run(future::or(ended, broken)))
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -12,14 +12,15 @@
 /// What comes within this after the signal still has to be answered.
 const OWED: Duration = Duration::from_millis(300);
 
-/// To be called before the router says that it serves: who is asked to end unheard ends at once, and loses what it
-/// has taken.
-pub fn signals() -> Result<Signals, String> {
-    Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("SIGTERM can't be heard: {e}"))
-}
-
 /// Until the signal has come and all that was taken is answered.
-pub async fn shutdown(mut signals: Signals, budget: Rc<Budget>) {
+pub async fn shutdown(budget: Rc<Budget>) {
+    let mut signals = match Signals::new([Signal::Term, Signal::Int]) {
+        Ok(signals) => signals,
+        Err(e) => {
+            tracing::error!("signals can't be heard: {e}");
+            return futures_lite::future::pending().await;
+        }
+    };
     signals.next().await;
     tracing::info!("asked to end, {} clients are connected", budget.clients());
     Timer::after(ARRIVING).await;
