--- a/crates/lab/src/cluster_fleet.rs
+++ b/crates/lab/src/cluster_fleet.rs
@@ -2,7 +2,7 @@
 //! `fleet` has in simulated time, and both on the same small day.
 
 use crate::router::Fault;
-use crate::runs::{Runs, plot};
+use crate::runs::{Runs, plot, print_rules, rules};
 use badgerstream_cluster::judge::Verdict;
 use badgerstream_cluster::script::Script;
 use serde::Serialize;
@@ -180,11 +180,7 @@
 
 /// Which stated bounds do not hold.
 fn broken(plan: Plan, with: Option<&Verdict>, baseline: Option<&Verdict>) -> Vec<String> {
-    let mut broken = Vec::new();
-    for (name, verdict) in [("baseline", baseline), ("with our settings", with)] {
-        let rules = verdict.into_iter().flat_map(|v| &v.broken);
-        broken.extend(rules.map(|b| format!("{name}: {}, {} times: {}", b.rule, b.times, b.case)));
-    }
+    let mut broken = rules([("baseline", baseline), ("with our settings", with)]);
     let Some(figures) = with.map(|verdict| &verdict.figures) else { return broken };
     let mut holds = |fits: bool, what: String| {
         if !fits {
@@ -239,10 +235,7 @@
             f.pairs_calm,
             f.cold_most
         );
-        for broken in &verdict.broken {
-            println!("  RULE BROKEN: {}, {} times: {}", broken.rule, broken.times, broken.case);
-            broken.way.iter().for_each(|line| println!("    {line}"));
-        }
+        print_rules(verdict);
     }
     report.broken.iter().for_each(|line| println!("BROKEN: {line}"));
 }
--- a/crates/lab/src/comeback.rs
+++ b/crates/lab/src/comeback.rs
@@ -2,7 +2,7 @@
 //! store and clients as processes, every link through a relay; judged by `badgerstream-cluster`.
 
 use crate::router::Fault;
-use crate::runs::{Runs, plot};
+use crate::runs::{Runs, plot, print_rules, rules};
 use badgerstream_cluster::judge::Verdict;
 use badgerstream_cluster::script::Script;
 use serde::Serialize;
@@ -214,11 +214,7 @@
 fn broken(
     options: &Options, script: &Script, with: Option<&Verdict>, baseline: Option<&Verdict>,
 ) -> Vec<String> {
-    let mut broken = Vec::new();
-    for (name, verdict) in [("baseline", baseline), ("with recovery", with)] {
-        let rules = verdict.into_iter().flat_map(|v| &v.broken);
-        broken.extend(rules.map(|b| format!("{name}: {}, {} times: {}", b.rule, b.times, b.case)));
-    }
+    let mut broken = rules([("baseline", baseline), ("with recovery", with)]);
     let Some(figures) = with.map(|verdict| &verdict.figures) else { return broken };
     let mut holds = |fits: bool, what: String| {
         if !fits {
@@ -281,10 +277,7 @@
             f.cold_most,
             f.evenness.map_or("-".to_string(), |e| format!("{e:.3}"))
         );
-        for broken in &verdict.broken {
-            println!("  RULE BROKEN: {}, {} times: {}", broken.rule, broken.times, broken.case);
-            broken.way.iter().for_each(|line| println!("    {line}"));
-        }
+        print_rules(verdict);
     }
     report.broken.iter().for_each(|line| println!("BROKEN: {line}"));
 }
--- a/crates/lab/src/runs.rs
+++ b/crates/lab/src/runs.rs
@@ -61,3 +61,19 @@
         .collect();
     judge::plot(&runs, place).map_err(Fault::Wrong)
 }
+
+/// The rules that runs have broken, a line each.
+pub fn rules(runs: [(&str, Option<&Verdict>); 2]) -> Vec<String> {
+    let broken = runs.into_iter().flat_map(|(name, verdict)| {
+        verdict.into_iter().flat_map(move |v| v.broken.iter().map(move |b| (name, b)))
+    });
+    broken.map(|(name, b)| format!("{name}: {}, {} times: {}", b.rule, b.times, b.case)).collect()
+}
+
+/// For people: each broken rule with one statement's way through every process.
+pub fn print_rules(verdict: &Verdict) {
+    for broken in &verdict.broken {
+        println!("  RULE BROKEN: {}, {} times: {}", broken.rule, broken.times, broken.case);
+        broken.way.iter().for_each(|line| println!("    {line}"));
+    }
+}
--- a/crates/router/tests/command.rs
+++ b/crates/router/tests/command.rs
@@ -1,6 +1,6 @@
 //! The command line: what it says, on which stream, and with which exit code.
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Command, Stdio};
@@ -113,7 +113,13 @@
     let router = &mut serving.0;
     let mut lines = BufReader::new(router.stderr.take().unwrap()).lines().map_while(Result::ok);
     assert!(lines.any(|line| line.contains("serves on")));
-    TcpStream::connect(&address).unwrap();
+    // Once it answers, all of its tasks have begun: what listens for signals, too.
+    let mut client = TcpStream::connect(&address).unwrap();
+    let body = b"\0\x03\0\0user\0svc\0database\0main\0\0";
+    client.write_all(&(body.len() as u32 + 4).to_be_bytes()).unwrap();
+    client.write_all(body).unwrap();
+    client.read_exact(&mut [0]).unwrap();
+    drop(client);
     let own = PathBuf::from(format!("/proc/{}", router.id()));
     for thread in std::fs::read_dir(own.join("task")).unwrap() {
         let children = std::fs::read_to_string(thread.unwrap().path().join("children")).unwrap();
