--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control state on disk.
