--- a/crates/calls/src/tests/http.rs
+++ b/crates/calls/src/tests/http.rs
@@ -124,6 +124,34 @@
     });
 }
 
+// Drawn cuts seldom fall between the two bytes of an end of line: here every place has its turn.
+#[test]
+fn every_single_cut_and_every_byte_alone_give_the_same() {
+    let chunked = "4;x=y\r\nwiki\r\nA\r\n0123456789\r\n0\r\nA: b\r\n\r\n";
+    let get = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+    let post = "POST /b HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc";
+    let bytes = format!("{get}POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{chunked}\r\n{post}{get}");
+    let bytes = bytes.as_bytes();
+    let whole = requests(50, &[bytes]);
+    assert_eq!((whole.0.len(), whole.1), (4, None));
+    assert_eq!(whole.0[1].body, b"wiki0123456789");
+    for at in 1..bytes.len() {
+        assert_eq!(requests(50, &[&bytes[..at], &bytes[at..]]), whole, "cut at {at}");
+    }
+    assert_eq!(requests(50, &bytes.chunks(1).collect::<Vec<_>>()), whole);
+
+    let bytes = format!(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunked}HTTP/1.1 204 No\r\n\r\nHTTP/1.1 503 Oh\r\n\r\nend"
+    );
+    let bytes = bytes.as_bytes();
+    let whole = responses(50, &[bytes]);
+    assert_eq!((whole.0.len(), whole.1), (3, None));
+    for at in 1..bytes.len() {
+        assert_eq!(responses(50, &[&bytes[..at], &bytes[at..]]), whole, "cut at {at}");
+    }
+    assert_eq!(responses(50, &bytes.chunks(1).collect::<Vec<_>>()), whole);
+}
+
 #[test]
 fn a_head_at_its_limit_is_the_same_however_it_is_cut() {
     let head = |total: usize| {
--- /dev/null
+++ b/crates/node/src/edge/mod.rs
@@ -0,0 +1,310 @@
+//! The data plane: clients' sessions on the front, pooled onto connections to database servers.
+//!
+//! A task serves each client; what it may do is decided in `badgerstream_pooling`, under the lease of the view.
+
+mod gate;
+mod link;
+mod net;
+mod place;
+mod pool;
+mod talk;
+
+use crate::clock;
+use crate::view::{Server, Shared};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use badgerstream_pooling::freshness::History;
+use badgerstream_pooling::rotation::Rotation;
+use badgerstream_wire::Position;
+use net::Scratch;
+use pool::Pool;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::task::Waker;
+
+/// Between two looks at what rests, and at whether the end has come, in seconds.
+const LOOK_S: f64 = 0.25;
+/// After SIGTERM, so long new connections are taken as before: the platform passes some on until it has asked twice.
+const ACCEPT_S: f64 = 2.0;
+/// Descriptors kept for files and for connections that are no client's.
+const KEPT_DESCRIPTORS: usize = 500;
+/// On how many routers a server's connections are divided until control tells.
+const ROUTERS: usize = 14;
+
+/// What a router may use, and its name.
+#[derive(Debug, Clone)]
+pub struct EdgeLimits {
+    /// The descriptors of the process.
+    pub file_limit: usize,
+    /// The word for this router in `CONNECT`.
+    pub name: String,
+    /// The zone of this machine.
+    pub zone: String,
+    /// The beginning of all that is random.
+    pub seed: u64,
+    /// From SIGTERM to SIGKILL, in seconds.
+    pub grace_s: f64,
+}
+
+/// What the traffic tells of a primary.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Evidence {
+    /// The service.
+    pub service: String,
+    /// The primary.
+    pub id: String,
+    /// When it last answered anything, in seconds of the steady clock; 0 for never.
+    pub last_answer: f64,
+    /// Since when statements or connections get no answer there; none while all is well, or nothing is asked.
+    pub failing_since: Option<f64>,
+}
+
+/// What is known of a service's freshness, and whose turn it is.
+#[derive(Default)]
+struct Freshness {
+    history: History,
+    rotation: Rotation,
+}
+
+/// How a client's session is seen from outside its task.
+#[derive(Default)]
+struct Handle {
+    /// Since when it rests outside a transaction; none while it works.
+    idle_since: Cell<Option<f64>>,
+    /// A transaction of it is open at a server.
+    inside: Cell<bool>,
+    /// It is asked to end as soon as it rests.
+    close: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Handle {
+    fn close(&self) {
+        self.close.set(true);
+        if let Some(waker) = self.waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+}
+
+/// The data plane of one router.
+pub struct Edge {
+    tasks: Rc<LocalExecutor<'static>>,
+    shared: Shared,
+    limits: EdgeLimits,
+    scratch: Scratch,
+    pools: RefCell<HashMap<String, Rc<Pool>>>,
+    freshness: RefCell<HashMap<String, Freshness>>,
+    sessions: RefCell<HashMap<u64, Rc<Handle>>>,
+    next_session: Cell<u64>,
+    working: Cell<usize>,
+    routers: Cell<usize>,
+    random: RefCell<fastrand::Rng>,
+}
+
+impl Edge {
+    /// Opens the front and serves on it for as long as the executor runs. A front that can't be bound is tried again
+    /// every half second.
+    pub fn start(
+        tasks: &Rc<LocalExecutor<'static>>, shared: Shared, front: SocketAddr, limits: EdgeLimits,
+    ) -> Rc<Self> {
+        let edge = Rc::new(Self {
+            tasks: tasks.clone(),
+            shared,
+            scratch: RefCell::new(vec![0; net::READ_SIZE]),
+            pools: RefCell::default(),
+            freshness: RefCell::default(),
+            sessions: RefCell::default(),
+            next_session: Cell::new(0),
+            working: Cell::new(0),
+            routers: Cell::new(ROUTERS),
+            random: RefCell::new(fastrand::Rng::with_seed(limits.seed)),
+            limits,
+        });
+        // Bound before this returns, so that whoever hears that the router serves finds it so.
+        let listener = bind(front);
+        tasks.spawn(edge.clone().accept(front, listener)).detach();
+        tasks.spawn(edge.clone().keep()).detach();
+        edge
+    }
+
+    /// Control knows that the log of a service's primary was here, and that it covers every commit acknowledged
+    /// before this second of the steady clock.
+    pub fn samples(&self, service: &str, covers_from: f64, position: Position) {
+        self.with_freshness(service, |f| f.history.sample(covers_from, position));
+    }
+
+    /// How many routers share the servers' connections.
+    pub fn routers(&self, count: usize) {
+        self.routers.set(count.max(1));
+    }
+
+    /// What the traffic tells of the primaries in use.
+    pub fn evidence(&self, now: f64) -> Vec<Evidence> {
+        let view = self.shared.view.borrow();
+        let pools = self.pools.borrow();
+        let primaries = view.grants.iter().filter_map(|(service, grant)| {
+            let pool = pools.get(&grant.id)?;
+            Some(Evidence {
+                service: service.clone(),
+                id: grant.id.clone(),
+                last_answer: pool.last_answer(),
+                failing_since: pool.failing_since(now),
+            })
+        });
+        primaries.collect()
+    }
+
+    /// How many clients are connected.
+    pub fn clients(&self) -> usize {
+        self.sessions.borrow().len()
+    }
+
+    /// How many statements are in work or transactions open.
+    pub fn open(&self) -> usize {
+        let inside = self.sessions.borrow().values().filter(|s| s.inside.get()).count();
+        self.working.get() + inside
+    }
+
+    /// This server may be used as the primary now. A closing grant counts as given back, so it is none.
+    fn is_leased(&self, server: &Server, now: f64) -> bool {
+        self.shared.view.borrow().primary(&server.service, now).is_some_and(|g| g.id == server.id)
+    }
+
+    /// The server answered this position, asked then under the lease.
+    fn sample(&self, server: &Server, asked: f64, position: Option<Position>) {
+        if let Some(position) = position {
+            self.with_freshness(&server.service, |f| f.history.sample(asked, position));
+        }
+    }
+
+    fn with_freshness<T>(&self, service: &str, with: impl FnOnce(&mut Freshness) -> T) -> T {
+        let mut all = self.freshness.borrow_mut();
+        if !all.contains_key(service) {
+            let rotation = Rotation::from(self.random.borrow_mut().u32(..));
+            all.insert(service.to_owned(), Freshness { rotation, ..Freshness::default() });
+        }
+        with(all.get_mut(service).expect("just put there"))
+    }
+
+    /// The pool of a server; a server that has come back elsewhere gets a new one.
+    fn pool(&self, server: &Server, max_conns: usize) -> Rc<Pool> {
+        let mut pools = self.pools.borrow_mut();
+        if let Some(pool) = pools.get(&server.id)
+            && pool.server.endpoint == server.endpoint
+            && pool.server.service == server.service
+        {
+            return pool.clone();
+        }
+        let pool = Pool::new(server.clone(), max_conns, self.routers.get());
+        pools.insert(server.id.clone(), pool.clone());
+        pool
+    }
+
+    /// The most clients at once.
+    fn max_clients(&self) -> usize {
+        self.limits.file_limit.saturating_sub(KEPT_DESCRIPTORS).max(16)
+    }
+
+    async fn accept(self: Rc<Self>, front: SocketAddr, listener: std::io::Result<Async<TcpListener>>) {
+        let mut bound = listener;
+        let listener = loop {
+            match bound {
+                Ok(listener) => break listener,
+                Err(error) => log::error!("event=front_not_bound front={front} error={error}"),
+            }
+            net::sleep_until(clock::now() + 0.5).await;
+            bound = bind(front);
+        };
+        log::info!("event=front_open front={front}");
+        loop {
+            // The listener lives until the end: the queue of connections that the platform still passes on is served.
+            let taken = listener.accept().await;
+            let stream = match taken {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log::warn!("event=accept_failed error={error}");
+                    net::sleep_until(clock::now() + 0.05).await;
+                    continue;
+                }
+            };
+            if self.shared.ending.get().is_some_and(|at| clock::now() > at + ACCEPT_S) {
+                return;
+            }
+            if self.sessions.borrow().len() >= self.max_clients() {
+                self.make_room();
+            }
+            if self.sessions.borrow().len() >= self.max_clients() + 64 {
+                log::warn!("event=client_refused clients={}", self.clients());
+                continue;
+            }
+            let id = self.next_session.get();
+            self.next_session.set(id + 1);
+            let handle = Rc::new(Handle::default());
+            self.sessions.borrow_mut().insert(id, handle.clone());
+            let edge = self.clone();
+            let work = async move {
+                talk::serve(&edge, stream, handle).await;
+                edge.sessions.borrow_mut().remove(&id);
+            };
+            self.tasks.spawn(work).detach();
+        }
+    }
+
+    /// The session that has rested longest is closed: at rest, with nothing asked, that is no failure.
+    fn make_room(&self) {
+        let sessions = self.sessions.borrow();
+        let resting = sessions.values().filter(|s| !s.close.get() && s.idle_since.get().is_some());
+        if let Some(longest) = resting.min_by(|a, b| a.idle_since.get().partial_cmp(&b.idle_since.get()).expect("clock"))
+        {
+            longest.close();
+        }
+    }
+
+    /// Looks after what rests, and at the end ends it.
+    async fn keep(self: Rc<Self>) {
+        let mut swept = clock::now();
+        loop {
+            net::sleep_until(clock::now() + LOOK_S).await;
+            let now = clock::now();
+            if let Some(ending) = self.shared.ending.get() {
+                let resting = now > ending + ACCEPT_S.min(self.limits.grace_s / 2.0);
+                let inside = now > ending + self.limits.grace_s / 2.0;
+                for session in self.sessions.borrow().values() {
+                    if resting && !session.inside.get() || inside {
+                        session.close();
+                    }
+                }
+            } else if now > swept + 1.0 {
+                swept = now;
+                self.sweep(now);
+            }
+        }
+    }
+
+    fn sweep(&self, now: f64) {
+        let mut pools = self.pools.borrow_mut();
+        let view = self.shared.view.borrow();
+        pools.retain(|id, pool| {
+            let known = view.servers.get(id).is_some_and(|s| s.endpoint == pool.server.endpoint);
+            let max_conns = view.config.as_ref().and_then(|c| {
+                c.services.iter().find(|s| s.name == pool.server.service).map(|s| s.max_conns as usize)
+            });
+            if let Some(max_conns) = max_conns {
+                pool.set_share(max_conns, self.routers.get());
+            }
+            pool.sweep(now);
+            known
+        });
+    }
+}
+
+fn bind(front: SocketAddr) -> std::io::Result<Async<TcpListener>> {
+    Async::<TcpListener>::bind(front)
+}
+
+#[cfg(test)]
+#[path = "../tests/edge.rs"]
+mod tests;
--- /dev/null
+++ b/crates/node/src/edge/place.rs
@@ -0,0 +1,171 @@
+//! Where a statement goes that needs a connection: the choice, the waiting for it, and the lease just before use.
+
+use super::Edge;
+use super::net;
+use super::pool::{Checkout, Pool};
+use crate::clock;
+use badgerstream_calls::config::{Mode, Route};
+use badgerstream_pooling::choice::{Ask, Choice, Class, Demand, choose};
+use badgerstream_pooling::session::{Session, Shape};
+use badgerstream_wire::Position;
+use futures_lite::future::or;
+use std::rc::Rc;
+
+/// What a route asks of its statements, as it stood when the statement or its transaction came.
+#[derive(Debug, Clone)]
+pub struct Terms {
+    /// The service that holds the database.
+    pub service: Rc<str>,
+    /// How fresh reads must be.
+    pub demand: Demand,
+    /// The most that a statement may take, in seconds.
+    pub deadline: f64,
+    /// What an operation aims at, in seconds.
+    pub target: f64,
+    /// 0 goes first.
+    pub rank: u32,
+    /// How often an operation may be tried.
+    pub tries: u32,
+    /// How many connections a server of the service takes.
+    pub max_conns: usize,
+}
+
+impl Terms {
+    /// Those of a route.
+    pub fn of(route: &Route, max_conns: usize) -> Self {
+        let staleness = route.staleness_ms.map(|ms| ms as f64 / 1000.0);
+        let demand = match (route.mode, staleness) {
+            (Mode::Leader, _) | (_, None) => Demand::Fresh,
+            (Mode::BoundedStaleness, Some(s)) => Demand::Bounded(s),
+            (Mode::InHouse, Some(s)) => Demand::Own(s),
+        };
+        Self {
+            service: route.service.as_str().into(),
+            demand,
+            deadline: route.deadline_ms as f64 / 1000.0,
+            target: route.target_ms as f64 / 1000.0,
+            rank: route.rank,
+            tries: route.tries,
+            max_conns,
+        }
+    }
+}
+
+/// What needs a connection.
+pub struct Want<'a> {
+    /// Its route's terms.
+    pub terms: &'a Terms,
+    /// It reads or writes.
+    pub class: Class,
+    /// When its first byte, or that of its transaction, arrived.
+    pub arrived: f64,
+    /// The shape that the connection must know.
+    pub shape: Option<&'a Shape>,
+}
+
+/// A connection that the statement may be sent on now.
+pub struct Placed {
+    /// The connection.
+    pub out: Checkout,
+    /// What must be asked of the replica; none at the primary.
+    pub proof: Option<Position>,
+}
+
+/// Who is to be asked.
+enum Pick {
+    Primary(Rc<Pool>),
+    Replica(Rc<Pool>, Position),
+    /// Nobody before this second, or before the view changes.
+    Nobody(f64),
+}
+
+impl Edge {
+    /// Waits for a connection to a server that may serve this, until this second; none if there is none by then.
+    /// Servers that were `tried` in vain come last.
+    pub async fn place(
+        self: &Rc<Self>, want: &Want<'_>, session: &Session, tried: &[String], give_up: f64,
+    ) -> Option<Placed> {
+        loop {
+            let now = clock::now();
+            if now >= give_up {
+                return None;
+            }
+            let rings = self.shared.changed.rings();
+            let (pool, proof) = match self.pick(want, session, tried, now) {
+                Pick::Primary(pool) => (pool, None),
+                Pick::Replica(pool, proof) => (pool, Some(proof)),
+                Pick::Nobody(at) => {
+                    net::until(at.min(give_up), self.shared.changed.after(rings)).await;
+                    continue;
+                }
+            };
+            let rank = want.terms.rank.saturating_add(1);
+            let take = async {
+                Some(Checkout::take(self, &pool, rank, &session.values, want.shape).await)
+            };
+            let overtaken = async {
+                // Its place in the queue is kept through news that doesn't concern it.
+                let mut rings = rings;
+                loop {
+                    self.shared.changed.after(rings).await;
+                    rings = self.shared.changed.rings();
+                    if !self.is_still(&pool, proof.is_none()) {
+                        return None;
+                    }
+                }
+            };
+            let taken = net::until(give_up, or(take, overtaken)).await?;
+            if let Some(Ok(out)) = taken {
+                // The lease is looked at once more: time has passed.
+                if proof.is_some() || self.is_leased(&pool.server, clock::now()) {
+                    return Some(Placed { out, proof });
+                }
+            }
+        }
+    }
+
+    fn is_still(&self, pool: &Pool, primary: bool) -> bool {
+        let view = self.shared.view.borrow();
+        if primary {
+            view.primary(&pool.server.service, clock::now()).is_some_and(|g| g.id == pool.server.id)
+        } else {
+            view.servers.get(&pool.server.id).is_some_and(|s| !s.draining && s.endpoint == pool.server.endpoint)
+        }
+    }
+
+    fn pick(&self, want: &Want<'_>, session: &Session, tried: &[String], now: f64) -> Pick {
+        let view = self.shared.view.borrow();
+        let service = &*want.terms.service;
+        let max_conns = want.terms.max_conns;
+        let primary =
+            view.primary(service, now).and_then(|g| view.servers.get(&g.id)).map(|s| self.pool(s, max_conns));
+        let slow = primary.as_ref().is_none_or(|p| p.is_full() || !p.standing().is_up(now));
+        let ask = Ask {
+            demand: want.terms.demand,
+            class: want.class,
+            arrived: want.arrived,
+            primary_slow: slow || tried.iter().any(|t| primary.as_ref().is_some_and(|p| p.server.id == *t)),
+        };
+        if let Choice::Replica(proof) =
+            self.with_freshness(service, |f| choose(&ask, session, &f.history, now))
+        {
+            let leads = view.grants.get(service).map(|g| &g.id);
+            let mut replicas: Vec<_> = view
+                .servers
+                .values()
+                .filter(|s| s.service == service && !s.draining && Some(&s.id) != leads && !tried.contains(&s.id))
+                .map(|s| self.pool(s, max_conns))
+                .filter(|p| p.standing().is_up(now) && p.standing().may_have(proof, now))
+                .collect();
+            replicas.sort_by(|a, b| a.server.id.cmp(&b.server.id));
+            if let Some(at) = self.with_freshness(service, |f| f.rotation.next(replicas.len())) {
+                return Pick::Replica(replicas.swap_remove(at), proof);
+            }
+        }
+        match primary {
+            Some(primary) if primary.standing().is_up(now) => Pick::Primary(primary),
+            // Short pauses are looked at again; a change of the view is heard at once.
+            _ => Pick::Nobody(now + 0.05),
+        }
+    }
+}
--- a/crates/node/src/edge/pool.rs
+++ b/crates/node/src/edge/pool.rs
@@ -6,7 +6,6 @@
 use super::net::{self, sleep_until};
 use crate::clock;
 use crate::view::Server;
-use badgerstream_pooling::conn::Distance;
 use badgerstream_pooling::session::{Shape, Values};
 use badgerstream_pooling::share::Share;
 use badgerstream_pooling::standing::Standing;
@@ -148,12 +147,9 @@
     }
 }
 
-/// Why a connection is not had; nothing has run.
+/// No connection is had, and nothing has run: the server can't be reached, or is another one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NotHad {
-    /// The server can't be reached, or is another one: try elsewhere, or later.
-    Failed,
-}
+pub struct NotHad;
 
 /// How the connection of a `Checkout` may be left.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -191,6 +187,8 @@
     left: Left,
     /// Own changes were made inside the transaction that is open.
     changed_inside: bool,
+    keeps: bool,
+    unanswered: Option<Unanswered>,
 }
 
 impl Checkout {
@@ -201,13 +199,17 @@
     ) -> Result<Self, NotHad> {
         let conn = pool.conns.enter(rank).await;
         let slot = pool.slots.enter(rank).await;
+        let mut pause = FULL_PAUSE_S;
         let link = loop {
             if let Some(link) = pool.take_idle(values, &edge.scratch) {
                 break link;
             }
             let server = &pool.server;
             let who = &edge.limits.name;
-            match Link::open(server.endpoint, &server.service, who, &server.id, &edge.scratch).await {
+            let opening = Unanswered::new(pool, clock::now(), false);
+            let opened = Link::open(server.endpoint, &server.service, who, &server.id, &edge.scratch).await;
+            drop(opening);
+            match opened {
                 Ok((link, position)) => {
                     pool.answered(position);
                     log::debug!("event=server_connection server={}", server.id);
@@ -220,12 +222,13 @@
                     pool.share.set(share);
                     pool.conns.set_limit(share.limit(now));
                     log::debug!("event=connection_limit server={}", server.id);
-                    sleep_until(now + FULL_PAUSE_S).await;
+                    sleep_until(now + pause).await;
+                    pause = (pause * 2.0).min(8.0 * FULL_PAUSE_S);
                 }
                 Err(error) => {
                     pool.failed();
                     log::debug!("event=no_connection server={} error={error:?}", server.id);
-                    return Err(NotHad::Failed);
+                    return Err(NotHad);
                 }
             }
         };
@@ -237,8 +240,10 @@
             slot: Some(slot),
             left: Left::Clean,
             changed_inside: false,
+            keeps: false,
+            unanswered: None,
         };
-        checkout.hold(values, shape).await.map_err(|()| NotHad::Failed)?;
+        checkout.hold(values, shape).await.map_err(|()| NotHad)?;
         Ok(checkout)
     }
 
@@ -289,11 +294,6 @@
         self.link.as_ref().and_then(|l| l.held.number(shape))
     }
 
-    /// Inside a transaction it is never given to another client.
-    pub fn is_inside(&self) -> bool {
-        self.left == Left::Closed
-    }
-
     /// Waits for a place to work, if it has none.
     pub async fn enter(&mut self, rank: u32) {
         if self.slot.is_none() {
@@ -306,17 +306,21 @@
         self.slot = None;
     }
 
+    /// What is asked next is a `COMMIT`: own changes inside the transaction then last.
+    pub fn keep_changes(&mut self) {
+        self.keeps = true;
+    }
+
     /// Sends a statement and waits for its outcome until this second. `answer` then holds what is to be passed on;
     /// long answers are passed on in parts by `pass`, which tells whether the client is still there.
     pub async fn ask(
         &mut self, line: &[u8], answer: &mut Answer, at: f64, pass: impl AsyncFn(&[u8]) -> bool,
     ) -> Result<Outcome, Lost> {
         let Some(link) = &mut self.link else { return Err(Lost::Unsent) };
-        let inside = self.left == Left::Closed;
         let sent = clock::now();
         // Under the lease at this moment no other primary exists, so its log has all that was acknowledged.
         let leased = self.edge.is_leased(&self.pool.server, sent);
-        if !inside {
+        if self.left == Left::Clean {
             self.left = Left::Pending;
         }
         match net::until(at, link.send(line)).await {
@@ -327,12 +331,21 @@
                 return Err(if matches!(other, Some(Err(e)) if e.none) { Lost::Unsent } else { Lost::Broken });
             }
         }
-        let unanswered = Unanswered::new(&self.pool, sent);
+        self.unanswered = Some(Unanswered::new(&self.pool, sent, leased));
+        self.wait(answer, at, pass).await
+    }
+
+    /// Waits on, until this second, for the outcome of what was asked and is `Silent`.
+    pub async fn wait(
+        &mut self, answer: &mut Answer, at: f64, pass: impl AsyncFn(&[u8]) -> bool,
+    ) -> Result<Outcome, Lost> {
+        let Some(link) = &mut self.link else { return Err(Lost::Broken) };
         loop {
             match net::until(at, link.answer(answer, &self.edge.scratch)).await {
                 None => return Err(Lost::Silent),
                 Some(Err(())) => {
                     self.link = None;
+                    self.unanswered = None;
                     self.pool.failed();
                     return Err(Lost::Broken);
                 }
@@ -343,25 +356,32 @@
                     answer.raw.clear();
                 }
                 Some(Ok(Some(outcome))) => {
-                    drop(unanswered);
                     self.pool.answered(outcome.position);
-                    if leased && outcome.state == State::Idle {
-                        self.edge.sample(&self.pool.server, sent, outcome.position);
+                    let idle = outcome.state == State::Idle;
+                    if let Some(asked) = self.unanswered.take()
+                        && asked.leased
+                        && idle
+                    {
+                        self.edge.sample(&self.pool.server, asked.sent, outcome.position);
                     }
-                    self.left = if outcome.state == State::Idle && link.is_clean() { Left::Clean } else { Left::Closed };
-                    if outcome.state == State::Idle && std::mem::take(&mut self.changed_inside) {
+                    let clean = idle && link.is_clean() && outcome.error != Some(Code::Unknown);
+                    self.left = if clean { Left::Clean } else { Left::Closed };
+                    let kept = self.keeps && outcome.error.is_none();
+                    if idle && std::mem::take(&mut self.changed_inside) && !kept {
                         // Nobody has said whether an end that rolls back takes values back, too.
                         link.held.doubt();
                     }
-                    if matches!(outcome.error, Some(Code::Unknown)) {
-                        self.left = Left::Closed;
-                    }
                     return Ok(outcome);
                 }
             }
         }
     }
 
+    /// The server has answered others since this statement was sent, so that its answer may be lost.
+    pub fn is_overtaken(&self) -> bool {
+        self.unanswered.as_ref().is_some_and(|u| self.pool.last_answer() > u.sent)
+    }
+
     /// Rolls an open transaction back, apart, so that the connection is of use again.
     pub fn roll_back(mut self) {
         let edge = self.edge.clone();
@@ -384,11 +404,10 @@
                 // The server works on it still: its place is taken until it answers, and breaking it off would waste
                 // what it did.
                 let (edge, pool) = (self.edge.clone(), self.pool.clone());
-                let permits = (self.conn.take(), self.slot.take());
+                let permits = (self.conn.take(), self.slot.take(), self.unanswered.take());
                 let tasks = edge.tasks.clone();
                 let work = async move {
                     let now = clock::now();
-                    let _unanswered = Unanswered::new(&pool, now);
                     let drained = net::until(now + DRAIN_S, async {
                         loop {
                             let mut answer = Answer::default();
@@ -415,12 +434,14 @@
 struct Unanswered {
     pool: Rc<Pool>,
     sent: f64,
+    /// The lease was valid then.
+    leased: bool,
 }
 
 impl Unanswered {
-    fn new(pool: &Rc<Pool>, sent: f64) -> Self {
+    fn new(pool: &Rc<Pool>, sent: f64, leased: bool) -> Self {
         pool.unanswered.borrow_mut().push(sent);
-        Self { pool: pool.clone(), sent }
+        Self { pool: pool.clone(), sent, leased }
     }
 }
 
--- /dev/null
+++ b/crates/node/src/tests/edge.rs
@@ -0,0 +1,655 @@
+//! The data plane between scripted servers and plain clients on loopback, all on one thread. Nothing sleeps: every
+//! wait is for something that is said.
+
+use super::{Edge, EdgeLimits, talk};
+use crate::clock;
+use crate::view::{Grant, Server, Shared};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use badgerstream_calls::config::Config;
+use badgerstream_wire::{LineBuffer, Position, Request};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+
+/// What a scripted server does with a statement instead of running it.
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Trick {
+    /// It answers this error.
+    Error(&'static str),
+    /// It runs it and says nothing.
+    Silence,
+    /// It runs it and breaks off.
+    Close,
+}
+
+/// A statement as a server got it.
+#[derive(Clone, Debug, PartialEq)]
+struct Got {
+    conn: usize,
+    id: String,
+    text: String,
+    values: String,
+    /// What a prepared name stood for.
+    shape: Option<String>,
+}
+
+#[derive(Default)]
+struct Fake {
+    log: Cell<u64>,
+    writes: Cell<u64>,
+    rolled_back: Cell<usize>,
+    conns: Cell<usize>,
+    open: Cell<usize>,
+    got: RefCell<Vec<Got>>,
+    /// The next statement whose text begins so meets a trick.
+    tricks: RefCell<Vec<(&'static str, Trick)>>,
+    /// All connections are closed when this rings.
+    hang_up: crate::bell::Bell,
+    changed: crate::bell::Bell,
+}
+
+impl Fake {
+    fn start(tasks: &Rc<LocalExecutor<'static>>) -> (Rc<Self>, SocketAddr) {
+        let fake = Rc::new(Self::default());
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+        let at = listener.get_ref().local_addr().unwrap();
+        let (inner, spawn) = (fake.clone(), tasks.clone());
+        tasks
+            .spawn(async move {
+                loop {
+                    let (stream, _) = listener.accept().await.unwrap();
+                    let fake = inner.clone();
+                    spawn
+                        .spawn(async move {
+                            fake.open.set(fake.open.get() + 1);
+                            let rings = fake.hang_up.rings();
+                            let serve = async { fake.serve(stream).await };
+                            let end = async {
+                                fake.hang_up.after(rings).await;
+                                Some(())
+                            };
+                            futures_lite::future::or(serve, end).await;
+                            fake.open.set(fake.open.get() - 1);
+                            fake.changed.ring();
+                        })
+                        .detach();
+                }
+            })
+            .detach();
+        (fake, at)
+    }
+
+    /// Waits for this.
+    async fn sees(&self, what: impl Fn(&Self) -> bool) {
+        loop {
+            let rings = self.changed.rings();
+            if what(self) {
+                return;
+            }
+            self.changed.after(rings).await;
+        }
+    }
+
+    fn texts(&self) -> Vec<String> {
+        self.got.borrow().iter().map(|g| g.text.clone()).collect()
+    }
+
+    async fn serve(&self, mut stream: Async<TcpStream>) -> Option<()> {
+        let conn = self.conns.get();
+        self.conns.set(conn + 1);
+        let mut lines = LineBuffer::default();
+        let mut bytes = [0; 1024];
+        let mut values: BTreeMap<String, String> = BTreeMap::new();
+        let mut prepared: BTreeMap<String, String> = BTreeMap::new();
+        let (mut state, mut puts) = ('I', 0);
+        loop {
+            let Some(line) = lines.next().unwrap().map(<[u8]>::to_vec) else {
+                let n = stream.read(&mut bytes).await.unwrap_or(0);
+                if n == 0 {
+                    if state != 'I' {
+                        self.rolled_back.set(self.rolled_back.get() + 1);
+                    }
+                    return None;
+                }
+                lines.feed(&bytes[..n]);
+                continue;
+            };
+            let (id, text) = match Request::parse(&line).unwrap() {
+                Request::Connect { .. } => {
+                    stream.write_all(format!("IDLE I 3.{}\r\n", self.log.get()).as_bytes()).await.ok()?;
+                    continue;
+                }
+                Request::Query { id, text } => (id, text),
+                Request::Bye => return None,
+            };
+            let words: Vec<&str> = text.splitn(3, ' ').collect();
+            let shape = (words[0] == "EXECUTE").then(|| prepared[words[1]].clone());
+            self.got.borrow_mut().push(Got {
+                conn,
+                id: id.into(),
+                text: text.into(),
+                values: values.iter().map(|(n, v)| format!("{n}={v};")).collect(),
+                shape: shape.clone(),
+            });
+            self.changed.ring();
+            let trick = {
+                let mut tricks = self.tricks.borrow_mut();
+                tricks.iter().position(|(t, _)| text.contains(t)).map(|at| tricks.remove(at).1)
+            };
+            let mut text = text;
+            if let Some(Trick::Error(error)) = trick {
+                stream.write_all(format!("ERROR {error}\r\nIDLE {state} 3.{}\r\n", self.log.get()).as_bytes()).await.ok()?;
+                continue;
+            }
+            if let Some(rest) = text.strip_prefix("WAITPOS ") {
+                let (position, rest) = rest.split_once(' ').unwrap();
+                let position: Position = position.parse().unwrap();
+                if position.number > self.log.get() {
+                    stream.write_all(format!("ERROR LAGGING x\r\nIDLE I 3.{}\r\n", self.log.get()).as_bytes()).await.ok()?;
+                    continue;
+                }
+                text = rest;
+            }
+            let words: Vec<&str> = text.splitn(3, ' ').collect();
+            let writes = words[0] == "PUT" || shape.is_some_and(|s| s.starts_with("PUT"));
+            let reads = words[0] == "FETCH" || words[0] == "EXECUTE" && !writes;
+            let mut stamp = "-".to_owned();
+            let mut row = String::new();
+            match words[0] {
+                "RESET" => {
+                    values.clear();
+                    prepared.clear();
+                }
+                "SET" => drop(values.insert(words[1].into(), words[2].into())),
+                "PREPARE" => drop(prepared.insert(words[1].into(), words[2].into())),
+                "BEGIN" => state = 'T',
+                "ABORT" => {
+                    (state, puts) = ('I', 0);
+                    self.rolled_back.set(self.rolled_back.get() + 1);
+                }
+                "COMMIT" => {
+                    self.log.set(self.log.get() + u64::from(puts > 0));
+                    self.writes.set(self.writes.get() + puts);
+                    (state, puts) = ('I', 0);
+                    stamp = format!("s.{id}");
+                }
+                _ if writes => {
+                    puts += 1;
+                    if state == 'I' {
+                        self.log.set(self.log.get() + 1);
+                        self.writes.set(self.writes.get() + 1);
+                        puts = 0;
+                    }
+                    stamp = format!("s.{id}");
+                }
+                _ if reads => {
+                    stamp = format!("s.{id}");
+                    row = format!("ROW r.{id}\r\n");
+                }
+                _ => panic!("{text}"),
+            }
+            self.changed.ring();
+            match trick {
+                Some(Trick::Silence) => continue,
+                Some(Trick::Close) => return None,
+                _ => {}
+            }
+            let answer = format!("{row}COMPLETE {stamp}\r\nIDLE {state} 3.{}\r\n", self.log.get());
+            stream.write_all(answer.as_bytes()).await.ok()?;
+        }
+    }
+}
+
+/// A plain client.
+struct Client {
+    stream: Async<TcpStream>,
+    lines: LineBuffer,
+}
+
+impl Client {
+    async fn open(at: SocketAddr, database: &str) -> Self {
+        let mut client = Self::start(at, database).await;
+        assert_eq!(client.line().await.as_deref(), Some("IDLE I -"));
+        client
+    }
+
+    async fn start(at: SocketAddr, database: &str) -> Self {
+        let stream = Async::<TcpStream>::connect(at).await.unwrap();
+        let mut client = Self { stream, lines: LineBuffer::default() };
+        client.say(&format!("CONNECT {database} u1\r\n")).await;
+        client
+    }
+
+    async fn say(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    /// The next line, none at the end.
+    async fn line(&mut self) -> Option<String> {
+        loop {
+            if let Some(line) = self.lines.next().unwrap() {
+                return Some(String::from_utf8(line.to_vec()).unwrap());
+            }
+            let mut bytes = [0; 512];
+            let n = self.stream.read(&mut bytes).await.unwrap_or(0);
+            if n == 0 {
+                return None;
+            }
+            self.lines.feed(&bytes[..n]);
+        }
+    }
+
+    /// The whole answer, its lines joined by `|`.
+    async fn ask(&mut self, id: &str, text: &str) -> String {
+        self.say(&format!("QUERY {id} {text}\r\n")).await;
+        self.answer().await
+    }
+
+    async fn answer(&mut self) -> String {
+        let mut all = Vec::new();
+        while let Some(line) = self.line().await {
+            let end = line.starts_with("IDLE");
+            all.push(line);
+            if end {
+                break;
+            }
+        }
+        all.join("|")
+    }
+}
+
+/// Two replicas and a primary, and a router before them.
+struct Rig {
+    shared: Shared,
+    edge: Rc<Edge>,
+    front: SocketAddr,
+    primary: Rc<Fake>,
+    replicas: [Rc<Fake>; 2],
+}
+
+const CONFIG: &str = r#"{"epoch":1,"routes":[
+    {"name":"l","authority":"lead","path_prefix":"/","mode":"leader","deadline_ms":60000,"target_ms":20000,"rank":0,"backend":"db","tries":2},
+    {"name":"b","authority":"bounded","path_prefix":"/","mode":"bounded_staleness","deadline_ms":60000,"target_ms":20000,"rank":1,"backend":"db","tries":2,"staleness_ms":60000},
+    {"name":"h","authority":"house","path_prefix":"/","mode":"in_house","deadline_ms":60000,"target_ms":20000,"rank":1,"backend":"db","tries":2,"staleness_ms":60000},
+    {"name":"s","authority":"short","path_prefix":"/","mode":"leader","deadline_ms":60,"target_ms":20,"rank":1,"backend":"db","tries":2}],
+    "backends":[{"name":"db","probe":"/health","max_conns":1,"protocol":"h1","tls":false,"sync_replicas":1}],
+    "limits":{"txn_idle_ms":60000}}"#;
+
+impl Rig {
+    fn start(tasks: &Rc<LocalExecutor<'static>>) -> Self {
+        let shared = Shared::default();
+        let fakes: Vec<_> = (0..3).map(|_| Fake::start(tasks)).collect();
+        {
+            let mut view = shared.view.borrow_mut();
+            for (i, (_, endpoint)) in fakes.iter().enumerate() {
+                let id = format!("i-{i}");
+                let server = Server {
+                    id: id.clone(),
+                    service: "db".into(),
+                    endpoint: *endpoint,
+                    zone: "a".into(),
+                    slots: 4,
+                    draining: false,
+                };
+                view.servers.insert(id, server);
+            }
+            view.grants.insert("db".into(), Grant { id: "i-0".into(), term: 3, closing: false });
+            view.lease_until = 1e9;
+            view.config = Some(Rc::new(Config::read(CONFIG.as_bytes()).unwrap()));
+        }
+        let free = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        let front = free.local_addr().unwrap();
+        drop(free);
+        let limits =
+            EdgeLimits { file_limit: 1000, name: "edge-1".into(), zone: "a".into(), seed: 7, grace_s: 0.2 };
+        let edge = Edge::start(tasks, shared.clone(), front, limits);
+        let mut fakes = fakes.into_iter().map(|(fake, _)| fake);
+        let primary = fakes.next().unwrap();
+        let replicas = [fakes.next().unwrap(), fakes.next().unwrap()];
+        Self { shared, edge, front, primary, replicas }
+    }
+
+    /// Changes what the router knows.
+    fn tell(&self, change: impl FnOnce(&mut crate::view::View)) {
+        change(&mut self.shared.view.borrow_mut());
+        self.shared.changed.ring();
+    }
+
+    fn configure(&self, change: impl FnOnce(String) -> String) {
+        let config = Config::read(change(CONFIG.to_owned()).as_bytes()).unwrap();
+        self.tell(|view| view.config = Some(Rc::new(config)));
+    }
+}
+
+fn play(test: impl AsyncFnOnce(Rig)) {
+    let tasks = Rc::new(LocalExecutor::new());
+    let rig = Rig::start(&tasks);
+    async_io::block_on(tasks.run(test(rig)));
+}
+
+#[test]
+fn clients_share_a_connection_and_meet_their_own_values() {
+    play(async |rig| {
+        let (mut a, mut b) = (Client::open(rig.front, "lead").await, Client::open(rig.front, "lead").await);
+        assert_eq!(a.ask("a1", "SET tz one two").await, "COMPLETE -|IDLE I -");
+        assert_eq!(a.ask("a2", "PREPARE s PUT q1").await, "COMPLETE -|IDLE I -");
+        assert_eq!(b.ask("b1", "PREPARE s FETCH q2").await, "COMPLETE -|IDLE I -");
+        for round in 0..2 {
+            let id = format!("a{}", round + 3);
+            let wrote = format!("COMPLETE s.{id}|IDLE I 3.{}", round + 1);
+            assert_eq!(a.ask(&id, "EXECUTE s thing data data").await, wrote);
+            let id = format!("b{}", round + 3);
+            let read = format!("ROW r.{id}|COMPLETE s.{id}|IDLE I 3.{}", round + 1);
+            assert_eq!(b.ask(&id, "EXECUTE s thing").await, read);
+        }
+        let got = rig.primary.got.borrow();
+        assert!(got.iter().all(|g| g.conn == 0));
+        for g in got.iter().filter(|g| g.id != "-") {
+            let (shape, values) = if g.id.starts_with('a') { ("PUT q1", "tz=one two;") } else { ("FETCH q2", "") };
+            assert_eq!((g.shape.as_deref(), g.values.as_str()), (Some(shape), values), "{g:?}");
+        }
+        drop(got);
+        assert_eq!(b.ask("b9", "RELEASE s").await, "COMPLETE -|IDLE I -");
+        assert_eq!(b.ask("b10", "EXECUTE s thing").await, "ERROR UNKNOWN s|IDLE I -");
+        assert_eq!(b.ask("b11", "WAITPOS 3.1 FETCH a").await, "ERROR MALFORMED unknown statement|IDLE I -");
+    });
+}
+
+#[test]
+fn bytes_cut_anywhere_and_several_at_once() {
+    play(async |rig| {
+        let mut a = Client::open(rig.front, "lead").await;
+        for byte in "QUERY a1 PUT x y\r\nQUERY a2 FE".chars() {
+            a.say(&byte.to_string()).await;
+        }
+        assert_eq!(a.answer().await, "COMPLETE s.a1|IDLE I 3.1");
+        a.say("TCH x\r\nQUERY a3 SET n v\r\nBYE\r\n").await;
+        assert_eq!(a.answer().await, "ROW r.a2|COMPLETE s.a2|IDLE I 3.1");
+        assert_eq!(a.answer().await, "COMPLETE -|IDLE I -");
+        assert_eq!(a.line().await, None);
+    });
+}
+
+#[test]
+fn bounded_reads_rotate_under_a_proof_and_fall_back() {
+    play(async |rig| {
+        let mut a = Client::open(rig.front, "bounded").await;
+        // Nothing is proven yet: the primary answers, and its answer is a proof.
+        rig.primary.log.set(5);
+        assert!(a.ask("a1", "FETCH x").await.ends_with("IDLE I 3.5"));
+        // The session that touched the primary is marked; another isn't.
+        assert!(a.ask("a2", "FETCH x").await.ends_with("IDLE I 3.5"));
+        rig.replicas.iter().for_each(|r| r.log.set(6));
+        let mut b = Client::open(rig.front, "bounded").await;
+        for id in ["b1", "b2"] {
+            assert!(b.ask(id, "FETCH x").await.ends_with("IDLE I 3.6"));
+        }
+        for replica in &rig.replicas {
+            assert_eq!(replica.texts(), ["WAITPOS 3.5 FETCH x"]);
+        }
+        // One lags: the other is asked; both: the primary.
+        rig.replicas[0].tricks.borrow_mut().push(("FETCH", Trick::Error("LAGGING 3.4")));
+        rig.replicas[1].tricks.borrow_mut().push(("FETCH", Trick::Error("LAGGING 3.4")));
+        assert!(b.ask("b3", "FETCH x").await.ends_with("IDLE I 3.5"));
+        assert!(rig.replicas.iter().all(|r| r.tricks.borrow().is_empty()));
+        // Broken off and failed: asked elsewhere.
+        let mut c = Client::open(rig.front, "bounded").await;
+        rig.replicas.iter().for_each(|r| r.tricks.borrow_mut().push(("FETCH", Trick::Close)));
+        assert!(c.ask("c1", "FETCH x").await.ends_with("IDLE I 3.5"));
+    });
+}
+
+#[test]
+fn a_transaction_that_reads_goes_to_a_replica_as_a_whole() {
+    play(async |rig| {
+        rig.edge.samples("db", clock::now() + 1.0, Position { term: 3, number: 2 });
+        rig.replicas.iter().for_each(|r| r.log.set(2));
+        let mut a = Client::open(rig.front, "house").await;
+        assert_eq!(a.ask("a1", "BEGIN FETCH").await, "COMPLETE -|IDLE T -");
+        for id in ["a2", "a3"] {
+            assert_eq!(a.ask(id, "FETCH x").await, format!("ROW r.{id}|COMPLETE s.{id}|IDLE T 3.2"));
+        }
+        assert_eq!(a.ask("a4", "COMMIT").await, "COMPLETE s.a4|IDLE I 3.2");
+        let texts: Vec<_> = rig.replicas.iter().flat_map(|r| r.texts()).collect();
+        assert_eq!(texts, ["WAITPOS 3.2 BEGIN FETCH", "FETCH x", "FETCH x", "COMMIT"]);
+        assert!(rig.primary.texts().is_empty());
+    });
+}
+
+#[test]
+fn in_house_reads_owe_the_sessions_writes() {
+    play(async |rig| {
+        rig.edge.samples("db", clock::now() + 1.0, Position { term: 3, number: 2 });
+        rig.replicas.iter().for_each(|r| r.log.set(9));
+        let mut a = Client::open(rig.front, "house").await;
+        rig.primary.log.set(6);
+        assert_eq!(a.ask("a1", "PUT x y").await, "COMPLETE s.a1|IDLE I 3.7");
+        // The marked session reads at the primary, and past its write elsewhere when that is unknown.
+        assert!(a.ask("a2", "FETCH x").await.ends_with("IDLE I 3.7"));
+        rig.tell(|view| view.lease_until = 0.0);
+        assert!(a.ask("a3", "FETCH x").await.ends_with("IDLE I 3.9"));
+        let texts: Vec<_> = rig.replicas.iter().flat_map(|r| r.texts()).collect();
+        assert_eq!(texts, ["WAITPOS 3.7 FETCH x"]);
+    });
+}
+
+#[test]
+fn transactions_are_pinned_and_end_as_their_client_says() {
+    play(async |rig| {
+        let mut a = Client::open(rig.front, "lead").await;
+        assert_eq!(a.ask("a1", "BEGIN").await, "COMPLETE -|IDLE T -");
+        // Begun at the server just before its first statement; ended without one, nobody hears of it.
+        assert_eq!(a.ask("a2", "ABORT").await, "COMPLETE -|IDLE I -");
+        assert!(rig.primary.texts().is_empty());
+
+        a.ask("a3", "BEGIN").await;
+        assert_eq!(a.ask("a4", "PUT x 1").await, "COMPLETE s.a4|IDLE T 3.0");
+        assert_eq!(a.ask("a5", "SET n v").await, "COMPLETE -|IDLE T -");
+        assert_eq!(a.ask("a6", "PUT x 2").await, "COMPLETE s.a6|IDLE T 3.0");
+        assert_eq!(a.ask("a7", "COMMIT").await, "COMPLETE s.a7|IDLE I 3.1");
+        assert_eq!(rig.primary.writes.get(), 2);
+        let got = rig.primary.got.borrow().clone();
+        assert_eq!(got.iter().find(|g| g.id == "a6").unwrap().values, "n=v;");
+
+        a.ask("a8", "BEGIN").await;
+        a.ask("a9", "PUT x 3").await;
+        assert_eq!(a.ask("a10", "ABORT").await, "COMPLETE -|IDLE I -");
+        rig.primary.sees(|p| p.rolled_back.get() == 1).await;
+        assert_eq!(rig.primary.writes.get(), 2);
+        assert_eq!(rig.primary.conns.get(), 1);
+        assert_eq!(a.ask("a11", "COMMIT").await, "ERROR MALFORMED outside a transaction|IDLE I -");
+    });
+}
+
+#[test]
+fn a_client_that_leaves_midway_is_rolled_back() {
+    play(async |rig| {
+        let mut a = Client::open(rig.front, "lead").await;
+        a.ask("a1", "BEGIN").await;
+        a.ask("a2", "PUT x 1").await;
+        assert_eq!(rig.edge.open(), 1);
+        drop(a);
+        rig.primary.sees(|p| p.rolled_back.get() == 1).await;
+        let mut b = Client::open(rig.front, "lead").await;
+        assert_eq!(b.ask("b1", "PUT x 2").await, "COMPLETE s.b1|IDLE I 3.1");
+        assert_eq!((rig.edge.open(), rig.edge.clients()), (0, 1));
+    });
+}
+
+#[test]
+fn what_was_sent_and_not_answered_is_in_doubt_and_never_sent_again() {
+    play(async |rig| {
+        let mut a = Client::open(rig.front, "lead").await;
+        rig.primary.tricks.borrow_mut().push(("PUT", Trick::Close));
+        assert_eq!(a.ask("a1", "PUT x 1").await, "ERROR INDOUBT no clear answer|IDLE I -");
+        assert_eq!(rig.primary.writes.get(), 1);
+
+        a.ask("a2", "BEGIN").await;
+        a.ask("a3", "PUT x 1").await;
+        rig.primary.tricks.borrow_mut().push(("COMMIT", Trick::Close));
+        assert_eq!(a.ask("a4", "COMMIT").await, "ERROR INDOUBT no clear answer to COMMIT|IDLE I -");
+        assert_eq!(rig.primary.writes.get(), 2);
+
+        // Silence until the deadline.
+        let mut b = Client::open(rig.front, "short").await;
+        rig.primary.tricks.borrow_mut().push(("PUT", Trick::Silence));
+        assert_eq!(b.ask("b1", "PUT x 1").await, "ERROR INDOUBT no clear answer|IDLE I -");
+        assert_eq!(rig.primary.writes.get(), 3);
+        assert_eq!(rig.primary.texts().iter().filter(|t| t.starts_with("PUT")).count(), 3);
+    });
+}
+
+#[test]
+fn a_transaction_that_loses_its_connection_is_aborted() {
+    play(async |rig| {
+        let mut a = Client::open(rig.front, "lead").await;
+        a.ask("a1", "BEGIN").await;
+        rig.primary.tricks.borrow_mut().push(("PUT", Trick::Close));
+        assert_eq!(a.ask("a2", "PUT x 1").await, "ERROR ABORTED the server was lost|IDLE E -");
+        assert_eq!(a.ask("a3", "PUT x 1").await, "ERROR MALFORMED the transaction has failed|IDLE E -");
+        assert_eq!(a.ask("a4", "COMMIT").await, "ERROR ABORTED the transaction had failed|IDLE I -");
+        assert_eq!(rig.primary.writes.get(), 0);
+    });
+}
+
+#[test]
+fn what_has_not_run_is_sent_again() {
+    play(async |rig| {
+        let mut a = Client::open(rig.front, "lead").await;
+        rig.primary.tricks.borrow_mut().push(("PUT", Trick::Error("RETRY busy")));
+        assert_eq!(a.ask("a1", "PUT x 1").await, "COMPLETE s.a1|IDLE I 3.1");
+        a.ask("a2", "BEGIN").await;
+        rig.primary.tricks.borrow_mut().push(("BEGIN", Trick::Error("RETRY busy")));
+        assert_eq!(a.ask("a3", "PUT x 1").await, "COMPLETE s.a3|IDLE T 3.1");
+        assert_eq!(a.ask("a4", "COMMIT").await, "COMPLETE s.a4|IDLE I 3.2");
+        // A failure that has run is the client's to judge.
+        rig.primary.tricks.borrow_mut().push(("PUT", Trick::Error("FAILED no")));
+        assert_eq!(a.ask("a5", "PUT x 1").await, "ERROR FAILED no|IDLE I 3.2");
+        // A connection that the server has closed at rest is not used.
+        rig.primary.hang_up.ring();
+        rig.primary.sees(|p| p.open.get() == 0).await;
+        assert_eq!(a.ask("a6", "PUT x 1").await, "COMPLETE s.a6|IDLE I 3.3");
+    });
+}
+
+#[test]
+fn without_the_lease_nothing_reaches_the_primary() {
+    play(async |rig| {
+        rig.tell(|view| view.lease_until = 0.0);
+        let mut a = Client::open(rig.front, "short").await;
+        assert_eq!(a.ask("a1", "FETCH x").await, "ERROR RETRY 200|IDLE I -");
+        assert_eq!(a.ask("a2", "PUT x 1").await, "ERROR RETRY 200|IDLE I -");
+        // Held until the lease is there.
+        let mut b = Client::open(rig.front, "lead").await;
+        b.say("QUERY b1 PUT x 1\r\n").await;
+        assert_eq!(a.ask("a3", "BEGIN").await, "COMPLETE -|IDLE T -");
+        assert_eq!(a.ask("a4", "PUT x 1").await, "ERROR RETRY 200|IDLE E -");
+        assert_eq!(a.ask("a5", "ABORT").await, "COMPLETE -|IDLE I -");
+        assert!(rig.primary.texts().is_empty());
+        rig.tell(|view| view.lease_until = 1e9);
+        assert_eq!(b.answer().await, "COMPLETE s.b1|IDLE I 3.1");
+    });
+}
+
+#[test]
+fn no_commit_is_sent_to_a_primary_that_is_none_any_more() {
+    play(async |rig| {
+        let mut a = Client::open(rig.front, "lead").await;
+        for (round, closing) in [(0, true), (1, false)] {
+            a.ask(&format!("a{round}1"), "BEGIN").await;
+            a.ask(&format!("a{round}2"), "PUT x 1").await;
+            let id = if closing { "i-0" } else { "i-1" };
+            rig.tell(|view| {
+                view.grants.insert("db".into(), Grant { id: id.into(), term: 4, closing });
+            });
+            let told = a.ask(&format!("a{round}3"), "COMMIT").await;
+            assert_eq!(told, "ERROR ABORTED the primary changes|IDLE I -");
+            rig.primary.sees(|p| p.rolled_back.get() == round + 1).await;
+            rig.tell(|view| {
+                view.grants.insert("db".into(), Grant { id: "i-0".into(), term: 3, closing: false });
+            });
+        }
+        assert_eq!(rig.primary.writes.get(), 0);
+        assert!(!rig.primary.texts().contains(&"COMMIT".to_owned()));
+    });
+}
+
+#[test]
+fn databases_come_and_go_with_the_configuration() {
+    play(async |rig| {
+        let mut none = Client::start(rig.front, "nobody").await;
+        assert_eq!(none.line().await.as_deref(), Some("ERROR NODB nobody"));
+        assert_eq!(none.line().await, None);
+        let mut a = Client::open(rig.front, "lead").await;
+        a.ask("a1", "BEGIN").await;
+        a.ask("a2", "PUT x 1").await;
+        rig.configure(|text| text.replace("\"lead\"", "\"led\""));
+        // It binds from the next transaction on.
+        assert_eq!(a.ask("a3", "COMMIT").await, "COMPLETE s.a3|IDLE I 3.1");
+        assert_eq!(a.ask("a4", "FETCH x").await, "ERROR NODB lead|IDLE I -");
+        Client::open(rig.front, "led").await;
+    });
+}
+
+#[test]
+fn a_resting_transaction_is_ended_and_its_client_told() {
+    play(async |rig| {
+        rig.configure(|text| text.replace("\"txn_idle_ms\":60000", "\"txn_idle_ms\":20"));
+        let mut a = Client::open(rig.front, "lead").await;
+        a.ask("a1", "BEGIN").await;
+        a.ask("a2", "PUT x 1").await;
+        rig.primary.sees(|p| p.rolled_back.get() == 1).await;
+        assert_eq!(a.ask("a3", "PUT x 1").await, "ERROR ABORTED the transaction was ended|IDLE E -");
+        assert_eq!(a.ask("a4", "ABORT").await, "COMPLETE -|IDLE I -");
+        assert_eq!(rig.primary.writes.get(), 0);
+    });
+}
+
+#[test]
+fn at_the_end_what_rests_is_closed_and_what_works_is_answered() {
+    play(async |rig| {
+        let mut idle = Client::open(rig.front, "lead").await;
+        let mut a = Client::open(rig.front, "lead").await;
+        a.ask("a1", "BEGIN").await;
+        a.ask("a2", "PUT x 1").await;
+        rig.shared.ending.set(Some(clock::now()));
+        rig.shared.changed.ring();
+        assert_eq!(idle.line().await, None);
+        assert_eq!(a.line().await.as_deref(), Some("ERROR ABORTED the router ends"));
+        assert_eq!(a.line().await, None);
+        rig.primary.sees(|p| p.rolled_back.get() == 1).await;
+        assert_eq!((rig.edge.open(), rig.primary.writes.get()), (0, 0));
+    });
+}
+
+#[test]
+fn evidence_tells_of_the_primary_only() {
+    play(async |rig| {
+        let mut a = Client::open(rig.front, "lead").await;
+        a.ask("a1", "FETCH x").await;
+        let well = rig.edge.evidence(clock::now());
+        assert_eq!((well.len(), well[0].id.as_str(), well[0].failing_since), (1, "i-0", None));
+        assert!(well[0].last_answer > 0.0);
+        rig.primary.tricks.borrow_mut().push(("PUT", Trick::Silence));
+        a.say("QUERY a2 PUT x 1\r\n").await;
+        rig.primary.sees(|p| p.writes.get() == 1).await;
+        let now = clock::now();
+        assert_eq!(rig.edge.evidence(now)[0].failing_since, None);
+        assert!(rig.edge.evidence(now + 5.0)[0].failing_since.is_some_and(|since| since <= now));
+    });
+}
+
+#[test]
+fn a_resting_session_costs_little() {
+    let tasks = Rc::new(LocalExecutor::new());
+    let rig = Rig::start(&tasks);
+    async_io::block_on(async {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        let stream = Async::<TcpStream>::connect(listener.local_addr().unwrap()).await.unwrap();
+        let size = std::mem::size_of_val(&talk::serve(&rig.edge, stream, Rc::default()));
+        assert!(size < 2048, "{size} bytes");
+    });
+}
