--- a/crates/control/src/tests/world.rs
+++ b/crates/control/src/tests/world.rs
@@ -625,7 +625,7 @@
         assert!(acting.len() < 2, "{}: two control machines may act at once: {acting:?}", self.now);
     }
 
-    fn to_control(&mut self, node: Node, life: Option<u64>, event: &Event) -> bool {
+    fn reaches(&mut self, node: Node, life: Option<u64>, event: &Event) -> bool {
         let control = self.controls.get_mut(&node).unwrap();
         if control.steward.is_none() || life.is_some_and(|l| l != control.life) {
             return false;
@@ -640,7 +640,7 @@
     fn handle(&mut self, event: Event) {
         match &event {
             Event::Tick(node, life) => {
-                if !self.to_control(*node, Some(*life), &event) {
+                if !self.reaches(*node, Some(*life), &event) {
                     return;
                 }
                 self.with(*node, |s, now| s.tick(now));
@@ -648,13 +648,13 @@
                 self.put(if leads { 0.02 } else { 0.05 }, Event::Tick(*node, *life));
             }
             Event::Peer { from, to, message } => {
-                if self.to_control(*to, None, &event) {
+                if self.reaches(*to, None, &event) {
                     let message = message.clone();
                     self.with(*to, |s, now| s.peer(now, *from, message));
                 }
             }
             Event::Met(node, other) => {
-                if self.to_control(*node, None, &event) {
+                if self.reaches(*node, None, &event) {
                     self.with(*node, |s, _| s.met(*other));
                 }
             }
@@ -679,7 +679,7 @@
                 self.put(after, Event::Asked { node: *node, life: *life, id: id.clone(), asked });
             }
             Event::Asked { node, life, id, asked } => {
-                if self.to_control(*node, Some(*life), &event) {
+                if self.reaches(*node, Some(*life), &event) {
                     let control = self.controls.get_mut(node).unwrap();
                     let now = self.now + control.offset;
                     control.steward.as_mut().unwrap().asked(now, SERVICE, id, *asked);
@@ -689,7 +689,7 @@
                 if self.apart.contains(&(*node, *router)) {
                     return;
                 }
-                if self.to_control(*node, Some(*life), &event) {
+                if self.reaches(*node, Some(*life), &event) {
                     let call = call.clone();
                     self.with(*node, |s, now| s.router(now, *conn, call));
                 }
@@ -753,7 +753,7 @@
                 }
             }
             Event::Post { node, life, id, fence, before } => {
-                if !self.to_control(*node, Some(*life), &event) {
+                if !self.reaches(*node, Some(*life), &event) {
                     return;
                 }
                 let control = &self.controls[node];
@@ -769,7 +769,7 @@
             Event::PostAt { node, life, id, fence } => self.post_at(*node, *life, id, *fence),
             Event::Promote(id) => self.promote(id),
             Event::PostAnswer { node, life, status } => {
-                if self.to_control(*node, Some(*life), &event) {
+                if self.reaches(*node, Some(*life), &event) {
                     let control = self.controls.get_mut(node).unwrap();
                     let now = self.now + control.offset;
                     control.steward.as_mut().unwrap().promoted(now, SERVICE, *status);
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -88,7 +88,7 @@
             settings.state_dir.as_ref().ok_or("state_dir is missing: control keeps its state there")?;
         let control = settings.control.ok_or("bind_addrs.control is missing")?;
         let (store, kept, fresh) =
-            Store::open(folder, seed).map_err(|e| format!("{}: {e}", folder.display()))?;
+            Store::open(&folder.join("agreed"), seed).map_err(|e| format!("{}: {e}", folder.display()))?;
         let me = u32::from(settings.ip);
         let first = fresh == Fresh::New;
         let seeds: Vec<Node> = settings.seeds.iter().filter_map(|s| node_of(s.ip())).collect();
