--- a/crates/control/src/tests/failover.rs
+++ b/crates/control/src/tests/failover.rs
@@ -330,6 +330,92 @@
     }
 }
 
+/// A leader before left the replicas paused: the next one finds the primary nevertheless, and lets them go.
+#[test]
+fn a_pause_of_a_leader_before_hides_no_primary() {
+    let mut world = steady(10);
+    for id in ["b", "c"] {
+        world.servers.get_mut(id).unwrap().held = Some(5);
+    }
+    let leader = world.leader().unwrap();
+    world.kill(leader);
+    world.run(3.0);
+    assert!(world.in_use().as_deref() == Some("a") && world.promoted.is_empty());
+    assert!(world.writes() && world.servers.values().all(|s| s.held.is_none()));
+}
+
+/// It is agreed on another primary, the platform does nothing, and the old one is back under the next leader.
+#[test]
+fn an_agreement_without_a_promote_comes_to_an_end() {
+    let start = steady(11);
+    for step in 0..20 {
+        let mut world = start.clone();
+        world.statuses = vec![503; 100];
+        world.crash("a");
+        world.run(0.5 + 0.05 * f64::from(step));
+        let leader = world.leader().unwrap();
+        world.kill(leader);
+        world.statuses.clear();
+        world.recover("a");
+        world.run(0.4);
+        world.run_until(8.0, "a primary", |w| w.in_use().is_some());
+        world.run(1.0);
+        assert!(world.writes(), "step {step}");
+    }
+}
+
+/// The new primary leads, is silent before that is seen, and is back as primary.
+#[test]
+fn a_primary_that_hides_after_its_promote_is_used() {
+    let mut world = steady(12);
+    world.crash("a");
+    world.run_until(2.0, "a promote", |w| !w.promoted.is_empty());
+    let new = world.promoted[0].0.clone();
+    world.darken(&new);
+    world.run(0.9);
+    world.recover(&new);
+    world.run_until(2.0, "the new primary in use", |w| w.in_use().as_ref() == Some(&new));
+    assert_eq!(world.promoted.len(), 1);
+}
+
+/// The platform says that the coming primary does not run, yet it leads a moment later: routers let go of the old one.
+#[test]
+fn a_refused_promote_that_happened_all_the_same() {
+    for seed in 13..23 {
+        let mut world = steady(seed);
+        world.statuses = vec![409];
+        world.drain("a");
+        world.run_until(3.0, "a call", |w| !w.posts.is_empty());
+        world.run(0.01);
+        let to = world.posts[0].0.clone();
+        let server = world.servers.get_mut(&to).unwrap();
+        (server.leader, server.term, server.held) = (true, 2, None);
+        world.run_until(4.0, "the new primary in use", |w| w.in_use().as_ref() == Some(&to));
+    }
+}
+
+/// A replica holds a term that nobody knew of: below it, it does not pause.
+#[test]
+fn a_higher_term_is_met_while_pausing() {
+    let mut world = steady(14);
+    world.servers.get_mut("b").unwrap().held = Some(9);
+    world.servers.get_mut("b").unwrap().heard_of = 9;
+    world.crash("a");
+    world.run_until(3.5, "another primary", |w| w.in_use().is_some());
+}
+
+/// The old primary is back as a replica, and counts as one: with it all that was acknowledged is there.
+#[test]
+fn an_old_primary_counts_as_a_copy() {
+    let mut world = steady(15);
+    world.crash("a");
+    world.crash("c");
+    world.run(1.0);
+    world.servers.get_mut("a").unwrap().leader = false;
+    world.recover("a");
+    world.run_until(3.0, "a primary", |w| w.in_use().is_some());
+}
+
 /// Frozen routers hold no lease when they wake, and hold nobody up for longer than their lease.
 #[test]
 fn a_frozen_router() {
--- a/crates/control/src/tests/world.rs
+++ b/crates/control/src/tests/world.rs
@@ -31,6 +31,8 @@
     pub saved: Record,
     /// Its disk was lost, and nothing was saved on it since.
     pub empty: bool,
+    /// The servers that are kept on its disk.
+    kept: Vec<crate::MemberNews>,
     pub health: Health,
     pub frozen: bool,
     inbox: Vec<Event>,
@@ -85,7 +87,7 @@
     /// Term and number of each commit.
     pub log: Vec<(u64, u64)>,
     pub held: Option<u64>,
-    heard_of: u64,
+    pub heard_of: u64,
     /// Receives nothing, though it answers.
     pub deaf: bool,
     pub draining: bool,
@@ -221,6 +223,7 @@
                 life: 0,
                 saved,
                 empty: false,
+                kept: Vec::new(),
                 health: Health::Down,
                 frozen: false,
                 inbox: Vec::new(),
@@ -319,6 +322,8 @@
         control.inbox.clear();
         let record = control.saved.clone();
         control.steward = Some(Steward::new(node, record, votes, now + control.offset, seed, timing()));
+        let kept = control.kept.clone();
+        control.steward.as_mut().unwrap().recall(now + control.offset, kept);
         let life = control.life;
         self.put(0.0, Event::Tick(node, life));
         for other in nodes.into_iter().filter(|n| *n != node) {
@@ -332,7 +337,9 @@
     pub fn kill(&mut self, node: Node) {
         self.say(|| format!("control {node} killed"));
         let control = self.controls.get_mut(&node).unwrap();
-        control.steward = None;
+        if let Some(steward) = control.steward.take() {
+            control.kept = steward.members().kept();
+        }
         control.health = Health::Down;
         control.frozen = false;
         control.inbox.clear();
@@ -349,6 +356,7 @@
         let control = self.controls.get_mut(&node).unwrap();
         control.saved = Record { state: State::first(vec![1, 2, 3]), ..Record::default() };
         control.empty = true;
+        control.kept.clear();
     }
 
     pub fn freeze(&mut self, node: Node) {
