The set that decides is agreed state: machines join and leave it one at a time

Change: who is not among the voters asks to join; the leader takes it in, and lets go of one that has been silent for 3 s while enough are left; a change holds at majorities of the sets before and after; candidates ask again and count majorities of the newest set they meet; a promise whose answer was lost is given again.

--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -16,8 +16,8 @@
     Promise { ballot: Ballot, accepted: Ballot, state: State },
     /// No: a higher ballot was promised, or another one leads.
     Refuse { promised: Ballot, ballot: Ballot },
-    /// Asks to accept this state.
-    Accept { ballot: Ballot, state: State },
+    /// Asks to accept this state; `new` tells that the machine was not among those that decide before it.
+    Accept { ballot: Ballot, state: State, new: bool },
     /// It is accepted and on disk.
     Accepted { ballot: Ballot, seq: u64 },
     /// The leader is there; sent at this second of its own clock.
@@ -28,6 +28,8 @@
     Recall,
     /// The highest promise of this machine, and who decides.
     Recalled { promised: Ballot, voters: Vec<Node> },
+    /// Asks to be one of those that decide.
+    Join,
     /// What is known of database servers.
     Members(Vec<MemberNews>),
     /// A call that this machine can't settle: a configuration, or without a body the newest one is asked for.
--- a/crates/control/src/register.rs
+++ b/crates/control/src/register.rs
@@ -58,12 +58,15 @@
     sent: HashMap<Node, f64>,
     agreed: Option<u64>,
     beat: f64,
+    since: f64,
+    /// Those that decided before what is under way: it must hold at a majority of these, too.
+    before: Vec<Node>,
 }
 
 #[derive(Clone, Debug)]
 enum Role {
     Follower,
-    Candidate { ballot: Ballot, promises: HashMap<Node, (Ballot, State)>, since: f64 },
+    Candidate { ballot: Ballot, promises: HashMap<Node, (Ballot, State)>, since: f64, asked: f64 },
     Leader(Leading),
 }
 
@@ -84,6 +87,14 @@
     highest: Ballot,
     pause: f64,
     lot: u64,
+    /// Machines that may be asked besides those that decide.
+    seeds: Vec<Node>,
+    /// Those who asked to be taken in, and when.
+    wants: HashMap<Node, f64>,
+    /// When this machine last asked to be.
+    joining: f64,
+    /// So few may decide and no fewer: a majority of them outlives what may be lost at once.
+    least: usize,
     /// A leader is missed after so many seconds.
     suspect: f64,
     /// A leader that heard of a majority acts for so long, in seconds from when its beat went out.
@@ -94,6 +105,14 @@
 const BEAT: f64 = 0.15;
 /// The value is sent again after so many seconds without an answer.
 const AGAIN: f64 = 0.5;
+/// A candidate asks again after so many seconds.
+const ASK_AGAIN: f64 = 0.1;
+/// A machine that hears no leader for so many seconds, or is none of those that decide, asks to be one of them.
+const JOIN: f64 = 0.5;
+/// Who asked to join and has not asked again for so many seconds has gone.
+const WANTS: f64 = 1.5;
+/// One of those that decide, unheard by the leader for so many seconds, makes room for another.
+const ABSENT: f64 = 3.0;
 
 impl Register {
     /// A machine that starts with what its disk holds. `votes` is false if the disk is empty though the system is not new.
@@ -111,6 +130,10 @@
             highest,
             pause: 0.0,
             lot: seed | 1,
+            seeds: Vec::new(),
+            wants: HashMap::new(),
+            joining: now,
+            least: 3,
             suspect,
             authority: suspect,
         };
@@ -200,23 +223,77 @@
         for voter in self.record.state.voters.iter().filter(|v| **v != self.me) {
             leading.sent.insert(*voter, now);
             let state = self.record.state.clone();
-            out.push(RegisterOut::Send(*voter, Peer::Accept { ballot: leading.ballot, state }));
+            let new = !leading.before.is_empty() && !leading.before.contains(voter);
+            out.push(RegisterOut::Send(*voter, Peer::Accept { ballot: leading.ballot, state, new }));
         }
         self.count(out);
     }
 
-    fn majority(&self) -> usize {
-        self.voters().len() / 2 + 1
+    /// Whoever is not among those that decide, or hears nobody lead, asks to be taken in; who is asked need not answer.
+    fn ask_to_join(&mut self, now: f64, out: &mut Vec<RegisterOut>) {
+        let member = self.votes && self.voters().contains(&self.me);
+        let led = now - self.led_at.max(self.heard) < JOIN && self.leader.is_some();
+        if member && (led || matches!(self.role, Role::Leader(_))) || now - self.joining < JOIN {
+            return;
+        }
+        self.joining = now;
+        let known: Vec<Node> = self.voters().iter().chain(&self.seeds).copied().filter(|v| *v != self.me).collect();
+        for (at, node) in known.iter().enumerate() {
+            if !known[..at].contains(node) {
+                out.push(RegisterOut::Send(*node, Peer::Join));
+            }
+        }
+    }
+
+    /// The leader changes the set of those that decide, one machine at a time: it takes in who asks, and lets go of who has
+    /// been silent while enough are left.
+    fn change_voters(&mut self, now: f64, out: &mut Vec<RegisterOut>) {
+        if self.authority() < now || self.agreed().is_none() {
+            return;
+        }
+        self.wants.retain(|_, asked| now - *asked < WANTS);
+        let mut voters = self.record.state.voters.clone();
+        let joins = self.wants.keys().copied().filter(|w| !voters.contains(w)).min();
+        let Role::Leader(leading) = &self.role else { return };
+        let silent = |node: &Node| {
+            *node != self.me && now - leading.answered.get(node).copied().unwrap_or(leading.since) > ABSENT
+        };
+        let absent = voters.iter().copied().find(silent).filter(|_| voters.len() > self.least);
+        if let Some(node) = joins {
+            log::info!("event=voter_added node={}", std::net::Ipv4Addr::from(node));
+            voters.push(node);
+            voters.sort_unstable();
+        } else if let Some(node) = absent {
+            log::info!("event=voter_removed node={}", std::net::Ipv4Addr::from(node));
+            voters.retain(|v| *v != node);
+        } else {
+            return;
+        }
+        let next = State { seq: self.record.state.seq + 1, voters, ..self.record.state.clone() };
+        self.propose(now, next, out);
+    }
+
+    /// So many machines may be lost at once: no fewer than twice that and one decide.
+    pub fn outlives(&mut self, losses: usize) {
+        self.least = (2 * losses + 1).max(3);
+    }
+
+    /// Machines that may be asked besides those that decide: as the settings name them.
+    pub fn seeds(&mut self, seeds: Vec<Node>) {
+        self.seeds = seeds;
     }
 
     fn count(&mut self, out: &mut Vec<RegisterOut>) {
-        let (seq, majority) = (self.record.state.seq, self.majority());
+        let seq = self.record.state.seq;
         let voters = self.record.state.voters.clone();
         let Role::Leader(leading) = &mut self.role else { return };
-        let holds = voters.iter().filter(|v| leading.holds.get(v) == Some(&seq)).count();
-        if holds < majority || leading.agreed == Some(seq) {
+        let most = |voters: &[Node]| {
+            voters.iter().filter(|v| leading.holds.get(v) == Some(&seq)).count() > voters.len() / 2
+        };
+        if leading.agreed == Some(seq) || !most(&voters) || !(leading.before.is_empty() || most(&leading.before)) {
             return;
         }
+        leading.before = voters;
         let first = leading.agreed.replace(seq).is_none();
         out.push(if first { RegisterOut::Won } else { RegisterOut::Agreed });
     }
@@ -239,7 +316,8 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, now: f64, out: &mut Vec<RegisterOut>) {
-        let (me, majority) = (self.me, self.majority());
+        let me = self.me;
+        self.ask_to_join(now, out);
         if !self.votes {
             if now - self.heard > self.suspect {
                 self.heard = now;
@@ -248,6 +326,7 @@
             }
             return;
         }
+        self.change_voters(now, out);
         match &mut self.role {
             Role::Leader(leading) => {
                 if now - leading.beat < BEAT {
@@ -260,16 +339,24 @@
                     if lags && now - leading.sent.get(voter).copied().unwrap_or(f64::NEG_INFINITY) > AGAIN {
                         leading.sent.insert(*voter, now);
                         let state = self.record.state.clone();
-                        out.push(RegisterOut::Send(*voter, Peer::Accept { ballot: leading.ballot, state }));
+                        let new = leading.agreed != Some(seq) && !leading.before.is_empty() && !leading.before.contains(voter);
+                        out.push(RegisterOut::Send(*voter, Peer::Accept { ballot: leading.ballot, state, new }));
                     }
                     out.push(RegisterOut::Send(*voter, Peer::Lead { ballot: leading.ballot, sent: now }));
                 }
             }
-            Role::Candidate { since, promises, ballot } => {
-                if promises.len() >= majority {
-                    return;
+            Role::Candidate { since, promises, ballot, asked } => {
+                if now - *asked > ASK_AGAIN {
+                    *asked = now;
+                    // What was asked may be lost, and the newest state may name others who decide.
+                    let newest = promises.values().max_by_key(|(accepted, state)| (*accepted, state.seq));
+                    let named = newest.map(|(_, state)| state.voters.clone()).unwrap_or_default();
+                    let all = named.iter().chain(self.record.state.voters.iter().filter(|v| !named.contains(v)));
+                    for voter in all.filter(|v| !promises.contains_key(v)) {
+                        out.push(RegisterOut::Send(*voter, Peer::Prepare { ballot: *ballot }));
+                    }
                 }
-                if now - *since > 0.4 {
+                if now - *since > 0.6 {
                     let ballot = *ballot;
                     log::info!("event=candidacy_failed ballot={}", ballot.0);
                     self.role = Role::Follower;
@@ -293,20 +380,24 @@
         out.push(RegisterOut::Save);
         let mut promises = HashMap::new();
         promises.insert(self.me, (self.record.accepted, self.record.state.clone()));
-        self.role = Role::Candidate { ballot, promises, since: now };
+        self.role = Role::Candidate { ballot, promises, since: now, asked: now };
         let others: Vec<Node> = self.voters().iter().copied().filter(|v| *v != self.me).collect();
         out.extend(others.into_iter().map(|v| RegisterOut::Send(v, Peer::Prepare { ballot })));
         self.elect(now, out);
     }
 
     fn elect(&mut self, now: f64, out: &mut Vec<RegisterOut>) {
-        let majority = self.majority();
         let Role::Candidate { ballot, promises, .. } = &self.role else { return };
-        if promises.len() < majority {
-            return;
-        }
         let newest = promises.values().max_by_key(|(accepted, state)| (*accepted, state.seq));
         let (ballot, state) = (*ballot, newest.map(|(_, state)| state.clone()).unwrap_or_default());
+        // Of those that this machine knew and of those that the newest state names: sets that follow each other share one
+        // machine in any two majorities, so whoever leads by a later set is met in one of them.
+        let most = |voters: &[Node]| {
+            voters.iter().filter(|v| promises.contains_key(v)).count() > voters.len() / 2
+        };
+        if !most(&self.record.state.voters) || !most(&state.voters) {
+            return;
+        }
         // Who answered the candidacy has no other leader at that moment.
         self.record.state = state;
         self.leader = Some(self.me);
@@ -317,6 +408,8 @@
             sent: HashMap::new(),
             agreed: None,
             beat: f64::NEG_INFINITY,
+            since: now,
+            before: Vec::new(),
         });
         self.spread(now, out);
     }
@@ -331,7 +424,9 @@
                 let same = Some(from) == self.leader || self.record.promised.0 as u32 == from;
                 let lead = !same && now - self.led_at < self.authority;
                 let leads = matches!(&self.role, Role::Leader(_)) && self.authority() > now;
-                if !self.votes || lead || leads || ballot <= self.record.promised {
+                // The same promise may be asked for again, as its answer may be lost: by the one that has it.
+                let (again, asks) = (ballot == self.record.promised, ballot.0 as u32 == from);
+                if !self.votes || lead || leads || ballot < self.record.promised || again && !asks {
                     let promised = self.record.promised;
                     out.push(RegisterOut::Send(from, Peer::Refuse { promised, ballot }));
                     return;
@@ -366,9 +461,10 @@
                     self.pause = self.stagger();
                 }
             }
-            Peer::Accept { ballot, state } => {
+            Peer::Accept { ballot, state, new } => {
                 self.highest = self.highest.max(ballot);
-                let floor = self.floor();
+                // A machine that was never among those that decide has promised nothing that it could have forgotten.
+                let floor = if new { Some(Ballot(0)) } else { self.floor() };
                 if ballot < self.record.promised || floor.is_none_or(|f| ballot < f) {
                     let promised = self.record.promised;
                     out.push(RegisterOut::Send(from, Peer::Refuse { promised, ballot }));
@@ -440,6 +536,9 @@
                     }
                 }
             }
+            Peer::Join => {
+                self.wants.insert(from, now);
+            }
             Peer::Members(_) | Peer::Call { .. } | Peer::Answer { .. } => {}
         }
     }
--- a/crates/control/src/steward.rs
+++ b/crates/control/src/steward.rs
@@ -180,6 +180,12 @@
         self.lead.is_some()
     }
 
+    /// What the settings say of other control machines, and how many may be lost at once.
+    pub fn settings(&mut self, seeds: Vec<Node>, losses: usize) {
+        self.register.seeds(seeds);
+        self.register.outlives(losses);
+    }
+
     /// Whether this machine's word counts: not that of an empty disk before it has caught up.
     pub fn votes(&self) -> bool {
         self.register.votes()
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -328,7 +328,7 @@
     }
     show(out, asking.json, &PutVerdict { epoch, base, was_in_force }, |_| match was_in_force {
         true => format!("version {epoch} is in force already\n"),
-        false => format!("version {epoch} is in force; it builds on {base}\n"),
+        false => format!("version {epoch} is taken; it builds on {base}\n"),
     })
 }
 
@@ -392,7 +392,8 @@
     let mut pairs = Table::new(&[]);
     let draining = status.members.iter().filter(|m| m.draining).count();
     let version = match status.epoch {
-        0 => "none yet".to_owned(),
+        0 if status.leads => "none yet".to_owned(),
+        0 => "not known there".to_owned(),
         epoch => format!("version {epoch}"),
     };
     pairs.row(&["answered by", &status.node]);
--- a/crates/node/src/cli/client.rs
+++ b/crates/node/src/cli/client.rs
@@ -29,6 +29,8 @@
 pub struct Client {
     at: Vec<SocketAddr>,
     limit: Duration,
+    /// Whether anybody may have got the last call.
+    sent: bool,
 }
 
 impl Client {
@@ -39,7 +41,7 @@
 
     /// For these addresses, each with this time limit.
     pub fn within(at: &[SocketAddr], limit: Duration) -> Client {
-        Client { at: at.to_vec(), limit }
+        Client { at: at.to_vec(), limit, sent: false }
     }
 
     /// The configuration in force, read and as it was sent; none if there is none yet.
@@ -63,7 +65,7 @@
         match sent {
             Ok((_, answer)) if answer.status == 200 => Ok(()),
             Ok((at, answer)) => Err(CliError::Refused(at, answer.status, why(&answer))),
-            Err(CliError::NoAnswer(tries)) => Err(CliError::Unsettled(tries, base)),
+            Err(CliError::NoAnswer(tries)) if self.sent => Err(CliError::Unsettled(tries, base)),
             Err(e) => Err(e),
         }
     }
@@ -91,6 +93,7 @@
         &mut self, method: &str, path: &str, headers: &[(&str, &str)], body: &[u8],
     ) -> Result<(SocketAddr, Response), CliError> {
         let mut tries: Vec<String> = Vec::new();
+        self.sent = false;
         for place in 0..self.at.len() {
             let first = self.at[place];
             match self.follow(first, method, path, headers, body) {
@@ -107,12 +110,16 @@
 
     /// The answer of this address, or of the one that it sends the call on to.
     fn follow(
-        &self, first: SocketAddr, method: &str, path: &str, headers: &[(&str, &str)], body: &[u8],
+        &mut self, first: SocketAddr, method: &str, path: &str, headers: &[(&str, &str)], body: &[u8],
     ) -> Result<(SocketAddr, Response), String> {
         let until = Instant::now() + self.limit;
         let (mut at, mut path) = (first, path.to_owned());
         for sent_on in 0.. {
-            let answer = exchange(at, until, method, &path, headers, body).map_err(|e| {
+            let asked = connect(at, until).and_then(|stream| {
+                self.sent = true;
+                exchange(stream, at, until, method, &path, headers, body)
+            });
+            let answer = asked.map_err(|e| {
                 let what = match e.kind() {
                     // What the socket says when its time runs out.
                     ErrorKind::WouldBlock | ErrorKind::TimedOut => {
@@ -179,12 +186,17 @@
     if left.is_zero() { Err(ErrorKind::TimedOut.into()) } else { Ok(left) }
 }
 
+fn connect(at: SocketAddr, until: Instant) -> std::io::Result<TcpStream> {
+    let stream = TcpStream::connect_timeout(&at, left(until)?)?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
 /// One request on a connection of its own, and its answer.
 fn exchange(
-    at: SocketAddr, until: Instant, method: &str, path: &str, headers: &[(&str, &str)], body: &[u8],
+    mut stream: TcpStream, at: SocketAddr, until: Instant, method: &str, path: &str,
+    headers: &[(&str, &str)], body: &[u8],
 ) -> std::io::Result<Response> {
-    let mut stream = TcpStream::connect_timeout(&at, left(until)?)?;
-    stream.set_nodelay(true)?;
     let mut headers = headers.to_vec();
     headers.push(("Connection", "close"));
     let mut rest = &request(method, path, &at.to_string(), &headers, body)[..];
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -72,6 +72,17 @@
     StewardTiming { lease, suspect, platform: 1.0, call: 2.5, forget: 4.0 * heartbeat, service }
 }
 
+/// The control machines that the settings name.
+fn known_nodes(settings: &Settings) -> Vec<Node> {
+    settings.seeds.iter().filter_map(|s| node_of(s.ip())).collect()
+}
+
+/// How many control machines may be lost at once: a zone or a region may hold one of them, or more; one is what is counted.
+fn losses(settings: &Settings) -> usize {
+    let budget = &settings.fault_budget;
+    budget.machine_loss.max(budget.zones).max(budget.sites) as usize
+}
+
 fn node_of(address: IpAddr) -> Option<Node> {
     match address {
         IpAddr::V4(ip) => Some(u32::from(ip)),
@@ -112,6 +123,7 @@
         let now = clock::now();
         let timing = timing(settings);
         let mut steward = Steward::new(me, record, votes, now, seed, timing);
+        steward.settings(known_nodes(settings), losses(settings));
         let servers = Servers::new(folder.join("servers"));
         let known = servers.read();
         log::info!("event=servers_recalled count={}", known.len());
@@ -149,6 +161,11 @@
         Ok(this)
     }
 
+    /// The settings have changed: other control machines may be named.
+    pub fn changed(&self, settings: &Settings) {
+        self.steward.borrow_mut().settings(known_nodes(settings), losses(settings));
+    }
+
     fn save(&self) -> Result<(), badgerstream_store::StoreError> {
         let steward = self.steward.borrow();
         let record = steward.record();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -123,6 +123,9 @@
             heard => match read(&path) {
                 Ok(now) if now != told => {
                     log::info!("event=settings_changed signal={}", heard.is_some());
+                    if let Some(control) = &control {
+                        control.changed(&now);
+                    }
                     if let Some((_, session)) = &router {
                         session.seeds(&now.seeds);
                     }
