--- a/crates/control/src/failover.rs
+++ b/crates/control/src/failover.rs
@@ -749,6 +749,14 @@
             }
             return;
         }
+        let of = self.primary.clone().unwrap_or_default();
+        let leaves = around.members.iter().find(|m| m.id == of.0).and_then(|m| m.draining_since);
+        if planned && self.closed.is_none() && leaves.is_some_and(|since| now - since > self.timing.drain - 0.7) {
+            // The platform has not done it in time, and nothing new may reach the old one any more.
+            log::info!("event=primary_leaves_unreplaced id={}", of.0);
+            self.closed = Some(u64::MAX);
+            acts.push(Act::Grant { id: of.0, term: of.1, closing: true });
+        }
         // Nobody else may acknowledge anything now that the new one would lack: not the old primary if it is back, nor
         // those that come back or are new.
         let (of, term) = (self.primary.clone().map(|p| p.0), self.highest_term());
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -125,5 +125,7 @@
         config: Option<Vec<u8>>,
         /// The machines that decide.
         voters: Vec<Node>,
+        /// How many routers share the servers; 0 while the leader doesn't know yet.
+        routers: u32,
     },
 }
--- a/crates/control/src/steward.rs
+++ b/crates/control/src/steward.rs
@@ -108,6 +108,9 @@
     stamp: u64,
 }
 
+/// A leader knows how many routers there are after so many seconds: by then each has asked.
+const SETTLED: f64 = 2.0;
+
 /// Everything that exists only while this machine leads.
 #[derive(Clone, Debug)]
 struct Lead {
@@ -504,7 +507,7 @@
         }
     }
 
-    fn news(&self, lead: &Lead, session: &Session, sent: Option<f64>, lease: f64, whole: bool) -> ToRouter {
+    fn news(&self, now: f64, lead: &Lead, session: &Session, sent: Option<f64>, lease: f64, whole: bool) -> ToRouter {
         let after = if whole { 0 } else { session.told };
         let grants = lead.grants.values().filter(|g| g.stamp > after).map(|g| g.news.clone()).collect();
         let members = self.members.all().filter(|m| m.stamp > after && !(whole && m.news.gone));
@@ -518,6 +521,7 @@
             members: members.map(|m| m.news.clone()).collect::<Vec<MemberNews>>(),
             config: newer.then(|| self.current.config.clone()),
             voters: self.voters().to_vec(),
+            routers: if now - lead.since < SETTLED { 0 } else { lead.leases.held(now) as u32 },
         }
     }
 
@@ -531,7 +535,7 @@
         let mut sessions = std::mem::take(&mut lead.sessions);
         for (id, session) in &mut sessions {
             if session.told < lead.number || session.epoch < self.current.epoch {
-                out.push(Out::Router(*id, self.news(&lead, session, None, 0.0, false)));
+                out.push(Out::Router(*id, self.news(now, &lead, session, None, 0.0, false)));
                 session.told = lead.number;
                 session.epoch = self.current.epoch;
             }
@@ -570,7 +574,7 @@
             lead.leases.renew(now, &call.router, call.life, known, lease);
         }
         let of = Session { router: call.router, told: known, epoch: call.epoch };
-        out.push(Out::Router(session, self.news(&lead, &of, Some(call.sent), lease, !ours)));
+        out.push(Out::Router(session, self.news(now, &lead, &of, Some(call.sent), lease, !ours)));
         let told = lead.number;
         let epoch = self.current.epoch.max(of.epoch);
         lead.sessions.insert(session, Session { told, epoch, ..of });
--- a/crates/control/src/tests/failover.rs
+++ b/crates/control/src/tests/failover.rs
@@ -546,3 +546,17 @@
 fn any_trouble() {
     arbtest(trouble).size_min(64).size_max(400).budget_ms(super::budget());
 }
+
+#[test]
+fn a_draining_primary_is_let_go_of_in_time_though_the_platform_is_down() {
+    let mut world = steady(5);
+    world.statuses = vec![503; 1000];
+    world.drain("a");
+    let said = world.now;
+    world.run_until(9.0, "the primary is given up", |w| w.in_use().is_none());
+    let after = world.now - said;
+    assert!(after < 7.0, "after {after}");
+    // It is replaced as soon as the platform is back.
+    world.statuses.clear();
+    world.run_until(5.0, "another is in use", |w| w.in_use().is_some_and(|p| p != "a"));
+}
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -182,7 +182,7 @@
 
     /// Takes news into the view; true if it answers a call of ours.
     fn take(&self, news: ToRouter) -> bool {
-        let ToRouter::News { known, sent, lease, whole, grants, members, config, voters } = news else {
+        let ToRouter::News { known, sent, lease, whole, grants, members, config, voters, routers } = news else {
             return false;
         };
         let now = clock::now();
@@ -237,6 +237,9 @@
             view.lease_until = view.lease_until.max(sent + lease);
         }
         self.known.set(known);
+        if routers > 0 {
+            view.routers = routers as usize;
+        }
         if !voters.is_empty() {
             *self.nodes.borrow_mut() = voters;
         }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -48,6 +48,8 @@
     pub lease_until: f64,
     /// Grants of a leader that is gone, each until the lease that it gave ends; a new leader has said nothing of these yet.
     pub fading: HashMap<String, (Grant, f64)>,
+    /// How many routers share the servers' connections and slots; 0 while that isn't known.
+    pub routers: usize,
     /// Counts every change of the fields above but the lease's end.
     pub changes: u64,
 }
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,5 +1,6 @@
 //! `badgerscale`: what control costs beside so many routers and services.
 
+use badgerstream_scale::decisions;
 use badgerstream_scale::plan::{Net, Plan};
 use badgerstream_scale::run::{self, Wanted};
 use clap::{Parser, Subcommand};
@@ -52,6 +53,21 @@
         #[arg(long = "set")]
         own: Vec<String>,
     },
+    /// What the decisions of control cost by themselves, in a time of their own: no sockets, no other process.
+    Decide {
+        /// Routers.
+        #[arg(long, default_value_t = 10)]
+        routers: usize,
+        /// Services, each a primary and two replicas.
+        #[arg(long, default_value_t = 3)]
+        services: usize,
+        /// Of how many primaries each router tells what it saw; by default of all.
+        #[arg(long)]
+        evidence: Option<usize>,
+        /// For how long the calm system is played, in seconds of its own time.
+        #[arg(long, default_value_t = 5.0)]
+        seconds: f64,
+    },
     /// Runs one machine's part of the system: for tests, which know of no other program.
     #[command(hide = true)]
     Node {
@@ -90,6 +106,11 @@
                 run::run(&plan, wanted, &folder.unwrap_or_else(new), &program, &mut |line| println!("{line}"))
             })
         }
+        What::Decide { routers, services, evidence, seconds } => {
+            let plan = Plan::new(Net([127, 2]), routers, services, Vec::new()).map_err(|e| e.to_string());
+            let evidence = evidence.unwrap_or(services);
+            plan.and_then(|plan| decisions::run(&plan, evidence, seconds, &mut |line| println!("{line}")))
+        }
         What::Node { settings } => badgerstream_node::node::run(settings),
     };
     match ended {
--- a/crates/scale/src/tests/mod.rs
+++ b/crates/scale/src/tests/mod.rs
@@ -1,3 +1,4 @@
+mod decisions;
 mod figures;
 mod plan;
 mod servers;
