--- a/crates/control/src/failover.rs
+++ b/crates/control/src/failover.rs
@@ -751,7 +751,10 @@
         }
         let of = self.primary.clone().unwrap_or_default();
         let leaves = around.members.iter().find(|m| m.id == of.0).and_then(|m| m.draining_since);
-        if planned && self.closed.is_none() && leaves.is_some_and(|since| now - since > self.timing.drain - 0.7) {
+        if planned
+            && self.closed.is_none()
+            && leaves.is_some_and(|since| now - since > self.timing.drain - 0.7)
+        {
             // The platform has not done it in time, and nothing new may reach the old one any more.
             log::info!("event=primary_leaves_unreplaced id={}", of.0);
             self.closed = Some(u64::MAX);
--- a/crates/control/src/steward.rs
+++ b/crates/control/src/steward.rs
@@ -507,7 +507,9 @@
         }
     }
 
-    fn news(&self, now: f64, lead: &Lead, session: &Session, sent: Option<f64>, lease: f64, whole: bool) -> ToRouter {
+    fn news(
+        &self, now: f64, lead: &Lead, session: &Session, sent: Option<f64>, lease: f64, whole: bool,
+    ) -> ToRouter {
         let after = if whole { 0 } else { session.told };
         let grants = lead.grants.values().filter(|g| g.stamp > after).map(|g| g.news.clone()).collect();
         let members = self.members.all().filter(|m| m.stamp > after && !(whole && m.news.gone));
--- a/crates/control/src/tests/failover.rs
+++ b/crates/control/src/tests/failover.rs
@@ -68,6 +68,22 @@
     }
 }
 
+/// A primary that was promoted and is in steady use needs no wait for old leases when another machine leads.
+#[test]
+fn a_settled_primary_is_granted_at_once() {
+    for seed in 0..8 {
+        let mut world = steady(seed);
+        world.crash("a");
+        world.run(5.0);
+        let primary = world.in_use().expect("another primary");
+        let leader = world.leader().unwrap();
+        world.kill(leader);
+        let took = world.run_until(1.2, "a new leader", |w| w.leader().is_some());
+        world.run(0.7);
+        assert_eq!(world.in_use(), Some(primary), "seed {seed}: led after {took}");
+    }
+}
+
 #[test]
 fn a_crash_of_both_comes_to_an_end() {
     for seed in 0..8 {
--- a/crates/node/src/edge/gate.rs
+++ b/crates/node/src/edge/gate.rs
@@ -1,5 +1,6 @@
 //! Waiting for a share of a server.
 
+use crate::clock;
 use badgerstream_pooling::queue::{Place, Queue};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -31,9 +32,20 @@
         self.queue.borrow().is_full()
     }
 
-    /// Waits to be let in, by rank (0 first) and arrival.
-    pub async fn enter(self: &Rc<Self>, rank: u32) -> Permit {
-        let Some(place) = self.queue.borrow_mut().enter(rank) else { return Permit(self.clone()) };
+    /// How many are let in at once.
+    pub fn limit(&self) -> usize {
+        self.queue.borrow().limit()
+    }
+
+    /// How many would be let in before one of this rank who comes now with this aim.
+    pub fn ahead(&self, rank: u32, aim: f64, now: f64) -> usize {
+        self.queue.borrow().ahead(rank, aim, now)
+    }
+
+    /// Waits to be let in, by rank (0 first) and arrival, after those who can still make their aim once the second
+    /// `aim` is past.
+    pub async fn enter(self: &Rc<Self>, rank: u32, aim: f64) -> Permit {
+        let Some(place) = self.queue.borrow_mut().enter(rank, aim) else { return Permit(self.clone()) };
         let _ticket = Ticket { gate: self.clone(), place };
         poll_fn(|cx| {
             let mut waiting = self.waiting.borrow_mut();
@@ -54,8 +66,9 @@
     }
 
     fn admit(&self) {
+        let now = clock::now();
         loop {
-            let Some(place) = self.queue.borrow_mut().admit() else { return };
+            let Some(place) = self.queue.borrow_mut().admit(now) else { return };
             let waker = self.waiting.borrow_mut().insert(place, None).flatten();
             if let Some(waker) = waker {
                 waker.wake();
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -14,6 +14,7 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use badgerstream_pooling::freshness::History;
+use badgerstream_pooling::pace::Refusals;
 use badgerstream_pooling::rotation::Rotation;
 use badgerstream_wire::Position;
 use net::Scratch;
@@ -31,7 +32,7 @@
 /// Descriptors kept for files and for connections that are no client's.
 const KEPT_DESCRIPTORS: usize = 500;
 /// On how many routers a server's connections are divided until control tells.
-const ROUTERS: usize = 14;
+const ROUTERS: usize = 9;
 
 /// What a router may use, and its name.
 #[derive(Debug, Clone)]
@@ -61,11 +62,12 @@
     pub failing_since: Option<f64>,
 }
 
-/// What is known of a service's freshness, and whose turn it is.
+/// What is known of a service's freshness, whose turn it is, and for how long statements are refused.
 #[derive(Default)]
 struct Freshness {
     history: History,
     rotation: Rotation,
+    refusals: Refusals,
 }
 
 /// How a client's session is seen from outside its task.
--- a/crates/node/src/edge/place.rs
+++ b/crates/node/src/edge/place.rs
@@ -2,7 +2,7 @@
 
 use super::Edge;
 use super::net;
-use super::pool::{Checkout, Pool};
+use super::pool::{Checkout, NotHad, Pool, Turn};
 use crate::clock;
 use badgerstream_calls::config::{Mode, Route};
 use badgerstream_pooling::choice::{Ask, Choice, Class, Demand, choose};
@@ -11,6 +11,9 @@
 use futures_lite::future::or;
 use std::rc::Rc;
 
+/// When a client is told to come back if no server is to be had, in seconds.
+pub const COME_BACK_S: f64 = 0.2;
+
 /// What a route asks of its statements, as it stood when the statement or its transaction came.
 #[derive(Debug, Clone)]
 pub struct Terms {
@@ -59,8 +62,20 @@
     pub class: Class,
     /// When its first byte, or that of its transaction, arrived.
     pub arrived: f64,
+    /// When the statement arrived that waits now: its aim counts from there.
+    pub waits_since: f64,
     /// The shape that the connection must know.
     pub shape: Option<&'a Shape>,
+    /// It takes a slot of the server, as all but a `BEGIN`.
+    pub works: bool,
+}
+
+impl Want<'_> {
+    /// Its turn at this server, if it waits until this second at most.
+    pub fn turn(&self, pool: &Pool, give_up: f64) -> Turn {
+        let aim = self.waits_since + self.terms.target - pool.pace().mean();
+        Turn { rank: self.terms.rank.saturating_add(1), aim, give_up }
+    }
 }
 
 /// A connection that the statement may be sent on now.
@@ -80,15 +95,26 @@
 }
 
 impl Edge {
-    /// Waits for a connection to a server that may serve this, until this second; none if there is none by then.
-    /// Servers that were `tried` in vain come last.
+    /// Waits for a connection to a server that may serve this, until this second at most; if there is none, or it
+    /// is plain that there will be none by then: in how many seconds to come back. Servers that were `tried` in vain
+    /// come last.
     pub async fn place(
         self: &Rc<Self>, want: &Want<'_>, session: &Session, tried: &[String], give_up: f64,
-    ) -> Option<Placed> {
+    ) -> Result<Placed, f64> {
+        let placed = self.place_or_wait(want, session, tried, give_up).await;
+        placed.map_err(|wait| {
+            let service = &*want.terms.service;
+            self.with_freshness(service, |f| f.refusals.refused(clock::now(), wait))
+        })
+    }
+
+    async fn place_or_wait(
+        self: &Rc<Self>, want: &Want<'_>, session: &Session, tried: &[String], give_up: f64,
+    ) -> Result<Placed, f64> {
         loop {
             let now = clock::now();
             if now >= give_up {
-                return None;
+                return Err(COME_BACK_S);
             }
             let rings = self.shared.changed.rings();
             let (pool, proof) = match self.pick(want, session, tried, now) {
@@ -99,8 +125,9 @@
                     continue;
                 }
             };
-            let rank = want.terms.rank.saturating_add(1);
-            let take = async { Some(Checkout::take(self, &pool, rank, &session.values, want.shape).await) };
+            let turn = want.turn(&pool, give_up);
+            let (values, shape) = (&session.values, want.shape);
+            let take = async { Some(Checkout::take(self, &pool, &turn, values, shape, want.works).await) };
             let overtaken = async {
                 // Its place in the queue is kept through news that doesn't concern it.
                 let mut rings = rings;
@@ -112,12 +139,16 @@
                     }
                 }
             };
-            let taken = net::until(give_up, or(take, overtaken)).await?;
-            if let Some(Ok(out)) = taken {
-                // The lease is looked at once more: time has passed.
-                if proof.is_some() || self.is_leased(&pool.server, clock::now()) {
-                    return Some(Placed { out, proof });
+            match net::until(give_up, or(take, overtaken)).await {
+                None => return Err(pool.wait(&turn, clock::now())),
+                Some(Some(Err(NotHad::Busy(wait)))) => return Err(wait),
+                Some(Some(Ok(out))) => {
+                    // The lease is looked at once more: time has passed.
+                    if proof.is_some() || self.is_leased(&pool.server, clock::now()) {
+                        return Ok(Placed { out, proof });
+                    }
                 }
+                Some(None | Some(Err(NotHad::Unreachable))) => {}
             }
         }
     }
--- a/crates/node/src/edge/pool.rs
+++ b/crates/node/src/edge/pool.rs
@@ -6,10 +6,12 @@
 use super::net::{self, sleep_until};
 use crate::clock;
 use crate::view::Server;
+use badgerstream_pooling::pace::Pace;
 use badgerstream_pooling::session::{Shape, Values};
-use badgerstream_pooling::share::Share;
+use badgerstream_pooling::share::{Share, in_flight};
 use badgerstream_pooling::standing::Standing;
 use badgerstream_wire::{Answer, Code, Outcome, Position, State};
+use futures_lite::future::or;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -21,6 +23,10 @@
 const OWN_S: f64 = 1.0;
 /// The pause after a server's refusal of a connection, in seconds.
 const FULL_PAUSE_S: f64 = 0.05;
+/// Between two looks at an answer that is late, in seconds.
+const LOOK_S: f64 = 0.05;
+/// An answer that is overdue and that nobody waits for any more is awaited for so long, in seconds.
+const OVERDUE_DRAIN_S: f64 = 0.5;
 /// A statement unanswered for so long counts as a sign that the server is gone, in seconds.
 const SILENCE_S: f64 = 0.3;
 
@@ -32,8 +38,12 @@
     conns: Rc<Gate>,
     slots: Rc<Gate>,
     share: Cell<Share>,
+    routers: Cell<usize>,
     standing: Cell<Standing>,
+    pace: Cell<Pace>,
     last_answer: Cell<f64>,
+    /// When the youngest statement was sent that is answered.
+    last_answered: Cell<f64>,
     failing_since: Cell<Option<f64>>,
     /// When the statements were sent that are unanswered.
     unanswered: RefCell<Vec<f64>>,
@@ -46,10 +56,13 @@
         Rc::new(Self {
             idle: RefCell::default(),
             conns: Gate::new(share.limit(clock::now())),
-            slots: Gate::new((server.slots as usize).max(2)),
+            slots: Gate::new(in_flight(server.slots as usize, routers, 1.0)),
+            routers: Cell::new(routers),
             share: Cell::new(share),
             standing: Cell::default(),
+            pace: Cell::default(),
             last_answer: Cell::new(0.0),
+            last_answered: Cell::new(0.0),
             failing_since: Cell::new(None),
             unanswered: RefCell::default(),
             server,
@@ -62,6 +75,50 @@
         share.set(max_conns, routers);
         self.share.set(share);
         self.conns.set_limit(share.limit(clock::now()));
+        self.routers.set(routers);
+        self.set_in_flight();
+    }
+
+    fn set_in_flight(&self) {
+        let limit = in_flight(self.server.slots as usize, self.routers.get(), self.pace.get().stretch());
+        if limit != self.slots.limit() {
+            self.slots.set_limit(limit);
+        }
+    }
+
+    /// How fast it answers.
+    pub fn pace(&self) -> Pace {
+        self.pace.get()
+    }
+
+    /// In how many seconds a place to work may come free for whoever comes now; more than that, not less.
+    pub fn wait(&self, turn: &Turn, now: f64) -> f64 {
+        let ahead = |gate: &Gate| gate.ahead(turn.rank, turn.aim, now);
+        self.pace.get().wait(ahead(&self.conns) + ahead(&self.slots), self.slots.limit())
+    }
+
+    /// Waits to be let in, unless it is plain that it can't be in time: at the beginning, or once the aim is missed.
+    async fn enter(&self, gate: &Rc<Gate>, turn: &Turn) -> Result<Permit, NotHad> {
+        let busy = |now: f64| {
+            let wait = self.wait(turn, now);
+            (now + wait > turn.give_up).then_some(NotHad::Busy(wait))
+        };
+        if !gate.is_full() {
+            return Ok(gate.enter(turn.rank, turn.aim).await);
+        }
+        if let Some(busy) = busy(clock::now()) {
+            return Err(busy);
+        }
+        or(async { Ok(gate.enter(turn.rank, turn.aim).await) }, async {
+            if turn.aim > clock::now() {
+                sleep_until(turn.aim).await;
+                if let Some(busy) = busy(clock::now()) {
+                    return Err(busy);
+                }
+            }
+            std::future::pending().await
+        })
+        .await
     }
 
     /// How it stands.
@@ -106,6 +163,22 @@
         self.failing_since.set(None);
     }
 
+    /// It answered a statement that was sent at this second.
+    fn paced(&self, sent: f64) {
+        let mut pace = self.pace.get();
+        pace.answered(clock::now() - sent);
+        self.pace.set(pace);
+        self.set_in_flight();
+        self.last_answered.set(self.last_answered.get().max(sent));
+    }
+
+    /// It answered what takes no slot and was sent at this second.
+    fn travelled(&self, sent: f64) {
+        let mut pace = self.pace.get();
+        pace.travelled(clock::now() - sent);
+        self.pace.set(pace);
+    }
+
     /// When it last answered; 0 for never.
     pub fn last_answer(&self) -> f64 {
         self.last_answer.get()
@@ -151,9 +224,25 @@
     }
 }
 
-/// No connection is had, and nothing has run: the server can't be reached, or is another one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NotHad;
+/// Whose turn it is.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Turn {
+    /// 0 goes first.
+    pub rank: u32,
+    /// Whoever is let in by this second can still make its aim.
+    pub aim: f64,
+    /// Nobody waits longer than until this second.
+    pub give_up: f64,
+}
+
+/// No connection is had, and nothing has run.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum NotHad {
+    /// The server can't be reached, or is another one.
+    Unreachable,
+    /// So many wait that its turn would come too late: in so many seconds.
+    Busy(f64),
+}
 
 /// How the connection of a `Checkout` may be left.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -175,6 +264,8 @@
     Broken,
     /// It was sent, and there is no answer yet.
     Silent,
+    /// It was sent and the answer is overdue, while what was sent later is answered: lost, most likely.
+    Overdue,
     /// A part of its answer was passed on to a client who has gone.
     Gone,
 }
@@ -193,16 +284,17 @@
     changed_inside: bool,
     keeps: bool,
     unanswered: Option<Unanswered>,
+    /// What was asked last takes a slot of the server, so that its answer tells the pace.
+    paced: bool,
 }
 
 impl Checkout {
-    /// Waits for a connection and a place to work, and makes the connection hold exactly these values and know this
-    /// shape.
+    /// Waits for a connection, makes it hold exactly these values and know this shape, and waits for a place to work if
+    /// what comes next `works`, which takes a slot of the server. Our own statements take none.
     pub async fn take(
-        edge: &Rc<Edge>, pool: &Rc<Pool>, rank: u32, values: &Values, shape: Option<&Shape>,
+        edge: &Rc<Edge>, pool: &Rc<Pool>, turn: &Turn, values: &Values, shape: Option<&Shape>, works: bool,
     ) -> Result<Self, NotHad> {
-        let conn = pool.conns.enter(rank).await;
-        let slot = pool.slots.enter(rank).await;
+        let conn = pool.enter(&pool.conns, turn).await?;
         let mut pause = FULL_PAUSE_S;
         let link = loop {
             if let Some(link) = pool.take_idle(values, &edge.scratch) {
@@ -232,7 +324,7 @@
                 Err(error) => {
                     pool.unreachable();
                     log::debug!("event=no_connection server={} error={error:?}", server.id);
-                    return Err(NotHad);
+                    return Err(NotHad::Unreachable);
                 }
             }
         };
@@ -241,13 +333,17 @@
             pool: pool.clone(),
             link: Some(link),
             conn: Some(conn),
-            slot: Some(slot),
+            slot: None,
             left: Left::Clean,
             changed_inside: false,
             keeps: false,
             unanswered: None,
+            paced: false,
         };
-        checkout.hold(values, shape).await.map_err(|()| NotHad)?;
+        checkout.hold(values, shape).await.map_err(|()| NotHad::Unreachable)?;
+        if works {
+            checkout.slot = Some(pool.enter(&pool.slots, turn).await?);
+        }
         Ok(checkout)
     }
 
@@ -267,7 +363,8 @@
             bytes.extend_from_slice(format!("QUERY - {}\r\n", change.text()).as_bytes());
         }
         let edge = &self.edge;
-        let made = net::until(clock::now() + OWN_S, async {
+        let (sent, pool) = (clock::now(), &self.pool);
+        let made = async {
             link.send(&bytes).await.map_err(drop)?;
             for change in &changes {
                 let mut answer = Answer::default();
@@ -277,9 +374,19 @@
                 }
                 link.held.acknowledged(change);
             }
+            pool.travelled(sent);
             Ok(())
-        });
-        match made.await {
+        };
+        // Another connection does as well: an answer that most likely is lost isn't waited for.
+        let lost = async {
+            loop {
+                sleep_until(clock::now() + pool.pace().patience(0.0)).await;
+                if pool.last_answered.get() > sent {
+                    return Err(());
+                }
+            }
+        };
+        match net::until(sent + OWN_S, or(made, lost)).await {
             Some(Ok(())) => {
                 self.left = if inside { Left::Closed } else { Left::Clean };
                 self.changed_inside |= inside;
@@ -298,10 +405,18 @@
         self.link.as_ref().and_then(|l| l.held.number(shape))
     }
 
-    /// Waits for a place to work, if it has none.
-    pub async fn enter(&mut self, rank: u32) {
+    /// Waits for a place to work with what has only just begun, by its rank and aim; false if none is had in time.
+    pub async fn enter_first(&mut self, turn: &Turn) -> bool {
+        let pool = self.pool.clone();
+        let entered = net::until(turn.give_up, pool.enter(&pool.slots, turn)).await;
+        self.slot = entered.and_then(Result::ok);
+        self.slot.is_some()
+    }
+
+    /// Waits for a place to work, if it has none. Whoever has begun keeps others waiting: it goes first.
+    pub async fn enter(&mut self) {
         if self.slot.is_none() {
-            self.slot = Some(self.pool.slots.enter(rank).await);
+            self.slot = Some(self.pool.slots.enter(0, f64::INFINITY).await);
         }
     }
 
@@ -339,10 +454,34 @@
                 });
             }
         }
+        // What is our own takes no slot there: it tells nothing of the pace.
+        self.paced = !line.starts_with(b"QUERY - ");
         self.unanswered = Some(Unanswered::new(&self.pool, sent, leased));
         self.wait(answer, at, pass).await
     }
 
+    /// As `ask`; `Overdue` as soon as the answer of a statement with this aim (seconds) most likely is lost.
+    pub async fn ask_patiently(
+        &mut self, line: &[u8], answer: &mut Answer, target: f64, at: f64, pass: impl AsyncFn(&[u8]) -> bool,
+    ) -> Result<Outcome, Lost> {
+        let look = |now: f64, pool: &Pool| (now + pool.pace().patience(target)).min(at);
+        let first = look(clock::now(), &self.pool);
+        let mut outcome = self.ask(line, answer, first, &pass).await;
+        while outcome == Err(Lost::Silent) {
+            let now = clock::now();
+            if now >= at {
+                break;
+            }
+            if self.is_overtaken() {
+                return Err(Lost::Overdue);
+            }
+            // Until others are answered nothing tells this one from them.
+            let next = look(now, &self.pool).min(now + LOOK_S);
+            outcome = self.wait(answer, next, &pass).await;
+        }
+        outcome
+    }
+
     /// Waits on, until this second, for the outcome of what was asked and is `Silent`.
     pub async fn wait(
         &mut self, answer: &mut Answer, at: f64, pass: impl AsyncFn(&[u8]) -> bool,
@@ -358,6 +497,9 @@
                     return Err(Lost::Broken);
                 }
                 Some(Ok(None)) => {
+                    if let Some(asked) = &mut self.unanswered {
+                        asked.partly = true;
+                    }
                     if !pass(&answer.raw).await {
                         return Err(Lost::Gone);
                     }
@@ -366,11 +508,15 @@
                 Some(Ok(Some(outcome))) => {
                     self.pool.answered(outcome.position);
                     let idle = outcome.state == State::Idle;
-                    if let Some(asked) = self.unanswered.take()
-                        && asked.leased
-                        && idle
-                    {
-                        self.edge.sample(&self.pool.server, asked.sent, outcome.position);
+                    if let Some(asked) = self.unanswered.take() {
+                        if self.paced {
+                            self.pool.paced(asked.sent);
+                        } else {
+                            self.pool.travelled(asked.sent);
+                        }
+                        if asked.leased && idle {
+                            self.edge.sample(&self.pool.server, asked.sent, outcome.position);
+                        }
                     }
                     let clean = idle && link.is_clean() && outcome.error != Some(Code::Unknown);
                     self.left = if clean { Left::Clean } else { Left::Closed };
@@ -385,9 +531,9 @@
         }
     }
 
-    /// The server has answered others since this statement was sent, so that its answer may be lost.
+    /// The server has answered what was sent after this statement, so that its answer may be lost.
     pub fn is_overtaken(&self) -> bool {
-        self.unanswered.as_ref().is_some_and(|u| self.pool.last_answer() > u.sent)
+        self.unanswered.as_ref().is_some_and(|u| !u.partly && self.pool.last_answered.get() > u.sent)
     }
 
     /// Rolls an open transaction back, apart, so that the connection is of use again.
@@ -414,13 +560,18 @@
             Left::Closed => {}
             Left::Pending => {
                 // The server works on it still: its place is taken until it answers, and breaking it off would waste
-                // what it did.
+                // what it did. If the answer is overdue it has most likely been given, and the place is free.
+                let overdue = self.is_overtaken();
+                let drain = if overdue { OVERDUE_DRAIN_S } else { DRAIN_S };
                 let (edge, pool) = (self.edge.clone(), self.pool.clone());
-                let permits = (self.conn.take(), self.slot.take(), self.unanswered.take());
+                let slot = self.slot.take().filter(|_| !overdue);
+                let unanswered = self.unanswered.take();
+                let sent = unanswered.as_ref().filter(|_| self.paced).map(|u| u.sent);
+                let permits = (self.conn.take(), slot, unanswered);
                 let tasks = edge.tasks.clone();
                 let work = async move {
                     let now = clock::now();
-                    let drained = net::until(now + DRAIN_S, async {
+                    let drained = net::until(now + drain, async {
                         loop {
                             let mut answer = Answer::default();
                             if let Some(outcome) = link.answer(&mut answer, &edge.scratch).await? {
@@ -430,6 +581,10 @@
                     });
                     if let Some(Ok(outcome)) = drained.await {
                         pool.answered(outcome.position);
+                        if let Some(sent) = sent {
+                            // It was not lost but slow, as others are then.
+                            pool.paced(sent);
+                        }
                         if outcome.state == State::Idle && outcome.error.is_none() && link.is_clean() {
                             pool.put_idle(link);
                         }
@@ -448,12 +603,14 @@
     sent: f64,
     /// The lease was valid then.
     leased: bool,
+    /// A part of its answer has been passed on.
+    partly: bool,
 }
 
 impl Unanswered {
     fn new(pool: &Rc<Pool>, sent: f64, leased: bool) -> Self {
         pool.unanswered.borrow_mut().push(sent);
-        Self { pool: pool.clone(), sent, leased }
+        Self { pool: pool.clone(), sent, leased, partly: false }
     }
 }
 
--- a/crates/node/src/edge/talk.rs
+++ b/crates/node/src/edge/talk.rs
@@ -1,17 +1,18 @@
 //! A client's session, from its first byte to its end.
 
 use super::net;
-use super::place::{Terms, Want};
+use super::place::{COME_BACK_S, Terms, Want};
 use super::pool::{Checkout, Lost};
 use super::{Edge, Handle};
 use crate::clock;
 use async_io::Async;
 use badgerstream_pooling::choice::Class;
+use badgerstream_pooling::pace::MIN_BACK_S;
 use badgerstream_pooling::session::{Session, Shape, Transaction};
 use badgerstream_wire::{Answer, Code, Kind, LineBuffer, Outcome, Request, State, Text, Verdict};
 use futures_lite::future::or;
 use std::cell::RefCell;
-use std::future::poll_fn;
+use std::future::{pending, poll_fn};
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::task::Poll;
@@ -24,8 +25,13 @@
 const USER_TIMEOUT_MS: u32 = 10_000;
 /// Before the first configuration a client waits for it so long, in seconds.
 const CONFIG_S: f64 = 1.5;
-/// When a client is told to come back, in milliseconds.
-const COME_BACK_MS: u32 = 200;
+/// No client is told to come back later than this, in seconds.
+const MAX_BACK_S: f64 = 2.0;
+/// The part of its deadline after which a statement that no server was offered is given back to its client: what is
+/// held longer is as good as lost there.
+const HOLD: f64 = 0.45;
+/// How often a read is asked again since its answer most likely is lost.
+const MAX_AGAIN: usize = 2;
 /// The shortest wait before a read is asked elsewhere, in seconds.
 const ELSEWHERE_S: f64 = 0.15;
 /// Beginning a transaction may take so long at one server, in seconds.
@@ -89,7 +95,7 @@
         if self.lines.borrow().is_empty() && !self.read(edge).await {
             return None;
         }
-        std::future::pending().await
+        pending().await
     }
 
     /// The next line; none if the stream can't be read on.
@@ -130,7 +136,7 @@
             }
             None => {
                 if net::until(until, edge.shared.changed.after(rings)).await.is_none() {
-                    client.write(format!("ERROR RETRY {COME_BACK_MS}\r\n").as_bytes()).await;
+                    client.write(format!("ERROR RETRY {}\r\n", back_ms(COME_BACK_S)).as_bytes()).await;
                     return None;
                 }
             }
@@ -183,8 +189,13 @@
     Told::Error(code, text.into(), state)
 }
 
-fn come_back(state: State) -> Told {
-    error(Code::Retry, COME_BACK_MS.to_string(), state)
+/// Nothing has run: come back in so many seconds.
+fn come_back(wait: f64, state: State) -> Told {
+    error(Code::Retry, back_ms(wait).to_string(), state)
+}
+
+fn back_ms(wait: f64) -> u32 {
+    (wait.clamp(MIN_BACK_S, MAX_BACK_S) * 1000.0).round() as u32
 }
 
 /// A session at work.
@@ -433,16 +444,30 @@
         let Some(terms) = self.bind() else { return error(Code::NoDb, &*self.database, State::Idle) };
         let reads = statement.kind == Kind::Fetch;
         let deadline = statement.arrived + terms.deadline;
-        let give_up = statement.arrived + terms.deadline / 2.0;
+        let give_up = statement.arrived + terms.deadline * HOLD;
         let class = if reads { Class::Read } else { Class::Write };
         let shape = statement.execute.map(|(shape, _)| shape);
-        let want = Want { terms: &terms, class, arrived: statement.arrived, shape };
+        let arrived = statement.arrived;
+        let want = Want { terms: &terms, class, arrived, waits_since: arrived, shape, works: true };
         let mut tried = Vec::new();
+        let mut back = COME_BACK_S;
+        let mut again = 0;
+        let mut next = None;
         for attempt in 0..terms.tries.max(2) + 2 {
             let limit = if attempt == 0 { give_up } else { give_up.max(clock::now() + 0.05).min(deadline) };
-            let place = async { Some(self.edge.place(&want, &self.session, &tried, limit).await) };
-            let Some(placed) = or(place, self.client.gone(&self.edge)).await else { return Told::Gone };
-            let Some(mut placed) = placed else { break };
+            let mut placed = if let Some(placed) = next.take() {
+                placed
+            } else {
+                let place = async { Some(self.edge.place(&want, &self.session, &tried, limit).await) };
+                let Some(placed) = or(place, self.client.gone(&self.edge)).await else { return Told::Gone };
+                match placed {
+                    Ok(placed) => placed,
+                    Err(wait) => {
+                        back = wait;
+                        break;
+                    }
+                }
+            };
             let primary = placed.proof.is_none();
             let waitpos = placed.proof.map_or(String::new(), |p| format!("WAITPOS {p} "));
             let Some(line) = statement.line(&placed.out, &waitpos) else { break };
@@ -450,8 +475,8 @@
             if primary {
                 self.session.mark.touch(now);
             }
-            // A read without answer is asked elsewhere, or once more where others are answered meanwhile.
-            let elsewhere = reads && attempt == 0;
+            // A read is asked again as soon as its answer most likely is lost; elsewhere also if a replica is silent.
+            let elsewhere = reads && !primary && attempt == 0;
             let first = (terms.target / 2.0).max(ELSEWHERE_S).min(terms.deadline / 3.0);
             let at = if elsewhere { (now + first).min(deadline) } else { deadline };
             let pool = placed.out.pool.clone();
@@ -462,9 +487,29 @@
                 **flag.borrow_mut() = true;
                 client.write(part).await
             };
-            let mut outcome = placed.out.ask(&line, &mut answer, at, &pass).await;
-            if outcome == Err(Lost::Silent) && at < deadline && primary && !placed.out.is_overtaken() {
-                outcome = placed.out.wait(&mut answer, deadline, &pass).await;
+            let mut outcome = placed.out.ask_patiently(&line, &mut answer, terms.target, at, &pass).await;
+            if outcome == Err(Lost::Overdue) {
+                // It holds its place here no longer, since it most likely holds none there. Its answer is still
+                // welcome; a read is asked again if another connection is had before.
+                placed.out.leave();
+                let more = reads && again < MAX_AGAIN;
+                let elsewhere = async {
+                    if !more {
+                        return pending().await;
+                    }
+                    match self.edge.place(&want, &self.session, &tried, deadline).await {
+                        Ok(placed) => Err(placed),
+                        Err(_) => pending().await,
+                    }
+                };
+                let wait = async { Ok(placed.out.wait(&mut answer, deadline, &pass).await) };
+                match or(wait, elsewhere).await {
+                    Ok(waited) => outcome = waited,
+                    Err(placed) => {
+                        next = Some(placed);
+                        again += 1;
+                    }
+                }
             }
             let id = pool.server.id.clone();
             match outcome {
@@ -492,11 +537,14 @@
                 Err(Lost::Gone) => return Told::Gone,
                 Err(_) if passed => return Told::Gone,
                 Err(Lost::Unsent) => {}
-                Err(Lost::Broken | Lost::Silent) if !reads => {
+                Err(Lost::Broken | Lost::Silent | Lost::Overdue) if !reads => {
                     log::info!("event=in_doubt server={id} database={}", self.database);
                     return error(Code::InDoubt, "no clear answer", State::Idle);
                 }
                 Err(Lost::Broken) => {}
+                Err(Lost::Overdue) => {
+                    log::debug!("event=asked_again server={id} database={}", self.database);
+                }
                 Err(Lost::Silent) => {
                     if clock::now() >= deadline {
                         return error(Code::Timeout, "no answer", State::Idle);
@@ -505,7 +553,7 @@
             }
             tried.push(id);
         }
-        come_back(State::Idle)
+        come_back(back.min(terms.deadline.max(COME_BACK_S)), State::Idle)
     }
 
     /// A server's answer outside a transaction: should it say another state, that ends with its connection.
@@ -529,14 +577,21 @@
             self.fail();
             return Err(error(Code::Aborted, "the database is gone", State::Failed));
         };
-        let give_up = arrived + terms.deadline / 2.0;
+        let give_up = arrived + terms.deadline * HOLD;
         let class = if fetch { Class::Read } else { Class::Write };
-        let want = Want { terms: &terms, class, arrived: began, shape };
+        let want = Want { terms: &terms, class, arrived: began, waits_since: arrived, shape, works: false };
         let mut tried = Vec::new();
+        let mut back = COME_BACK_S;
         for attempt in 0..terms.tries.max(2) + 2 {
             let place = async { Some(self.edge.place(&want, &self.session, &tried, give_up).await) };
             let Some(placed) = or(place, self.client.gone(&self.edge)).await else { return Err(Told::Gone) };
-            let Some(mut placed) = placed else { break };
+            let mut placed = match placed {
+                Ok(placed) => placed,
+                Err(wait) => {
+                    back = wait;
+                    break;
+                }
+            };
             let primary = placed.proof.is_none();
             let line = match (placed.proof, fetch) {
                 (Some(proof), _) => format!("QUERY - WAITPOS {proof} BEGIN FETCH\r\n"),
@@ -548,10 +603,25 @@
             }
             let at = (clock::now() + BEGIN_S).min(arrived + terms.deadline);
             let pool = placed.out.pool.clone();
-            let begun =
-                placed.out.ask(line.as_bytes(), &mut Answer::default(), at, async |_: &[u8]| true).await;
+            // Nothing has run in it yet: it may be begun once more as soon as its answer most likely is lost.
+            let begun = placed
+                .out
+                .ask_patiently(
+                    line.as_bytes(),
+                    &mut Answer::default(),
+                    terms.target,
+                    at,
+                    async |_: &[u8]| true,
+                )
+                .await;
             match begun {
                 Ok(outcome) if outcome.error.is_none() && outcome.state == State::Open => {
+                    let turn = want.turn(&pool, give_up.max(clock::now() + 0.05));
+                    if !placed.out.enter_first(&turn).await {
+                        back = pool.wait(&turn, clock::now());
+                        placed.out.roll_back();
+                        break;
+                    }
                     self.held = Some(placed.out);
                     self.terms = Some(terms);
                     return Ok(());
@@ -570,7 +640,7 @@
             tried.push(pool.server.id.clone());
         }
         self.fail();
-        Err(come_back(State::Failed))
+        Err(come_back(back.min(terms.deadline.max(COME_BACK_S)), State::Failed))
     }
 
     /// A statement inside a transaction.
@@ -589,9 +659,9 @@
         };
         let ready = (*fetch || lead)
             && net::until(deadline, async {
-                // Whoever has begun keeps others waiting: it goes first.
-                held.enter(0).await;
-                held.hold(&self.session.values, shape).await
+                held.hold(&self.session.values, shape).await?;
+                held.enter().await;
+                Ok::<(), ()>(())
             })
             .await
                 == Some(Ok(()));
@@ -606,8 +676,11 @@
         *wrote |= statement.kind == Kind::Put;
         let mut answer = Answer::default();
         let client = &self.client;
-        let outcome =
-            held.ask(&line, &mut answer, deadline, async |part: &[u8]| client.write(part).await).await;
+        let outcome = held
+            .ask_patiently(&line, &mut answer, terms.target, deadline, async |part: &[u8]| {
+                client.write(part).await
+            })
+            .await;
         held.leave();
         match outcome {
             Ok(outcome) => {
@@ -623,7 +696,8 @@
             }
             Err(Lost::Gone) => Told::Gone,
             Err(_) => {
-                // Closing its connection rolls back.
+                // Closing its connection rolls back, so that its client may begin anew at once, also where it is but
+                // the answer that most likely is lost.
                 self.held = None;
                 self.fail();
                 error(Code::Aborted, "the server was lost", State::Failed)
@@ -646,13 +720,13 @@
         let (Some(mut held), Some(terms)) = (self.held.take(), self.terms.take()) else { return Told::Gone };
         self.over();
         let deadline = arrived + terms.deadline;
-        let give_up = arrived + terms.deadline / 2.0;
+        let give_up = arrived + terms.deadline * HOLD;
         let ready = net::until(give_up, async {
-            held.enter(0).await;
             // Values that were set since are its client's wherever it runs.
             if held.hold(&self.session.values, None).await.is_err() {
                 return false;
             }
+            held.enter().await;
             if !wrote {
                 return true;
             }
@@ -680,7 +754,13 @@
         let line = format!("QUERY {id} {text}\r\n");
         let mut answer = Answer::default();
         held.keep_changes();
-        let outcome = held.ask(line.as_bytes(), &mut answer, deadline, async |_: &[u8]| true).await;
+        let pass = async |_: &[u8]| true;
+        let mut outcome =
+            held.ask_patiently(line.as_bytes(), &mut answer, terms.target, deadline, pass).await;
+        if outcome == Err(Lost::Overdue) && wrote {
+            held.leave();
+            outcome = held.wait(&mut answer, deadline, pass).await;
+        }
         match outcome {
             Ok(outcome) => {
                 if outcome.error.is_none() && wrote {
--- a/crates/node/src/tests/edge.rs
+++ b/crates/node/src/tests/edge.rs
@@ -659,3 +659,108 @@
         assert!(size < 2048, "{size} bytes");
     });
 }
+
+/// Answers are overdue soon, and there are connections enough.
+fn impatient(text: String) -> String {
+    text.replace("\"target_ms\":20000", "\"target_ms\":40").replace("\"max_conns\":1", "\"max_conns\":90")
+}
+
+#[test]
+fn a_read_whose_answer_is_lost_is_asked_again_once_others_are_answered() {
+    play(async |rig| {
+        rig.configure(impatient);
+        let (mut a, mut b) = (Client::open(rig.front, "lead").await, Client::open(rig.front, "lead").await);
+        rig.primary.tricks.borrow_mut().push(("FETCH lost", Trick::Silence));
+        a.say("QUERY a1 FETCH lost\r\n").await;
+        rig.primary.sees(|p| p.got.borrow().iter().any(|g| g.id == "a1")).await;
+        assert_eq!(b.ask("b1", "FETCH x").await, "ROW r.b1|COMPLETE s.b1|IDLE I 3.0");
+        // Well before its deadline, which is a minute away.
+        assert_eq!(a.answer().await, "ROW r.a1|COMPLETE s.a1|IDLE I 3.0");
+        let got = rig.primary.got.borrow();
+        let conns: Vec<_> = got.iter().filter(|g| g.id == "a1").map(|g| g.conn).collect();
+        assert!(conns.len() == 2 && conns[0] != conns[1], "{conns:?}");
+    });
+}
+
+#[test]
+fn a_write_whose_answer_is_lost_keeps_nobody_waiting_and_is_sent_once() {
+    play(async |rig| {
+        rig.configure(impatient);
+        let mut b = Client::open(rig.front, "lead").await;
+        let mut lost = Vec::new();
+        // More than may be in work at once.
+        for i in 0..3 {
+            let mut a = Client::open(rig.front, "lead").await;
+            rig.primary.tricks.borrow_mut().push(("PUT", Trick::Silence));
+            a.say(&format!("QUERY a{i} PUT x 1\r\n")).await;
+            rig.primary.sees(|p| p.writes.get() == i + 1).await;
+            let id = format!("b{i}");
+            assert!(b.ask(&id, "FETCH x").await.starts_with("ROW"));
+            lost.push(a);
+        }
+        let puts = rig.primary.texts().iter().filter(|t| t.starts_with("PUT")).count();
+        assert_eq!((puts, rig.primary.writes.get(), rig.edge.open()), (3, 3, 3));
+    });
+}
+
+#[test]
+fn a_transaction_that_waits_for_a_lost_answer_is_aborted_early() {
+    play(async |rig| {
+        rig.configure(impatient);
+        let (mut a, mut b) = (Client::open(rig.front, "lead").await, Client::open(rig.front, "lead").await);
+        a.ask("a1", "BEGIN").await;
+        rig.primary.tricks.borrow_mut().push(("PUT", Trick::Silence));
+        a.say("QUERY a2 PUT x 1\r\n").await;
+        rig.primary.sees(|p| p.got.borrow().iter().any(|g| g.id == "a2")).await;
+        assert!(b.ask("b1", "FETCH x").await.starts_with("ROW"));
+        assert_eq!(a.answer().await, "ERROR ABORTED the server was lost|IDLE E -");
+        assert_eq!(a.ask("a3", "ABORT").await, "COMPLETE -|IDLE I -");
+        rig.primary.sees(|p| p.rolled_back.get() == 1).await;
+        assert_eq!(rig.primary.writes.get(), 0);
+    });
+}
+
+#[test]
+fn who_waits_in_vain_is_told_when_to_come_back_by_the_queue() {
+    play(async |rig| {
+        rig.configure(|text| text.replace("\"max_conns\":1", "\"max_conns\":90"));
+        let mut lost = Vec::new();
+        for i in 0..2 {
+            let mut a = Client::open(rig.front, "lead").await;
+            rig.primary.tricks.borrow_mut().push(("PUT", Trick::Silence));
+            a.say(&format!("QUERY a{i} PUT x 1\r\n")).await;
+            rig.primary.sees(|p| p.writes.get() == i + 1).await;
+            lost.push(a);
+        }
+        // Nothing is known of the server's pace, so that it holds until its bound, and says so by the shortest.
+        let mut c = Client::open(rig.front, "short").await;
+        assert_eq!(c.ask("c1", "PUT x 1").await, "ERROR RETRY 50|IDLE I -");
+        assert_eq!(c.ask("c2", "BEGIN").await, "COMPLETE -|IDLE T -");
+        // The longer this lasts, the later is it to come back.
+        let told = c.ask("c3", "PUT x 1").await;
+        assert!(told.starts_with("ERROR RETRY ") && told.ends_with("|IDLE E -"), "{told}");
+        assert_eq!(c.ask("c4", "ABORT").await, "COMPLETE -|IDLE I -");
+        assert_eq!(rig.primary.writes.get(), 2);
+        // With fewer routers its part is larger.
+        rig.edge.routers(1);
+        rig.configure(impatient);
+        let mut d = Client::open(rig.front, "lead").await;
+        assert!(d.ask("d1", "FETCH x").await.starts_with("ROW"));
+    });
+}
+
+#[test]
+fn an_own_statement_whose_answer_is_lost_costs_its_connection_only() {
+    play(async |rig| {
+        rig.configure(impatient);
+        let (mut a, mut b) = (Client::open(rig.front, "lead").await, Client::open(rig.front, "lead").await);
+        rig.primary.tricks.borrow_mut().push(("SET tz", Trick::Silence));
+        a.ask("a1", "SET tz here").await;
+        a.say("QUERY a2 PUT x 1\r\n").await;
+        rig.primary.sees(|p| !p.got.borrow().is_empty()).await;
+        assert!(b.ask("b1", "FETCH x").await.starts_with("ROW"));
+        assert_eq!(a.answer().await, "COMPLETE s.a2|IDLE I 3.1");
+        let got = rig.primary.got.borrow();
+        assert!(got.iter().all(|g| g.id != "a2" || g.values == "tz=here;"), "{got:?}");
+    });
+}
--- a/crates/pooling/src/queue.rs
+++ b/crates/pooling/src/queue.rs
@@ -1,6 +1,7 @@
-//! Those who wait for a share of a server: so many at once, the others by rank and arrival.
+//! Those who wait for a share of a server: so many at once; of the others first those who can still make their aim,
+//! by rank and arrival.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The place of one who waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -9,19 +10,22 @@
     arrival: u64,
 }
 
-/// So many at once, the others by rank (0 first) and arrival.
+/// So many at once, the others by rank (0 first) and arrival; whoever can't make its aim any more comes after all who
+/// can, since what comes late is worth a fraction.
 #[derive(Debug)]
 pub struct Queue {
     limit: usize,
     busy: usize,
     arrivals: u64,
-    waiting: BTreeSet<Place>,
+    /// Those who may still make their aim, and until when. Who has missed it is found out when its turn comes.
+    waiting: BTreeMap<Place, f64>,
+    late: BTreeSet<Place>,
 }
 
 impl Queue {
     /// Lets in this many at once.
     pub fn new(limit: usize) -> Self {
-        Self { limit, busy: 0, arrivals: 0, waiting: BTreeSet::new() }
+        Self { limit, busy: 0, arrivals: 0, waiting: BTreeMap::new(), late: BTreeSet::new() }
     }
 
     /// Changes how many are let in; those let in by it are taken by `admit`.
@@ -29,15 +33,20 @@
         self.limit = limit;
     }
 
-    /// Goes in at once, or gets a place.
-    pub fn enter(&mut self, rank: u32) -> Option<Place> {
-        if self.busy < self.limit && self.waiting.is_empty() {
+    /// How many are let in at once.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
+    /// Goes in at once, or gets a place; who is let in by the second `aim` is in time.
+    pub fn enter(&mut self, rank: u32, aim: f64) -> Option<Place> {
+        if self.busy < self.limit && self.waiting.is_empty() && self.late.is_empty() {
             self.busy += 1;
             return None;
         }
         self.arrivals += 1;
         let place = Place { rank, arrival: self.arrivals };
-        self.waiting.insert(place);
+        self.waiting.insert(place, aim);
         Some(place)
     }
 
@@ -46,19 +55,39 @@
         self.busy -= 1;
     }
 
-    /// The next of those who wait is let in, if there is room.
-    pub fn admit(&mut self) -> Option<Place> {
+    /// The next of those who wait is let in now, if there is room.
+    pub fn admit(&mut self, now: f64) -> Option<Place> {
         if self.busy >= self.limit {
             return None;
         }
-        let place = self.waiting.pop_first()?;
+        // Each is found late once at most, so that this costs no more than the waiting itself.
+        while let Some((place, aim)) = self.waiting.pop_first() {
+            if aim >= now {
+                self.busy += 1;
+                return Some(place);
+            }
+            self.late.insert(place);
+        }
+        let place = self.late.pop_first()?;
         self.busy += 1;
         Some(place)
     }
 
     /// One who waits gives up; false if it had been let in already.
     pub fn cancel(&mut self, place: Place) -> bool {
-        self.waiting.remove(&place)
+        self.waiting.remove(&place).is_some() || self.late.remove(&place)
+    }
+
+    /// How many would be let in before one of this rank who came at this second with this aim. Who has missed its aim
+    /// is among those before only for others who have.
+    pub fn ahead(&self, rank: u32, aim: f64, now: f64) -> usize {
+        let in_time =
+            self.waiting.iter().filter(|(place, a)| **a >= now && (aim < now || place.rank <= rank));
+        if aim >= now {
+            return in_time.count();
+        }
+        let missed = self.waiting.iter().filter(|(_, a)| **a < now).map(|(place, _)| place);
+        in_time.count() + missed.chain(&self.late).filter(|place| place.rank <= rank).count()
     }
 
     /// Whoever comes now must wait.
--- a/crates/pooling/src/share.rs
+++ b/crates/pooling/src/share.rs
@@ -3,6 +3,15 @@
 /// After `CONNLIMIT`, so long no more than the plain share is used, in seconds.
 pub const CAUTION_S: f64 = 5.0;
 
+/// How many statements one of so many routers has in work at a server of so many slots at once. Twice its plain share,
+/// since clients don't spread evenly over routers, and two at least; what is more only waits at the server, where it
+/// can't be ranked. `stretch` is how much longer a statement takes for the router than for the server, because of the
+/// way there and back: so many more are on their way.
+pub fn in_flight(slots: usize, routers: usize, stretch: f64) -> usize {
+    let share = 2.0 * slots as f64 * stretch / routers.max(1) as f64;
+    (share.ceil() as usize).min(slots).max(2)
+}
+
 /// A router's share of a server's connections. Up to twice the plain share are used while nobody is refused: clients
 /// don't spread evenly over routers.
 #[derive(Debug, Clone, Copy)]
--- a/crates/pooling/src/tests/queues.rs
+++ b/crates/pooling/src/tests/queues.rs
@@ -1,21 +1,22 @@
-use crate::queue::Queue;
-use crate::share::Share;
+use crate::pace::{Pace, Refusals};
+use crate::queue::{Place, Queue};
+use crate::share::{Share, in_flight};
 use arbtest::arbtest;
 
 #[test]
 fn so_many_at_once_and_the_others_by_rank_and_arrival() {
     let mut queue = Queue::new(1);
-    assert_eq!(queue.enter(5), None);
-    let low = queue.enter(2).unwrap();
-    let high = queue.enter(0).unwrap();
-    let later = queue.enter(0).unwrap();
-    assert_eq!(queue.admit(), None);
+    assert_eq!(queue.enter(5, 9.0), None);
+    let low = queue.enter(2, 9.0).unwrap();
+    let high = queue.enter(0, 9.0).unwrap();
+    let later = queue.enter(0, 9.0).unwrap();
+    assert_eq!(queue.admit(1.0), None);
     queue.leave();
-    assert_eq!(queue.admit(), Some(high));
+    assert_eq!(queue.admit(1.0), Some(high));
     assert!(queue.cancel(later));
     assert!(!queue.cancel(high));
     queue.leave();
-    assert_eq!(queue.admit(), Some(low));
+    assert_eq!(queue.admit(1.0), Some(low));
 }
 
 #[test]
@@ -23,26 +24,37 @@
     arbtest(|u| {
         let limit = u.int_in_range(1..=4)?;
         let mut queue = Queue::new(limit);
-        let (mut inside, mut waiting) = (0usize, Vec::new());
+        let (mut inside, mut waiting, mut now) = (0usize, Vec::new(), 0.0);
         for _ in 0..u.int_in_range(0..=60)? {
-            match u.int_in_range(0..=2)? {
-                0 => match queue.enter(u.int_in_range(0..=2)?) {
-                    None => inside += 1,
-                    Some(place) => waiting.push(place),
-                },
+            match u.int_in_range(0..=3)? {
+                0 => {
+                    let (rank, aim) = (u.int_in_range(0..=2)?, now + f64::from(u.int_in_range(-2..=4)?));
+                    let ahead = queue.ahead(rank, aim, now);
+                    match queue.enter(rank, aim) {
+                        None => inside += 1,
+                        Some(place) => {
+                            let before = |&&(p, a): &&(Place, f64)| (a < now, p) < (aim < now, place);
+                            assert_eq!(ahead, waiting.iter().filter(before).count());
+                            waiting.push((place, aim));
+                        }
+                    }
+                }
+                3 => now += 1.0,
                 1 if inside > 0 => {
                     queue.leave();
                     inside -= 1;
                 }
                 2 if !waiting.is_empty() => {
-                    let place = waiting.remove(u.choose_index(waiting.len())?);
+                    let (place, _) = waiting.remove(u.choose_index(waiting.len())?);
                     assert!(queue.cancel(place));
                 }
                 _ => {}
             }
-            while let Some(place) = queue.admit() {
-                assert!(waiting.iter().all(|w| *w >= place));
-                waiting.retain(|w| *w != place);
+            while let Some(place) = queue.admit(now) {
+                // Whoever missed its aim comes after all who have not; then rank and arrival.
+                let next = waiting.iter().copied().min_by_key(|(p, aim)| (*aim < now, *p));
+                assert_eq!(next.map(|(p, _)| p), Some(place));
+                waiting.retain(|(p, _)| *p != place);
                 inside += 1;
             }
             assert_eq!(queue.busy(), inside);
@@ -63,3 +75,63 @@
     share.set(1, 14);
     assert_eq!(share.limit(6.0), 1);
 }
+
+#[test]
+fn who_can_not_make_its_aim_any_more_comes_after_all_who_can() {
+    let mut queue = Queue::new(1);
+    assert_eq!(queue.enter(0, 9.0), None);
+    let missed = queue.enter(0, 1.0).unwrap();
+    let low = queue.enter(2, 9.0).unwrap();
+    // Before its aim is past it is ahead of those of lower rank; afterwards it is behind them.
+    assert_eq!((queue.ahead(1, 9.0, 0.5), queue.ahead(1, 9.0, 2.0), queue.ahead(2, 9.0, 2.0)), (1, 0, 1));
+    assert_eq!(queue.ahead(0, 1.0, 2.0), 2);
+    queue.leave();
+    assert_eq!(queue.admit(2.0), Some(low));
+    queue.leave();
+    assert_eq!(queue.admit(2.0), Some(missed));
+    assert!(!queue.cancel(missed));
+}
+
+#[test]
+fn in_flight_is_twice_the_plain_share_and_two_at_least() {
+    let limits =
+        [(4, 9), (4, 3), (4, 1), (7, 9), (7, 6), (7, 4), (1, 9), (0, 0)].map(|(s, r)| in_flight(s, r, 1.0));
+    assert_eq!(limits, [2, 3, 4, 2, 3, 4, 2, 2]);
+    // Where the way is long, more are on it; never more than the server has slots.
+    assert_eq!([1.0, 2.0, 3.0, 8.0].map(|stretch| in_flight(7, 9, stretch)), [2, 4, 5, 7]);
+    let mut pace = Pace::default();
+    assert_eq!(pace.stretch(), 1.0);
+    pace.answered(0.034);
+    pace.travelled(0.026);
+    assert!((pace.stretch() - 4.25).abs() < 1e-6);
+    // The shortest way counts, and a longer one only slowly.
+    pace.travelled(0.017);
+    assert!((pace.stretch() - 2.0).abs() < 1e-6);
+    pace.travelled(0.033);
+    assert!(pace.stretch() < 2.2);
+}
+
+#[test]
+fn an_answer_is_overdue_by_the_pace_and_never_before_a_quarter_of_its_aim() {
+    let mut pace = Pace::default();
+    assert_eq!((pace.mean(), pace.patience(0.04), pace.patience(0.4)), (0.0, 0.025, 0.1));
+    for _ in 0..100 {
+        pace.answered(0.02);
+    }
+    assert!((pace.mean() - 0.02).abs() < 1e-6 && (pace.patience(0.12) - 0.08).abs() < 1e-3);
+    assert!((pace.wait(9, 2) - 0.1).abs() < 1e-6);
+    // A server that turns slow is waited for.
+    for _ in 0..12 {
+        pace.answered(0.12);
+    }
+    assert!(pace.patience(0.12) > 0.3);
+}
+
+#[test]
+fn who_is_refused_comes_back_the_later_the_longer_it_lasts() {
+    let mut refusals = Refusals::default();
+    let backs = [(5.0, 0.2), (5.5, 0.2), (6.25, 0.2), (6.5, 3.0), (7.75, 0.25)];
+    let backs = backs.map(|(now, wait)| refusals.refused(now, wait));
+    // After a second of calm it begins anew.
+    assert_eq!(backs, [0.2, 0.5, 1.25, 3.0, 0.25]);
+}
