The decisions stand in a file for each concern; mark and rotation are shared pieces

Functions are moved, none rewritten but rotate, which calls Rotation::next, and the four lines that touch a session's mark. The record Instance with its constructor stands in instance.rs beside state.rs: it decides nothing. Two tests set up Rotation::default() and Mark::at(T) for counter 0 and T; nothing they check changed. New tests: pieces.rs.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 // Decoded fields go straight into a call, and each part takes its own few settings.
 #![allow(clippy::too_many_arguments)]
 
+mod instance;
 pub mod policy;
 mod recover;
 pub mod state;
@@ -19,7 +20,9 @@
 pub use badgerstream_fleet as fleet;
 pub use badgerstream_recovery as recovery;
 pub use badgerstream_succession as succession;
-pub use policy::Instance;
+pub use instance::Instance;
+pub use policy::mark::{MARK_S, Mark};
+pub use policy::rotation::Rotation;
 
 #[cfg(test)]
 mod tests;
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -1,7 +1,7 @@
-//! What an instance remembers, grouped by how long it lives: records and how they are kept. The rest is in
-//! `policy.rs`.
+//! What an instance remembers, grouped by how long it lives: records and how they are kept. The instance itself is
+//! in `instance.rs`, the rest in `policy`.
 
-use crate::{Currency, Ending, Instance, Standing, Workload};
+use crate::{Currency, Ending, Instance, MARK_S, Rotation, Standing, Workload};
 use std::collections::{BTreeSet, VecDeque};
 
 /// The time of what has not happened, and the position of what told none.
@@ -118,7 +118,7 @@
 pub struct Group {
     pub members: Vec<u32>,
     pub primary: Option<u32>,
-    pub counter: usize,
+    pub rotation: Rotation,
     pub waiting: BTreeSet<u32>,
     /// When a statement last arrived for it, and how many do a second.
     pub asked: (f64, f64),
@@ -328,10 +328,7 @@
     shares.iter_mut().zip(served_as).filter_map(|(all, i)| all.get_mut(i))
 }
 
-/// Rates fade over this, the time for which a touch of the primary marks a session, too.
-pub const MARK_S: f64 = 3.0;
-
-/// One more: a rate a second over about the last `MARK_S`, as of the last event.
+/// One more: a rate a second, as of the last event. Rates fade over the time for which a session is marked.
 pub fn count(rate: &mut (f64, f64), now: f64) {
     *rate = (now, rate.1 * (-(now - rate.0) / MARK_S).exp() + 1.0 / MARK_S);
 }
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -5,6 +5,7 @@
 use test_case::test_case;
 
 mod further;
+mod pieces;
 mod succession;
 mod together;
 
@@ -88,7 +89,7 @@
     router.listed(T, true);
     router.nodes.get_mut(&A).unwrap().claimed = T;
     let group = router.groups.get_mut(&G).unwrap();
-    (group.primary, group.members, group.counter) = (Some(A), vec![A, B, C], 0);
+    (group.primary, group.members, group.rotation) = (Some(A), vec![A, B, C], Rotation::default());
     router
 }
 
@@ -136,7 +137,7 @@
 #[test_case(3.1, B; "after three seconds")]
 fn a_send_to_the_primary_marks_the_session(later: f64, expected: u32) {
     let mut router = router(true);
-    router.sessions.insert(5, (T, T - 9.0));
+    router.sessions.insert(5, (Mark::at(T), T - 9.0));
     for id in [B, C] {
         let node = router.nodes.get_mut(&id).unwrap();
         (node.lsn, node.heard) = (T + later, T + later);
