--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,1 +1,45 @@
-fn main() {}
+//! `badgerpool`: the program of every machine of the system, and its operators' commands.
+
+use badgerstream_node::{cli, node};
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A database pooler with failover.
+#[derive(Parser)]
+#[command(name = "badgerpool", version, about)]
+struct Arguments {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Runs this machine's part of the system, until SIGTERM.
+    Node {
+        /// The settings file; the variable BADGERSTREAM_BOOT names it otherwise.
+        #[arg(long, env = "BADGERSTREAM_BOOT")]
+        settings: PathBuf,
+    },
+    #[command(flatten)]
+    Operator(cli::Command),
+}
+
+fn main() -> ExitCode {
+    let ended = match Arguments::parse().what {
+        What::Node { settings } => {
+            env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+            node::run(settings).inspect_err(|e| log::error!("event=failed error={e:?}"))
+        }
+        What::Operator(command) => {
+            cli::run(command, &mut std::io::stdout().lock()).map_err(|e| e.to_string())
+        }
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("badgerpool: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
