--- a/crates/routing/src/tests/pieces.rs
+++ b/crates/routing/src/tests/pieces.rs
@@ -29,6 +29,14 @@
     assert_eq!(chosen, [0, 1, 2, 0, 1].map(Some));
 }
 
+#[test]
+fn a_rotation_may_begin_anywhere() {
+    let mut rotation = Rotation { next: usize::MAX };
+    assert_eq!(rotation.next(usize::MAX, |i| i < 2), Some(0));
+    let mut rotation = Rotation { next: 5 };
+    assert_eq!([rotation.next(3, |_| true), rotation.next(3, |_| true)], [2, 0].map(Some));
+}
+
 #[test]
 fn who_is_not_eligible_is_passed_over_and_keeps_no_turn() {
     let mut rotation = Rotation::default();
