--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -4,7 +4,7 @@
 use crate::frames::{self, Frame};
 use crate::servers::Servers;
 use crate::{clock, http};
-use async_channel::{Receiver, Sender, TrySendError};
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use badgerstream_calls::call::{self, Operation, Reply};
@@ -108,7 +108,7 @@
         } else {
             State::read(&kept.value).ok_or("the state on disk can't be read")?
         };
-        let votes = !(first && !settings.bootstrap) && !(kept.value.is_empty() && !settings.bootstrap);
+        let votes = settings.bootstrap || !first && !kept.value.is_empty();
         let record = badgerstream_control::Record {
             promised: Ballot(kept.promised),
             accepted: Ballot(kept.accepted),
@@ -218,8 +218,12 @@
                 }
                 Out::Peer(node, message) => self.link(node, message),
                 Out::Router(session, message) => {
-                    let sent = self.sessions.borrow().get(&session).map(|s| s.try_send(message));
-                    if let Some(Err(TrySendError::Full(_))) = sent {
+                    let sent = self
+                        .sessions
+                        .borrow()
+                        .get(&session)
+                        .map(|s| s.try_send(message).is_err() && s.is_full());
+                    if sent == Some(true) {
                         self.sessions.borrow_mut().remove(&session);
                     }
                 }
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -15,7 +15,7 @@
 use async_io::Async;
 use badgerstream_pooling::freshness::History;
 use badgerstream_pooling::pace::Refusals;
-use badgerstream_pooling::rotation::Rotation;
+use badgerstream_routing::Rotation;
 use badgerstream_wire::Position;
 use net::Scratch;
 use pool::Pool;
@@ -138,11 +138,6 @@
         self.with_freshness(service, |f| f.history.sample(covers_from, position));
     }
 
-    /// How many routers share the servers' connections.
-    pub fn routers(&self, count: usize) {
-        self.routers.set(count.max(1));
-    }
-
     /// What the traffic tells of the primaries in use.
     pub fn evidence(&self, now: f64) -> Vec<Evidence> {
         let view = self.shared.view.borrow();
@@ -185,7 +180,8 @@
     fn with_freshness<T>(&self, service: &str, with: impl FnOnce(&mut Freshness) -> T) -> T {
         let mut all = self.freshness.borrow_mut();
         if !all.contains_key(service) {
-            let rotation = Rotation::from(self.random.borrow_mut().u32(..));
+            // Anywhere, so that routers which start together do not all go to the same replica.
+            let rotation = Rotation { next: self.random.borrow_mut().usize(..) };
             all.insert(service.to_owned(), Freshness { rotation, ..Freshness::default() });
         }
         with(all.get_mut(service).expect("just put there"))
@@ -290,6 +286,9 @@
     fn sweep(&self, now: f64) {
         let mut pools = self.pools.borrow_mut();
         let view = self.shared.view.borrow();
+        if view.routers > 0 {
+            self.routers.set(view.routers);
+        }
         pools.retain(|id, pool| {
             let known = view.servers.get(id).is_some_and(|s| s.endpoint == pool.server.endpoint);
             let max_conns = view.config.as_ref().and_then(|c| {
--- a/crates/node/src/edge/place.rs
+++ b/crates/node/src/edge/place.rs
@@ -191,7 +191,7 @@
                 .filter(|p| p.standing().is_up(now) && p.standing().may_have(proof, now))
                 .collect();
             replicas.sort_by(|a, b| a.server.id.cmp(&b.server.id));
-            if let Some(at) = self.with_freshness(service, |f| f.rotation.next(replicas.len())) {
+            if let Some(at) = self.with_freshness(service, |f| f.rotation.next(replicas.len(), |_| true)) {
                 return Pick::Replica(replicas.swap_remove(at), proof);
             }
         }
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -182,7 +182,8 @@
 
     /// Takes news into the view; true if it answers a call of ours.
     fn take(&self, news: ToRouter) -> bool {
-        let ToRouter::News { known, sent, lease, whole, grants, members, config, voters, routers } = news else {
+        let ToRouter::News { known, sent, lease, whole, grants, members, config, voters, routers } = news
+        else {
             return false;
         };
         let now = clock::now();
--- a/crates/node/src/tests/edge.rs
+++ b/crates/node/src/tests/edge.rs
@@ -752,7 +752,7 @@
         assert_eq!(c.ask("c4", "ABORT").await, "COMPLETE -|IDLE I -");
         assert_eq!(rig.primary.writes.get(), 2);
         // With fewer routers its part is larger.
-        rig.edge.routers(1);
+        rig.edge.routers.set(1);
         rig.configure(impatient);
         let mut d = Client::open(rig.front, "lead").await;
         assert!(d.ask("d1", "FETCH x").await.starts_with("ROW"));
--- a/crates/pooling/src/choice.rs
+++ b/crates/pooling/src/choice.rs
@@ -54,7 +54,7 @@
         (_, Demand::Bounded(s)) => (s, None),
         (_, Demand::Own(s)) => (s, session.written),
     };
-    if session.mark.is_on(now) && !ask.primary_slow {
+    if session.mark.marked(now) && !ask.primary_slow {
         return Choice::Primary;
     }
     match history.proof(ask.arrived - staleness) {
--- a/crates/pooling/src/lib.rs
+++ b/crates/pooling/src/lib.rs
@@ -4,10 +4,8 @@
 pub mod choice;
 pub mod conn;
 pub mod freshness;
-pub mod mark;
 pub mod pace;
 pub mod queue;
-pub mod rotation;
 pub mod session;
 pub mod share;
 pub mod standing;
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -1,6 +1,6 @@
 //! What a client's session holds: values, prepared names, its transaction, its last write and its mark.
 
-use crate::mark::Mark;
+use badgerstream_routing::Mark;
 use badgerstream_wire::{Kind, Position, State};
 use quick_error::quick_error;
 
--- a/crates/pooling/src/tests/choices.rs
+++ b/crates/pooling/src/tests/choices.rs
@@ -1,9 +1,9 @@
 use crate::choice::{Ask, Choice, Class, Demand, choose};
 use crate::freshness::History;
-use crate::mark::MARK_S;
-use crate::rotation::Rotation;
 use crate::session::Session;
 use crate::standing::{LAG_PAUSE_S, PAUSE_S, Standing};
+use badgerstream_routing::MARK_S;
+use badgerstream_routing::Rotation;
 use badgerstream_wire::Position;
 
 fn at(number: u64) -> Position {
@@ -73,10 +73,10 @@
 
 #[test]
 fn the_counter_takes_each_in_turn_and_wraps() {
-    let mut rotation = Rotation::from(u32::MAX - 1);
-    let taken: Vec<_> = (0..6).map(|_| rotation.next(2).unwrap()).collect();
+    let mut rotation = Rotation { next: usize::MAX - 1 };
+    let taken: Vec<_> = (0..6).map(|_| rotation.next(2, |_| true).unwrap()).collect();
     assert_eq!(taken, [0, 1, 0, 1, 0, 1]);
-    assert_eq!(rotation.next(0), None);
+    assert_eq!(rotation.next(0, |_| true), None);
 }
 
 #[test]
--- a/crates/scale/src/decisions.rs
+++ b/crates/scale/src/decisions.rs
@@ -9,6 +9,7 @@
 };
 use badgerstream_node::asker::read_row;
 use badgerstream_node::frames::{self, Frame};
+use rustix::time::{ClockId, clock_gettime};
 use std::collections::{HashMap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 
@@ -17,10 +18,10 @@
 /// Between two renewals of a router, in seconds.
 const RENEW: f64 = 0.3;
 
-/// Processor time of this thread so far, in seconds, from what the kernel keeps for it.
+/// Processor time of this thread so far, in seconds.
 fn spent() -> f64 {
-    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
-    text.split(' ').next().and_then(|ns| ns.parse::<f64>().ok()).unwrap_or(f64::NAN) / 1e9
+    let at = clock_gettime(ClockId::ThreadCPUTime);
+    at.tv_sec as f64 + at.tv_nsec as f64 / 1e9
 }
 
 /// What was counted; times are seconds of the leader's processor.
@@ -125,8 +126,9 @@
         self.costs = Costs::default();
     }
 
-    fn at(&self, of: Node) -> usize {
-        self.stewards.iter().position(|(n, _)| *n == of).unwrap_or(0)
+    /// None for a machine that is gone.
+    fn at(&self, of: Node) -> Option<usize> {
+        self.stewards.iter().position(|(n, _)| *n == of)
     }
 
     fn leader(&self) -> Option<usize> {
@@ -305,7 +307,7 @@
     /// Messages between control machines, until there are none.
     fn pass(&mut self) {
         while let Some((from, to, message)) = self.queue.pop_front() {
-            let at = self.at(to);
+            let Some(at) = self.at(to) else { continue };
             let leads = self.leader() == Some(at);
             let members = matches!(message, Peer::Members(_));
             let began = spent();
