A router keeps to its share of a server's connections

Change: the shares together stay below max_conns, spare connections close when a share shrinks, and a connection taken and dropped counts as turned away.

--- a/crates/node/src/edge/gate.rs
+++ b/crates/node/src/edge/gate.rs
@@ -27,6 +27,11 @@
         self.admit();
     }
 
+    /// How many are in.
+    pub fn busy(&self) -> usize {
+        self.queue.borrow().busy()
+    }
+
     /// Whoever comes now must wait.
     pub fn is_full(&self) -> bool {
         self.queue.borrow().is_full()
--- a/crates/node/src/edge/link.rs
+++ b/crates/node/src/edge/link.rs
@@ -60,7 +60,8 @@
                 }
                 match net::read(&stream, scratch, &mut lines).await {
                     Ok(n) if n > 0 => {}
-                    _ => return Err(OpenError::Unreachable),
+                    // It took the connection and let go of it: it has too many, or it ends.
+                    _ => return Err(OpenError::Full),
                 }
             }
         });
--- a/crates/node/src/edge/pool.rs
+++ b/crates/node/src/edge/pool.rs
@@ -199,7 +199,15 @@
     pub fn sweep(&self, now: f64) {
         let old: Vec<Link> = {
             let mut idle = self.idle.borrow_mut();
-            idle.extract_if(.., |l| now - l.idle_since > IDLE_S).collect()
+            let limit = self.share.get().limit(now);
+            let mut over = (idle.len() + self.conns.busy()).saturating_sub(limit);
+            // Those that have rested longest stand first.
+            let spare = |l: &mut Link| {
+                let go = over > 0 || now - l.idle_since > IDLE_S;
+                over = over.saturating_sub(1);
+                go
+            };
+            idle.extract_if(.., spare).collect()
         };
         drop(old);
         self.conns.set_limit(self.share.get().limit(now));
@@ -219,8 +227,12 @@
     }
 
     fn put_idle(&self, mut link: Link) {
-        link.rest();
-        self.idle.borrow_mut().push(link);
+        // The share may have shrunk meanwhile.
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() + self.conns.busy() <= self.share.get().limit(clock::now()).max(1) {
+            link.rest();
+            idle.push(link);
+        }
     }
 }
 
--- a/crates/pooling/src/share.rs
+++ b/crates/pooling/src/share.rs
@@ -1,7 +1,10 @@
 //! How many connections to a server one of many routers may have.
 
-/// After `CONNLIMIT`, so long no more than the plain share is used, in seconds.
-pub const CAUTION_S: f64 = 5.0;
+/// After a server has turned a connection away, so long only half of the share is used, in seconds: what others left
+/// behind there is dropped within that time.
+pub const CAUTION_S: f64 = 3.0;
+/// Connections of a server that are not divided: control asks it, and a router that has just come isn't counted yet.
+const KEPT: usize = 6;
 
 /// How many statements one of so many routers has in work at a server of so many slots at once. Twice its plain share,
 /// since clients don't spread evenly over routers, and two at least; what is more only waits at the server, where it
@@ -12,8 +15,8 @@
     (share.ceil() as usize).min(slots).max(2)
 }
 
-/// A router's share of a server's connections. Up to twice the plain share are used while nobody is refused: clients
-/// don't spread evenly over routers.
+/// A router's share of a server's connections. The shares of all together stay below what the server takes: one over
+/// it and openings, each of which costs the server a slot for a while, push each other out.
 #[derive(Debug, Clone, Copy)]
 pub struct Share {
     max_conns: usize,
@@ -38,13 +41,13 @@
         self.caution_until = now + CAUTION_S;
     }
 
-    /// The plain share.
+    /// The plain share, of what is left besides control's connections.
     pub fn plain(&self) -> usize {
-        (self.max_conns / self.routers).max(3).min(self.max_conns.max(1))
+        (self.max_conns.saturating_sub(KEPT) / self.routers).clamp(2, self.max_conns.max(2))
     }
 
     /// How many may be open now.
     pub fn limit(&self, now: f64) -> usize {
-        if now < self.caution_until { self.plain() } else { (self.plain() * 2).min(self.max_conns.max(1)) }
+        if now < self.caution_until { (self.plain() / 2).max(2) } else { self.plain() }
     }
 }
