Control: servers by service, news gathered for a step, nothing looked through for a plain renewal

Cause: badgerscale: a tick cost 0.27 us x services^2 (85 ms at 550); each grant and server at a start was told on its own and answered by all routers; 42 KB a session for its queue.

--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -1,7 +1,7 @@
 //! The database servers, as their heartbeats tell them.
 
 use crate::message::MemberNews;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Where a server stands in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +46,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     all: BTreeMap<String, Member>,
+    /// Ids by service, also of those that have left: a step of a service looks at its own only.
+    services: BTreeMap<String, BTreeSet<String>>,
     changes: u64,
 }
 
@@ -79,6 +81,7 @@
     pub fn merge(&mut self, now: f64, news: MemberNews, stamp: u64) -> bool {
         let Some(member) = self.all.get_mut(&news.id) else {
             let draining_since = news.draining.then_some(now);
+            self.services.entry(news.service.clone()).or_default().insert(news.id.clone());
             self.all.insert(news.id.clone(), Member { news, heard: now, draining_since, stamp });
             self.changes += 1;
             return true;
@@ -92,6 +95,9 @@
             member.draining_since = Some(now);
         }
         member.heard = now;
+        if member.news.service != news.service {
+            self.services.entry(news.service.clone()).or_default().insert(news.id.clone());
+        }
         member.news = news;
         if !same {
             member.stamp = stamp;
@@ -109,7 +115,17 @@
             swept = true;
             self.changes += 1;
         }
-        self.all.retain(|_, m| !m.news.gone || now - m.heard < REMEMBERED);
+        let (all, services) = (&mut self.all, &mut self.services);
+        all.retain(|id, m| {
+            let kept = !m.news.gone || now - m.heard < REMEMBERED;
+            if !kept {
+                services.values_mut().for_each(|ids| {
+                    ids.remove(id);
+                });
+            }
+            kept
+        });
+        services.retain(|_, ids| !ids.is_empty());
         swept
     }
 
@@ -138,13 +154,23 @@
 
     /// Those of a service that have not left.
     pub fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Member> {
-        self.all.values().filter(move |m| !m.news.gone && m.news.service == service)
+        self.named(service).filter(|m| !m.news.gone)
+    }
+
+    fn named<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Member> {
+        let ids = self.services.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.all.get(id)).filter(move |m| m.news.service == service)
+    }
+
+    /// Whether the last change of this one was told under this number.
+    pub(crate) fn is_stamped(&self, id: &str, stamp: u64) -> bool {
+        self.all.get(id).is_some_and(|m| m.stamp == stamp)
     }
 
     /// Those of a service that left or fell silent, as far as they are remembered, and from when on they took part in
     /// nothing: whoever lives sends beats.
     pub(crate) fn lost(&self, service: &str, heartbeat: f64) -> Vec<(String, f64)> {
-        let gone = self.all.values().filter(|m| m.news.gone && m.news.service == service);
+        let gone = self.named(service).filter(|m| m.news.gone);
         let since = |m: &Member| m.heard + if m.news.call_seq == u64::MAX { 0.1 } else { 2.0 * heartbeat };
         gone.map(|m| (m.news.id.clone(), since(m))).collect()
     }
@@ -156,10 +182,6 @@
 
     /// The services that have members.
     pub fn services(&self) -> Vec<String> {
-        let mut services: Vec<String> =
-            self.all.values().filter(|m| !m.news.gone).map(|m| m.news.service.clone()).collect();
-        services.sort_unstable();
-        services.dedup();
-        services
+        self.services.keys().filter(|s| self.of(s).next().is_some()).cloned().collect()
     }
 }
--- a/crates/control/src/steward.rs
+++ b/crates/control/src/steward.rs
@@ -350,8 +350,12 @@
                 self.step(now, &mut out);
             }
             self.next(now, &mut out);
-            if self.news_due {
+            // What came in one step is told at once: changes come in crowds, and each telling is answered.
+            if self.news_due && now < self.register.authority() {
                 self.news_due = false;
+                if let Some(lead) = &mut self.lead {
+                    lead.number += 1;
+                }
                 self.tell_all(now, &mut out);
             }
             if let Some(lead) = &mut self.lead {
@@ -456,7 +460,7 @@
                     if let Some(failover) = lead.services.get_mut(service) {
                         failover.told(number);
                     }
-                    self.tell_all(now, out);
+                    self.news_due = true;
                 }
             }
         }
@@ -511,8 +515,10 @@
         &self, now: f64, lead: &Lead, session: &Session, sent: Option<f64>, lease: f64, whole: bool,
     ) -> ToRouter {
         let after = if whole { 0 } else { session.told };
-        let grants = lead.grants.values().filter(|g| g.stamp > after).map(|g| g.news.clone()).collect();
-        let members = self.members.all().filter(|m| m.stamp > after && !(whole && m.news.gone));
+        // Most calls only renew the lease: nothing is looked through for them.
+        let any = after < lead.number || self.news_due;
+        let grants = lead.grants.values().filter(|g| any && g.stamp > after).map(|g| g.news.clone()).collect();
+        let members = any.then(|| self.members.all().filter(|m| m.stamp > after && !(whole && m.news.gone)));
         let newer = self.current.epoch > session.epoch;
         ToRouter::News {
             known: (crate::Ballot(lead.fence), lead.number),
@@ -520,7 +526,7 @@
             lease,
             whole,
             grants,
-            members: members.map(|m| m.news.clone()).collect::<Vec<MemberNews>>(),
+            members: members.into_iter().flatten().map(|m| m.news.clone()).collect::<Vec<MemberNews>>(),
             config: newer.then(|| self.current.config.clone()),
             voters: self.voters().to_vec(),
             routers: if now - lead.since < SETTLED { 0 } else { lead.leases.held(now) as u32 },
@@ -602,7 +608,7 @@
                 for one in news {
                     self.take(now, one, number);
                 }
-                self.tell_members(now, &mut out);
+                self.know_services();
             }
             Peer::Call { id, base, epoch, body } => {
                 let what = match body {
@@ -647,23 +653,10 @@
     fn take(&mut self, now: f64, news: MemberNews, number: u64) -> bool {
         let id = news.id.clone();
         let newer = self.members.merge(now, news, number);
-        if newer && number > 0 && self.members.all().any(|m| m.news.id == id && m.stamp == number) {
-            self.news_due = true;
-        }
+        self.news_due |= newer && number > 0 && self.members.is_stamped(&id, number);
         newer
     }
 
-    fn tell_members(&mut self, now: f64, out: &mut Vec<Out>) {
-        if self.news_due
-            && let Some(lead) = &mut self.lead
-        {
-            self.news_due = false;
-            lead.number += 1;
-            self.know_services();
-            self.tell_all(now, out);
-        }
-    }
-
     fn spread(&self, news: &MemberNews, out: &mut Vec<Out>) {
         for voter in self.voters().iter().filter(|v| **v != self.me) {
             out.push(Out::Peer(*voter, Peer::Members(vec![news.clone()])));
@@ -677,12 +670,11 @@
             Call::Beat { id, beat } => {
                 let stamp = self.lead.as_ref().map_or(0, |l| l.number + 1);
                 if let Some(news) = self.members.beat(now, &id, &beat, stamp) {
-                    self.news_due |=
-                        stamp > 0 && self.members.all().any(|m| m.news.id == id && m.stamp == stamp);
+                    self.news_due |= stamp > 0 && self.members.is_stamped(&id, stamp);
                     self.spread(&news, &mut out);
                 }
                 out.push(Out::Reply(number, Answer { status: 200, body: b"{}".to_vec() }));
-                self.tell_members(now, &mut out);
+                self.know_services();
             }
             Call::Depart { id } => {
                 let stamp = self.lead.as_ref().map_or(0, |l| l.number + 1);
@@ -691,7 +683,7 @@
                     self.spread(&news, &mut out);
                 }
                 out.push(Out::Reply(number, Answer { status: 200, body: b"{}".to_vec() }));
-                self.tell_members(now, &mut out);
+                self.know_services();
             }
             call => {
                 self.held.push_back((number, call, now + self.timing.call));
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -28,6 +28,8 @@
 
 /// Messages that wait for a link or a session, at most; what is over is lost, and mended by what comes next.
 const WAITING: usize = 256;
+/// News that waits for one router, at most.
+const NEWS: usize = 16;
 
 /// The control part of a process.
 pub struct Control {
@@ -339,7 +341,8 @@
                         None => {
                             let id = self.next.get() + 1;
                             self.next.set(id);
-                            let (sender, receiver) = async_channel::bounded(WAITING);
+                            // A router that takes no news comes again and is told all anew.
+                            let (sender, receiver) = async_channel::bounded(NEWS);
                             self.sessions.borrow_mut().insert(id, sender);
                             let Ok(copy) = stream.get_ref().try_clone().and_then(Async::new) else { break };
                             let told = self.tasks.spawn(tell(copy, receiver));
