--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -268,7 +268,7 @@
         let to = SocketAddr::from((Ipv4Addr::from(node), self.port));
         loop {
             let Ok(first) = messages.recv().await else { return };
-            let Ok(mut stream) = frames::connect(to, 0.5, 1.0).await else {
+            let Ok(mut stream) = frames::connect(to, frames::CONNECT, 1.0).await else {
                 Timer::after(Duration::from_millis(60)).await;
                 // What waited is old by now; beats and values are sent again.
                 while messages.len() > 4 {
--- a/crates/node/src/frames.rs
+++ b/crates/node/src/frames.rs
@@ -11,6 +11,10 @@
 /// A frame's bytes at most.
 pub const MOST: usize = 8 << 20;
 
+/// A connection between our processes opens within so many seconds, or is tried anew: the opening packet to a machine that
+/// was without power is sent again only after a second, and by then it may have been up for long.
+pub const CONNECT: f64 = 0.2;
+
 /// One message on a connection.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum Frame {
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -100,7 +100,7 @@
     /// One connection, until it breaks or another machine leads.
     async fn with(&self, node: Node) -> io::Result<Option<Node>> {
         let to = SocketAddr::from((Ipv4Addr::from(node), self.port));
-        let stream = frames::connect(to, self.spans.suspect.min(0.4), self.spans.suspect * 2.0).await?;
+        let stream = frames::connect(to, frames::CONNECT, self.spans.suspect * 2.0).await?;
         let (news, told) = async_channel::bounded(64);
         let read = async {
             let mut reader = io::BufReader::with_capacity(1024, &stream);
