--- a/crates/control/src/steward.rs
+++ b/crates/control/src/steward.rs
@@ -517,7 +517,8 @@
         let after = if whole { 0 } else { session.told };
         // Most calls only renew the lease: nothing is looked through for them.
         let any = after < lead.number || self.news_due;
-        let grants = lead.grants.values().filter(|g| any && g.stamp > after).map(|g| g.news.clone()).collect();
+        let grants =
+            lead.grants.values().filter(|g| any && g.stamp > after).map(|g| g.news.clone()).collect();
         let members = any.then(|| self.members.all().filter(|m| m.stamp > after && !(whole && m.news.gone)));
         let newer = self.current.epoch > session.epoch;
         ToRouter::News {
