--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,6 +1,7 @@
 //! A control machine: the decisions of `badgerstream-control` with links, disk and clock.
 
 use crate::asker::{self, Whom};
+use crate::bell::Bell;
 use crate::frames::{self, Frame};
 use crate::servers::Servers;
 use crate::{clock, http};
@@ -45,6 +46,7 @@
     /// What is on the disk.
     kept: RefCell<badgerstream_store::Record>,
     links: RefCell<HashMap<Node, Sender<Peer>>>,
+    heard: RefCell<HashMap<Node, Rc<Bell>>>,
     sessions: RefCell<HashMap<u64, Sender<ToRouter>>>,
     askers: RefCell<HashMap<String, Sender<Statement>>>,
     calls: RefCell<HashMap<u64, Sender<Answer>>>,
@@ -141,6 +143,7 @@
             kept: RefCell::new(kept),
             servers,
             links: RefCell::default(),
+            heard: RefCell::default(),
             sessions: RefCell::default(),
             askers: RefCell::default(),
             calls: RefCell::default(),
@@ -253,6 +256,11 @@
         }
     }
 
+    /// Rung whenever this control machine has opened a connection to here.
+    fn heard_of(&self, node: Node) -> Rc<Bell> {
+        self.heard.borrow_mut().entry(node).or_default().clone()
+    }
+
     fn link(self: &Rc<Self>, node: Node, message: Peer) {
         let mut links = self.links.borrow_mut();
         let link = links.entry(node).or_insert_with(|| {
@@ -268,8 +276,19 @@
         let to = SocketAddr::from((Ipv4Addr::from(node), self.port));
         loop {
             let Ok(first) = messages.recv().await else { return };
-            let Ok(mut stream) = frames::connect(to, frames::CONNECT, 1.0).await else {
-                Timer::after(Duration::from_millis(60)).await;
+            let heard = self.heard_of(node);
+            let rings = heard.rings();
+            let Ok(mut stream) = future::or(frames::connect(to, frames::CONNECT, 1.0), async {
+                // It has just called: an attempt from before it was up would only be waited for.
+                heard.after(rings).await;
+                Err(io::ErrorKind::Interrupted.into())
+            })
+            .await
+            else {
+                let pause = async {
+                    Timer::after(Duration::from_millis(60)).await;
+                };
+                future::or(pause, heard.after(rings)).await;
                 // What waited is old by now; beats and values are sent again.
                 while messages.len() > 4 {
                     let _ = messages.try_recv();
@@ -329,7 +348,10 @@
         while let Ok(frame) = frames::read(&mut reader).await {
             let now = clock::now();
             match frame {
-                Frame::Control { node: of } => node = Some(of),
+                Frame::Control { node: of } => {
+                    node = Some(of);
+                    self.heard_of(of).ring();
+                }
                 Frame::Peer(message) => {
                     let Some(from) = node else { break };
                     let out = self.steward.borrow_mut().peer(now, from, message);
