--- a/crates/calls/src/tests/settings.rs
+++ b/crates/calls/src/tests/settings.rs
@@ -101,7 +101,7 @@
     let own = |more: &str| Settings::read(&format!("{LEAST}{more}")).map(|s| s.own);
     assert_eq!(own("badgerstream.lease_ms=2000\nbadgerstream.renew_ms=1500").unwrap().renew_ms, 1500);
     assert!(
-        own("badgerstream.renew_ms=1000")
+        own("badgerstream.renew_ms=1500")
             .unwrap_err()
             .to_string()
             .contains("line 5: field badgerstream.renew_ms")
