A control machine that hears nobody lead sends beats on; who answers questions is not forgotten

While one control machine was cut off, it alone acknowledged the beats of two servers: the leader forgot a copy that went on answering it, and never knew of another that counted for what was acknowledged. A planned change lost its target by that, and a copy that had been paused was promoted.

--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -106,6 +106,13 @@
         true
     }
 
+    /// It has answered a question of ours: it is there, whoever takes its beats.
+    pub fn answered(&mut self, now: f64, id: &str) {
+        if let Some(member) = self.all.get_mut(id).filter(|m| !m.news.gone) {
+            member.heard = now;
+        }
+    }
+
     /// Forgets who has not been heard of for so many seconds. True if somebody was.
     pub fn sweep(&mut self, now: f64, silent_s: f64, stamp: u64) -> bool {
         let mut swept = false;
--- a/crates/control/src/register.rs
+++ b/crates/control/src/register.rs
@@ -172,6 +172,14 @@
         self.leader
     }
 
+    /// Whether this machine leads and may act, or heard a leader a moment ago: what it takes in reaches whoever decides.
+    pub fn in_touch(&self, now: f64) -> bool {
+        match self.role {
+            Role::Leader(_) => now < self.authority(),
+            _ => self.leader.is_some() && now - self.led_at < 2.0 * self.suspect,
+        }
+    }
+
     /// The ballot under which this machine leads and has agreed on what it found.
     pub fn leads(&self) -> Option<Ballot> {
         match &self.role {
--- a/crates/control/src/steward.rs
+++ b/crates/control/src/steward.rs
@@ -664,6 +664,16 @@
         }
     }
 
+    /// The answer to a beat. A machine that is cut off from whoever leads keeps what it heard, but sends its caller on:
+    /// a server that only it knows of may hold what the others miss.
+    fn taken(&self, now: f64) -> Answer {
+        if self.register.in_touch(now) {
+            Answer { status: 200, body: b"{}".to_vec() }
+        } else {
+            told(503, "no machine leads here")
+        }
+    }
+
     /// A call from outside; its answer comes as [`Out::Reply`] under this number.
     pub fn call(&mut self, now: f64, number: u64, call: Call) -> Vec<Out> {
         let mut out = Vec::new();
@@ -674,7 +684,7 @@
                     self.news_due |= stamp > 0 && self.members.is_stamped(&id, stamp);
                     self.spread(&news, &mut out);
                 }
-                out.push(Out::Reply(number, Answer { status: 200, body: b"{}".to_vec() }));
+                out.push(Out::Reply(number, self.taken(now)));
                 self.know_services();
             }
             Call::Depart { id } => {
@@ -683,7 +693,7 @@
                     self.news_due |= stamp > 0;
                     self.spread(&news, &mut out);
                 }
-                out.push(Out::Reply(number, Answer { status: 200, body: b"{}".to_vec() }));
+                out.push(Out::Reply(number, self.taken(now)));
                 self.know_services();
             }
             call => {
@@ -727,6 +737,9 @@
 
     /// What a question to a server came to.
     pub fn asked(&mut self, now: f64, service: &str, id: &str, asked: Asked) {
+        if matches!(asked, Asked::Row { .. } | Asked::Busy) {
+            self.members.answered(now, id);
+        }
         if let Some(failover) = self.lead.as_mut().and_then(|l| l.services.get_mut(service)) {
             failover.asked(now, id, asked);
         }
--- a/crates/control/src/tests/calls.rs
+++ b/crates/control/src/tests/calls.rs
@@ -213,3 +213,23 @@
     world.run(1.0);
     assert!(world.in_use().is_some());
 }
+
+#[test]
+fn a_machine_that_hears_nobody_lead_sends_beats_on() {
+    let mut world = led();
+    let leader = world.leader().expect("somebody leads");
+    let beat = |seq: u64| Call::Beat {
+        id: "new".to_owned(),
+        beat: super::world::beat("new", "10.0.9.9:1", seq, false),
+    };
+    let alone = *world.controls.keys().find(|n| **n != leader).expect("three control machines");
+    assert_eq!(ask(&mut world, alone, 901, beat(1)).map(|a| a.0), Some(200));
+    for other in world.controls.keys().copied().filter(|n| *n != alone).collect::<Vec<_>>() {
+        world.cut.insert((alone, other));
+        world.cut.insert((other, alone));
+    }
+    world.run(2.0);
+    // Only it would know of a copy that counts for what is acknowledged.
+    assert_eq!(ask(&mut world, alone, 902, beat(2)).map(|a| a.0), Some(503));
+    assert_eq!(ask(&mut world, leader, 903, beat(3)).map(|a| a.0), Some(200));
+}
--- a/crates/control/src/tests/members.rs
+++ b/crates/control/src/tests/members.rs
@@ -90,3 +90,15 @@
     sessions.sweep(100.0);
     assert_eq!(sessions.held(0.0), 0);
 }
+
+#[test]
+fn whoever_answers_is_not_forgotten_though_its_beats_go_elsewhere() {
+    let mut members = Members::default();
+    members.beat(0.0, "a", &beat(1, Phase::Ready), 1);
+    members.answered(4.0, "a");
+    assert!(!members.sweep(5.0, 4.8, 2));
+    assert!(members.get("a").is_some());
+    assert!(members.sweep(9.0, 4.8, 3), "it is, once it is silent as well");
+    members.answered(9.1, "a");
+    assert!(members.get("a").is_none(), "only a beat brings it back");
+}
