--- a/crates/control/src/register.rs
+++ b/crates/control/src/consensus.rs
@@ -5,7 +5,7 @@
 //! majority answered its beats a moment ago it knows that nobody else has won. There is no log: a machine that was away
 //! gets the value whole.
 
-use crate::message::{Node, Peer};
+use crate::message::{Node, PeerMessage};
 use crate::state::State;
 use std::collections::HashMap;
 
@@ -34,11 +34,11 @@
 
 /// What is to be done, in this order.
 #[derive(Clone, Debug, PartialEq)]
-pub enum RegisterOut {
+pub enum ConsensusOutput {
     /// The record is to be on disk before anything behind this.
     Save,
     /// To another machine.
-    Send(Node, Peer),
+    Send(Node, PeerMessage),
     /// This machine leads from now on, with the state as it is.
     Won,
     /// It does no longer.
@@ -72,7 +72,7 @@
 
 /// One machine's part in it.
 #[derive(Clone, Debug)]
-pub struct Register {
+pub struct Consensus {
     me: Node,
     record: Record,
     /// False for an empty disk until it has caught up: it might go back on what it promised before.
@@ -116,11 +116,11 @@
 /// One of those that decide, unheard by the leader for so many seconds, makes room for another.
 const ABSENT: f64 = 3.0;
 
-impl Register {
+impl Consensus {
     /// A machine that starts with what its disk holds. `votes` is false if the disk is empty though the system is not new.
-    pub fn new(me: Node, record: Record, votes: bool, now: f64, seed: u64, suspect: f64) -> Register {
+    pub fn new(me: Node, record: Record, votes: bool, now: f64, seed: u64, suspect: f64) -> Consensus {
         let highest = record.promised;
-        let mut register = Register {
+        let mut consensus = Consensus {
             me,
             record,
             votes,
@@ -141,15 +141,15 @@
             authority: suspect,
         };
         // At the first start nobody leads: the first in order need not wait for a silence to pass.
-        register.heard = now - suspect + 0.05;
-        let promised = register.record.promised.0;
+        consensus.heard = now - suspect + 0.05;
+        let promised = consensus.record.promised.0;
         if promised != 0 && promised & u64::from(u32::MAX) != u64::from(me) {
             // What this machine answered in its last life another one may act on.
-            register.heard = now;
-            register.led_at = now;
+            consensus.heard = now;
+            consensus.led_at = now;
         }
-        register.pause = register.stagger();
-        register
+        consensus.pause = consensus.stagger();
+        consensus
     }
 
     /// The machines that decide.
@@ -215,7 +215,7 @@
     }
 
     /// Proposes the next state. None while something is under way or another machine leads.
-    pub fn propose(&mut self, now: f64, next: State, out: &mut Vec<RegisterOut>) -> Option<u64> {
+    pub fn propose(&mut self, now: f64, next: State, out: &mut Vec<ConsensusOutput>) -> Option<u64> {
         if self.agreed().is_none() || next.seq != self.record.state.seq + 1 {
             return None;
         }
@@ -225,23 +225,26 @@
         Some(seq)
     }
 
-    fn spread(&mut self, now: f64, out: &mut Vec<RegisterOut>) {
+    fn spread(&mut self, now: f64, out: &mut Vec<ConsensusOutput>) {
         let Role::Leader(leading) = &mut self.role else { return };
         self.record.accepted = leading.ballot;
-        out.push(RegisterOut::Save);
+        out.push(ConsensusOutput::Save);
         let seq = self.record.state.seq;
         leading.holds.insert(self.me, seq);
         for voter in self.record.state.voters.iter().filter(|v| **v != self.me) {
             leading.sent.insert(*voter, now);
             let state = self.record.state.clone();
             let new = !leading.before.is_empty() && !leading.before.contains(voter);
-            out.push(RegisterOut::Send(*voter, Peer::Accept { ballot: leading.ballot, state, new }));
+            out.push(ConsensusOutput::Send(
+                *voter,
+                PeerMessage::Accept { ballot: leading.ballot, state, new },
+            ));
         }
         self.count(out);
     }
 
     /// Whoever is not among those that decide, or hears nobody lead, asks to be taken in; who is asked need not answer.
-    fn ask_to_join(&mut self, now: f64, out: &mut Vec<RegisterOut>) {
+    fn ask_to_join(&mut self, now: f64, out: &mut Vec<ConsensusOutput>) {
         let member = self.votes && self.voters().contains(&self.me);
         let led = now - self.led_at.max(self.heard) < JOIN && self.leader.is_some();
         if member && (led || matches!(self.role, Role::Leader(_))) || now - self.joining < JOIN {
@@ -252,14 +255,14 @@
             self.voters().iter().chain(&self.seeds).copied().filter(|v| *v != self.me).collect();
         for (at, node) in known.iter().enumerate() {
             if !known[..at].contains(node) {
-                out.push(RegisterOut::Send(*node, Peer::Join));
+                out.push(ConsensusOutput::Send(*node, PeerMessage::Join));
             }
         }
     }
 
     /// The leader changes the set of those that decide, one machine at a time: it takes in who asks, and lets go of who has
     /// been silent while enough are left.
-    fn change_voters(&mut self, now: f64, out: &mut Vec<RegisterOut>) {
+    fn change_voters(&mut self, now: f64, out: &mut Vec<ConsensusOutput>) {
         if self.authority() < now || self.agreed().is_none() {
             return;
         }
@@ -286,13 +289,13 @@
     }
 
     /// This machine is about to end: it leads no longer, and stands no more.
-    pub fn resign(&mut self, out: &mut Vec<RegisterOut>) {
+    pub fn resign(&mut self, out: &mut Vec<ConsensusOutput>) {
         self.leaving = true;
         if let Role::Leader(leading) = &self.role {
             let ballot = leading.ballot;
             let others: Vec<Node> = self.voters().iter().copied().filter(|v| *v != self.me).collect();
             self.follow(out);
-            out.extend(others.into_iter().map(|v| RegisterOut::Send(v, Peer::Resign { ballot })));
+            out.extend(others.into_iter().map(|v| ConsensusOutput::Send(v, PeerMessage::Resign { ballot })));
         }
     }
 
@@ -306,7 +309,7 @@
         self.seeds = seeds;
     }
 
-    fn count(&mut self, out: &mut Vec<RegisterOut>) {
+    fn count(&mut self, out: &mut Vec<ConsensusOutput>) {
         let seq = self.record.state.seq;
         let voters = self.record.state.voters.clone();
         let Role::Leader(leading) = &mut self.role else { return };
@@ -321,7 +324,7 @@
         }
         leading.before = voters;
         let first = leading.agreed.replace(seq).is_none();
-        out.push(if first { RegisterOut::Won } else { RegisterOut::Agreed });
+        out.push(if first { ConsensusOutput::Won } else { ConsensusOutput::Agreed });
     }
 
     fn stagger(&mut self) -> f64 {
@@ -330,10 +333,10 @@
         0.12 * rank as f64 + 0.05 * ((self.lot >> 33) as f64 / (1u64 << 31) as f64)
     }
 
-    fn follow(&mut self, out: &mut Vec<RegisterOut>) {
+    fn follow(&mut self, out: &mut Vec<ConsensusOutput>) {
         if let Role::Leader(leading) = &self.role {
             if leading.agreed.is_some() {
-                out.push(RegisterOut::Lost);
+                out.push(ConsensusOutput::Lost);
             }
             self.leader = None;
         }
@@ -341,14 +344,14 @@
     }
 
     /// Lets time pass.
-    pub fn tick(&mut self, now: f64, out: &mut Vec<RegisterOut>) {
+    pub fn tick(&mut self, now: f64, out: &mut Vec<ConsensusOutput>) {
         let me = self.me;
         self.ask_to_join(now, out);
         if !self.votes {
             if now - self.heard > self.suspect {
                 self.heard = now;
                 let others: Vec<Node> = self.voters().iter().copied().filter(|v| *v != me).collect();
-                out.extend(others.into_iter().map(|v| RegisterOut::Send(v, Peer::Recall)));
+                out.extend(others.into_iter().map(|v| ConsensusOutput::Send(v, PeerMessage::Recall)));
             }
             return;
         }
@@ -368,12 +371,15 @@
                         let new = leading.agreed != Some(seq)
                             && !leading.before.is_empty()
                             && !leading.before.contains(voter);
-                        out.push(RegisterOut::Send(
+                        out.push(ConsensusOutput::Send(
                             *voter,
-                            Peer::Accept { ballot: leading.ballot, state, new },
+                            PeerMessage::Accept { ballot: leading.ballot, state, new },
                         ));
                     }
-                    out.push(RegisterOut::Send(*voter, Peer::Lead { ballot: leading.ballot, sent: now }));
+                    out.push(ConsensusOutput::Send(
+                        *voter,
+                        PeerMessage::Lead { ballot: leading.ballot, sent: now },
+                    ));
                 }
             }
             Role::Candidate { since, promises, ballot, asked } => {
@@ -385,7 +391,7 @@
                     let all =
                         named.iter().chain(self.record.state.voters.iter().filter(|v| !named.contains(v)));
                     for voter in all.filter(|v| !promises.contains_key(v)) {
-                        out.push(RegisterOut::Send(*voter, Peer::Prepare { ballot: *ballot }));
+                        out.push(ConsensusOutput::Send(*voter, PeerMessage::Prepare { ballot: *ballot }));
                     }
                 }
                 if now - *since > 0.6 {
@@ -407,21 +413,21 @@
         }
     }
 
-    fn stand(&mut self, now: f64, out: &mut Vec<RegisterOut>) {
+    fn stand(&mut self, now: f64, out: &mut Vec<ConsensusOutput>) {
         let ballot = self.highest.max(self.record.promised).above(self.me);
         self.highest = ballot;
         self.record.promised = ballot;
         self.leader = None;
-        out.push(RegisterOut::Save);
+        out.push(ConsensusOutput::Save);
         let mut promises = HashMap::new();
         promises.insert(self.me, (self.record.accepted, self.record.state.clone()));
         self.role = Role::Candidate { ballot, promises, since: now, asked: now };
         let others: Vec<Node> = self.voters().iter().copied().filter(|v| *v != self.me).collect();
-        out.extend(others.into_iter().map(|v| RegisterOut::Send(v, Peer::Prepare { ballot })));
+        out.extend(others.into_iter().map(|v| ConsensusOutput::Send(v, PeerMessage::Prepare { ballot })));
         self.elect(now, out);
     }
 
-    fn elect(&mut self, now: f64, out: &mut Vec<RegisterOut>) {
+    fn elect(&mut self, now: f64, out: &mut Vec<ConsensusOutput>) {
         let Role::Candidate { ballot, promises, .. } = &self.role else { return };
         let newest = promises.values().max_by_key(|(accepted, state)| (*accepted, state.seq));
         let (ballot, state) = (*ballot, newest.map(|(_, state)| state.clone()).unwrap_or_default());
@@ -449,9 +455,9 @@
     }
 
     /// A message of another machine.
-    pub fn message(&mut self, now: f64, from: Node, message: Peer, out: &mut Vec<RegisterOut>) {
+    pub fn message(&mut self, now: f64, from: Node, message: PeerMessage, out: &mut Vec<ConsensusOutput>) {
         match message {
-            Peer::Prepare { ballot } => {
+            PeerMessage::Prepare { ballot } => {
                 self.highest = self.highest.max(ballot);
                 // A leader acts on what this machine answered for so long: nobody else may win before that has passed.
                 // But for the one that it was promised to last: who asks anew has given up what it led.
@@ -462,7 +468,7 @@
                 let (again, asks) = (ballot == self.record.promised, ballot.0 as u32 == from);
                 if !self.votes || lead || leads || ballot < self.record.promised || again && !asks {
                     let promised = self.record.promised;
-                    out.push(RegisterOut::Send(from, Peer::Refuse { promised, ballot }));
+                    out.push(ConsensusOutput::Send(from, PeerMessage::Refuse { promised, ballot }));
                     return;
                 }
                 self.follow(out);
@@ -470,11 +476,11 @@
                 self.heard = now;
                 self.pause = self.stagger();
                 self.record.promised = ballot;
-                out.push(RegisterOut::Save);
+                out.push(ConsensusOutput::Save);
                 let (accepted, state) = (self.record.accepted, self.record.state.clone());
-                out.push(RegisterOut::Send(from, Peer::Promise { ballot, accepted, state }));
+                out.push(ConsensusOutput::Send(from, PeerMessage::Promise { ballot, accepted, state }));
             }
-            Peer::Promise { ballot: of, accepted, state } => {
+            PeerMessage::Promise { ballot: of, accepted, state } => {
                 if let Role::Candidate { ballot, promises, .. } = &mut self.role
                     && *ballot == of
                 {
@@ -482,7 +488,7 @@
                     self.elect(now, out);
                 }
             }
-            Peer::Refuse { promised, ballot: of } => {
+            PeerMessage::Refuse { promised, ballot: of } => {
                 self.highest = self.highest.max(promised);
                 let mine = match &self.role {
                     Role::Leader(leading) => Some(leading.ballot),
@@ -495,13 +501,13 @@
                     self.pause = self.stagger();
                 }
             }
-            Peer::Accept { ballot, state, new } => {
+            PeerMessage::Accept { ballot, state, new } => {
                 self.highest = self.highest.max(ballot);
                 // A machine that was never among those that decide has promised nothing that it could have forgotten.
                 let floor = if new { Some(Ballot(0)) } else { self.floor() };
                 if ballot < self.record.promised || floor.is_none_or(|f| ballot < f) {
                     let promised = self.record.promised;
-                    out.push(RegisterOut::Send(from, Peer::Refuse { promised, ballot }));
+                    out.push(ConsensusOutput::Send(from, PeerMessage::Refuse { promised, ballot }));
                     return;
                 }
                 self.led(now, from, ballot, out);
@@ -513,12 +519,12 @@
                     self.record.state = state;
                     self.votes = true;
                     if !same {
-                        out.push(RegisterOut::Save);
+                        out.push(ConsensusOutput::Save);
                     }
-                    out.push(RegisterOut::Send(from, Peer::Accepted { ballot, seq }));
+                    out.push(ConsensusOutput::Send(from, PeerMessage::Accepted { ballot, seq }));
                 }
             }
-            Peer::Accepted { ballot, seq } => {
+            PeerMessage::Accepted { ballot, seq } => {
                 if let Role::Leader(leading) = &mut self.role
                     && leading.ballot == ballot
                 {
@@ -527,22 +533,22 @@
                     self.count(out);
                 }
             }
-            Peer::Lead { ballot, sent } => {
+            PeerMessage::Lead { ballot, sent } => {
                 self.highest = self.highest.max(ballot);
                 if ballot < self.record.promised || !self.votes {
                     let promised = self.record.promised;
-                    out.push(RegisterOut::Send(from, Peer::Refuse { promised, ballot }));
+                    out.push(ConsensusOutput::Send(from, PeerMessage::Refuse { promised, ballot }));
                     return;
                 }
                 self.led(now, from, ballot, out);
                 // A promise that was lost on the way is as good as kept: nothing below it is taken any more.
                 if ballot > self.record.promised {
                     self.record.promised = ballot;
-                    out.push(RegisterOut::Save);
+                    out.push(ConsensusOutput::Save);
                 }
-                out.push(RegisterOut::Send(from, Peer::Led { ballot, sent }));
+                out.push(ConsensusOutput::Send(from, PeerMessage::Led { ballot, sent }));
             }
-            Peer::Led { ballot, sent } => {
+            PeerMessage::Led { ballot, sent } => {
                 if let Role::Leader(leading) = &mut self.role
                     && leading.ballot == ballot
                 {
@@ -550,7 +556,7 @@
                     *newest = newest.max(sent);
                 }
             }
-            Peer::Recall => {
+            PeerMessage::Recall => {
                 let promised = self.record.promised;
                 let voters = self.record.state.voters.clone();
                 if let Role::Leader(leading) = &mut self.role {
@@ -559,10 +565,10 @@
                     leading.sent.remove(&from);
                 }
                 if self.votes {
-                    out.push(RegisterOut::Send(from, Peer::Recalled { promised, voters }));
+                    out.push(ConsensusOutput::Send(from, PeerMessage::Recalled { promised, voters }));
                 }
             }
-            Peer::Recalled { promised, voters } => {
+            PeerMessage::Recalled { promised, voters } => {
                 if !self.votes {
                     self.told.insert(from, promised);
                     if self.record.state.seq == 0 {
@@ -570,7 +576,7 @@
                     }
                 }
             }
-            Peer::Resign { ballot } => {
+            PeerMessage::Resign { ballot } => {
                 // It acts no longer on what this machine answered: nobody need wait for that to pass.
                 if self.leader == Some(from) && ballot == self.record.promised {
                     self.leader = None;
@@ -579,10 +585,10 @@
                     self.pause = self.stagger();
                 }
             }
-            Peer::Join => {
+            PeerMessage::Join => {
                 self.wants.insert(from, now);
             }
-            Peer::Members(_) | Peer::Call { .. } | Peer::Answer { .. } => {}
+            PeerMessage::Members(_) | PeerMessage::Call { .. } | PeerMessage::Answer { .. } => {}
         }
     }
 
@@ -597,7 +603,7 @@
         told.map(|t| t.into_iter().max().unwrap_or_default())
     }
 
-    fn led(&mut self, now: f64, from: Node, ballot: Ballot, out: &mut Vec<RegisterOut>) {
+    fn led(&mut self, now: f64, from: Node, ballot: Ballot, out: &mut Vec<ConsensusOutput>) {
         let mine = match &self.role {
             Role::Leader(leading) => Some(leading.ballot),
             Role::Candidate { ballot, .. } => Some(*ballot),
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/leases.rs
@@ -13,18 +13,18 @@
     until: f64,
 }
 
-/// Sessions by the routers' names.
+/// Leases by the routers' names.
 #[derive(Clone, Debug, Default)]
-pub struct Sessions {
+pub struct Leases {
     all: HashMap<String, Session>,
     /// Leases that leaders before us gave may run until then.
     before_us: f64,
 }
 
-impl Sessions {
+impl Leases {
     /// A machine begins to lead: leases of those before it may run until `before_us`.
-    pub fn begin(before_us: f64) -> Sessions {
-        Sessions { all: HashMap::new(), before_us }
+    pub fn begin(before_us: f64) -> Leases {
+        Leases { all: HashMap::new(), before_us }
     }
 
     /// A router asks and is given the lease for so many seconds; it knows all news up to `known`.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,23 +1,23 @@
 //! The decisions of control: agreement, members, leases, failover; no I/O, no clock.
 //!
 //! Seconds are handed in, of the steady clock of the machine on which this runs. What is to be done comes out as a list
-//! of [`Out`] in the order in which it must happen: whatever is to be on disk stands before what relies on it.
+//! of [`Output`] in the order in which it must happen: whatever is to be on disk stands before what relies on it.
 
+mod consensus;
+mod controller;
 mod failover;
+mod leases;
 mod members;
 mod message;
-mod register;
-mod sessions;
 mod state;
-mod steward;
 
+pub use consensus::{Ballot, Consensus, ConsensusOutput, Record};
+pub use controller::{Answer, Call, ControlTiming, Controller, Output};
 pub use failover::{Asked, Row, Statement, Timing};
+pub use leases::Leases;
 pub use members::{Beat, Member, Members, Phase};
-pub use message::{Evidence, GrantNews, MemberNews, Node, Peer, ToControl, ToRouter};
-pub use register::{Ballot, Record, Register, RegisterOut};
-pub use sessions::Sessions;
+pub use message::{Evidence, GrantNews, MemberNews, Node, PeerMessage, ToControl, ToRouter};
 pub use state::{Primary, State, Taken};
-pub use steward::{Answer, Call, Out, Steward, StewardTiming};
 
 #[cfg(test)]
 mod tests;
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -1,6 +1,6 @@
 //! What the system's processes tell each other.
 
-use crate::register::Ballot;
+use crate::consensus::Ballot;
 use crate::state::State;
 use bincode::{Decode, Encode};
 
@@ -9,7 +9,7 @@
 
 /// Between control machines.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
-pub enum Peer {
+pub enum PeerMessage {
     /// Asks for the promise to take part in nothing below this ballot.
     Prepare { ballot: Ballot },
     /// The promise, with what was accepted last and under which ballot.
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -42,7 +42,7 @@
     /// Just this one was taken before.
     Before,
     /// Another version is in place.
-    Elsewise,
+    Conflict,
     /// Its epoch is not above the current one's.
     Old,
 }
@@ -60,7 +60,7 @@
         if self.past.contains(&(epoch, digest(body))) {
             Taken::Before
         } else if base != self.epoch {
-            Taken::Elsewise
+            Taken::Conflict
         } else if epoch <= self.epoch {
             Taken::Old
         } else {
--- a/crates/control/src/tests/agreement.rs
+++ b/crates/control/src/tests/agreement.rs
@@ -1,7 +1,7 @@
 //! The register: every order of a few messages, and longer random ones; what was acknowledged is never lost or forked.
 
-use crate::message::{Node, Peer};
-use crate::register::{Record, Register, RegisterOut};
+use crate::consensus::{Consensus, ConsensusOutput, Record};
+use crate::message::{Node, PeerMessage};
 use crate::state::{State, Taken};
 use arbtest::arbtest;
 use std::collections::HashSet;
@@ -10,7 +10,7 @@
 
 #[derive(Clone)]
 struct Machine {
-    register: Register,
+    consensus: Consensus,
     /// What is on the disk.
     saved: Record,
     /// Its disk was lost, and nothing was saved on it since.
@@ -24,7 +24,7 @@
 #[derive(Clone)]
 struct Net {
     machines: Vec<Machine>,
-    bag: Vec<(Node, Node, Peer)>,
+    bag: Vec<(Node, Node, PeerMessage)>,
     now: f64,
     /// Epochs that were agreed on, in that order: each was acknowledged by the leader that proposed it.
     agreed: Vec<(u64, u64)>,
@@ -38,8 +38,8 @@
     fn new(seed: u64) -> Net {
         let machine = |node: Node| {
             let saved = Record { state: State::first(vec![1, 2, 3]), ..Record::default() };
-            let register = Register::new(node, saved.clone(), true, 0.0, seed + u64::from(node), SUSPECT);
-            Machine { register, saved, empty: false, up: true, offset: 0.0 }
+            let consensus = Consensus::new(node, saved.clone(), true, 0.0, seed + u64::from(node), SUSPECT);
+            Machine { consensus, saved, empty: false, up: true, offset: 0.0 }
         };
         Net {
             machines: (1..=3).map(machine).collect(),
@@ -56,22 +56,22 @@
         &mut self.machines[node as usize - 1]
     }
 
-    fn take(&mut self, node: Node, outs: Vec<RegisterOut>) {
+    fn take(&mut self, node: Node, outs: Vec<ConsensusOutput>) {
         for out in outs {
             match out {
-                RegisterOut::Save => {
+                ConsensusOutput::Save => {
                     let machine = self.at(node);
-                    machine.saved = machine.register.record().clone();
+                    machine.saved = machine.consensus.record().clone();
                     machine.empty = false;
                 }
-                RegisterOut::Send(to, message) => self.bag.push((node, to, message)),
-                RegisterOut::Won => {
+                ConsensusOutput::Send(to, message) => self.bag.push((node, to, message)),
+                ConsensusOutput::Won => {
                     self.tell(|| format!("{node} won"));
                     self.won(node);
                 }
-                RegisterOut::Lost => {}
-                RegisterOut::Agreed => {
-                    let state = &self.at(node).register.record().state;
+                ConsensusOutput::Lost => {}
+                ConsensusOutput::Agreed => {
+                    let state = &self.at(node).consensus.record().state;
                     let one = (state.seq, state.epoch);
                     self.tell(|| format!("{node} agreed on {one:?}"));
                     let other = self.agreed.iter().find(|a| a.0 == one.0);
@@ -99,7 +99,7 @@
 
     /// Whoever wins has all that was acknowledged, and nobody else may act any more.
     fn won(&mut self, node: Node) {
-        let state = self.at(node).register.record().state.clone();
+        let state = self.at(node).consensus.record().state.clone();
         let newest = self.agreed.iter().max().copied().unwrap_or_default();
         assert!(state.seq >= newest.0, "{node} won with {} after {newest:?}\n{}", state.seq, self.tale());
         assert!(
@@ -115,7 +115,7 @@
             .machines
             .iter()
             .enumerate()
-            .filter(|(_, m)| m.up && m.register.authority() > self.now + m.offset)
+            .filter(|(_, m)| m.up && m.consensus.authority() > self.now + m.offset)
             .map(|(i, _)| i + 1)
             .collect();
         assert!(acting.len() < 2, "{}: {acting:?} may act\n{}", self.now, self.tale());
@@ -126,7 +126,7 @@
         let machine = self.at(node);
         if machine.up {
             let (mut outs, clock) = (Vec::new(), now + machine.offset);
-            machine.register.tick(clock, &mut outs);
+            machine.consensus.tick(clock, &mut outs);
             self.take(node, outs);
         }
         self.one_acts();
@@ -140,7 +140,7 @@
         let machine = self.at(to);
         if machine.up {
             let (mut outs, clock) = (Vec::new(), now + machine.offset);
-            machine.register.message(clock, from, message, &mut outs);
+            machine.consensus.message(clock, from, message, &mut outs);
             self.take(to, outs);
         }
         self.one_acts();
@@ -153,14 +153,14 @@
         let epoch = self.proposals * 10 + u64::from(node);
         let machine = self.at(node);
         let clock = now + machine.offset;
-        if !machine.up || machine.register.authority() <= clock {
+        if !machine.up || machine.consensus.authority() <= clock {
             return false;
         }
-        let Some(state) = machine.register.agreed().cloned() else { return false };
+        let Some(state) = machine.consensus.agreed().cloned() else { return false };
         let mut outs = Vec::new();
         let body = epoch.to_le_bytes();
         let next = State { config: body.to_vec(), epoch, seq: state.seq + 1, ..state };
-        machine.register.propose(clock, next, &mut outs);
+        machine.consensus.propose(clock, next, &mut outs);
         self.tell(|| format!("{now:.3} {node} proposes {epoch}"));
         self.take(node, outs);
         true
@@ -180,7 +180,8 @@
         }
         let votes = !machine.empty;
         let clock = now + machine.offset;
-        machine.register = Register::new(node, machine.saved.clone(), votes, clock, now as u64 + 5, SUSPECT);
+        machine.consensus =
+            Consensus::new(node, machine.saved.clone(), votes, clock, now as u64 + 5, SUSPECT);
         machine.up = true;
     }
 
@@ -201,7 +202,7 @@
     }
 
     fn leader(&self) -> Option<Node> {
-        let acts = |m: &&Machine| m.up && m.register.authority() > self.now + m.offset;
+        let acts = |m: &&Machine| m.up && m.consensus.authority() > self.now + m.offset;
         let at = self.machines.iter().position(|m| acts(&m))?;
         Some(at as Node + 1)
     }
@@ -378,7 +379,7 @@
     net.bag.splice(0..0, waiting);
     net.calm(0.5);
     assert_eq!(net.leader(), Some(new));
-    assert!(net.machines[leader as usize - 1].register.leads().is_none());
+    assert!(net.machines[leader as usize - 1].consensus.leads().is_none());
 }
 
 /// An empty disk takes part in nothing before it has been brought up to date by a leader.
@@ -397,13 +398,13 @@
         let down = if wiped == 1 { 2 } else { 1 };
         net.at(down).up = false;
         net.calm(4.0);
-        assert!(net.leader().is_none() && !net.machines[wiped as usize - 1].register.votes());
+        assert!(net.leader().is_none() && !net.machines[wiped as usize - 1].consensus.votes());
         net.restart(down, false);
         net.calm(3.0);
         let leader = net.leader().expect("a leader");
         assert!(net.propose(leader));
         net.calm(0.3);
-        assert!(net.machines[wiped as usize - 1].register.votes());
+        assert!(net.machines[wiped as usize - 1].consensus.votes());
         assert_eq!(net.agreed.len(), 2);
     }
 }
@@ -416,7 +417,7 @@
         net.calm(1.5);
         net.restart(wiped, true);
         net.calm(4.0);
-        assert!(net.machines.iter().all(|m| m.register.votes()), "{}", net.tale());
+        assert!(net.machines.iter().all(|m| m.consensus.votes()), "{}", net.tale());
         // So another one may be lost.
         net.at(1 + wiped % 3).up = false;
         net.calm(2.0);
@@ -437,9 +438,9 @@
         net.propose(leader);
         // Only one other takes it.
         net.bag.retain(|(_, to, _)| *to == helper);
-        let at = net.bag.iter().position(|(_, _, m)| matches!(m, Peer::Accept { .. })).unwrap();
+        let at = net.bag.iter().position(|(_, _, m)| matches!(m, PeerMessage::Accept { .. })).unwrap();
         net.deliver(at, false);
-        let at = net.bag.iter().position(|(_, _, m)| matches!(m, Peer::Accepted { .. })).unwrap();
+        let at = net.bag.iter().position(|(_, _, m)| matches!(m, PeerMessage::Accepted { .. })).unwrap();
         net.deliver(at, false);
         assert_eq!(net.agreed.len(), 1);
         for wiped in [leader, helper] {
@@ -473,7 +474,7 @@
             }
             match u.int_in_range(0..=19)? {
                 0 => net.restart(u.int_in_range(1..=3)?, false),
-                1 if wipes && net.machines.iter().all(|m| m.register.votes()) => {
+                1 if wipes && net.machines.iter().all(|m| m.consensus.votes()) => {
                     net.restart(u.int_in_range(1..=3)?, true);
                 }
                 2 => net.at(u.int_in_range(1..=3)?).up = false,
@@ -513,7 +514,7 @@
         let newest = net.agreed.iter().max().copied().unwrap_or_default();
         for machine in &net.machines {
             assert!(machine.saved.state.seq >= newest.0, "{}", net.tale());
-            assert!(machine.register.votes(), "a machine has not caught up\n{}", net.tale());
+            assert!(machine.consensus.votes(), "a machine has not caught up\n{}", net.tale());
         }
         Ok(())
     })
@@ -529,7 +530,7 @@
     assert_eq!(first.judge(0, 5, b"x"), Taken::Next);
     let second = first.with_config(5, b"x");
     assert_eq!(second.judge(0, 5, b"x"), Taken::Before);
-    assert_eq!(second.judge(0, 5, b"y"), Taken::Elsewise);
+    assert_eq!(second.judge(0, 5, b"y"), Taken::Conflict);
     assert_eq!(second.judge(5, 5, b"y"), Taken::Old);
     assert_eq!(second.judge(5, 4, b"y"), Taken::Old);
     assert_eq!(second.judge(5, 6, b"y"), Taken::Next);
--- a/crates/control/src/tests/calls.rs
+++ b/crates/control/src/tests/calls.rs
@@ -1,7 +1,7 @@
 //! Calls of operators to the control machines, and what routers are told, in the small world of [`super::world`].
 
 use super::world::World;
-use crate::steward::Call;
+use crate::controller::Call;
 use arbtest::arbtest;
 
 fn replace(base: u64, epoch: u64, text: &str) -> Call {
@@ -80,7 +80,7 @@
         answers.sort_unstable();
         assert_eq!(answers, [200, 412], "step {step}");
         let read = ask(&mut world, 1, 20, Call::Read).unwrap();
-        let won = world.controls[&1].steward.as_ref().unwrap().config().1.to_vec();
+        let won = world.controls[&1].controller.as_ref().unwrap().config().1.to_vec();
         assert!(read == (200, b"x".to_vec()) || read == (200, b"y".to_vec()));
         assert_eq!(read.1, won);
     }
@@ -132,15 +132,15 @@
         for _ in 0..u.int_in_range(2..=14)? {
             let node = u.int_in_range(1..=3)?;
             let control = &world.controls[&node];
-            let whole = world.controls.values().all(|c| c.steward.as_ref().is_some_and(|s| s.votes()));
+            let whole = world.controls.values().all(|c| c.controller.as_ref().is_some_and(|s| s.votes()));
             match u.int_in_range(0..=9)? {
                 0 => world.kill(node),
-                1 if control.steward.is_none() => world.start(node, !control.empty),
+                1 if control.controller.is_none() => world.start(node, !control.empty),
                 2 if whole => {
                     world.wipe(node);
                     world.start(node, false);
                 }
-                3 if control.steward.is_some() => world.freeze(node),
+                3 if control.controller.is_some() => world.freeze(node),
                 4 if control.frozen => world.thaw(node),
                 5 => {
                     world.cut.insert((node, 1 + node % 3));
@@ -178,7 +178,7 @@
             let control = &world.controls[&node];
             if control.frozen {
                 world.thaw(node);
-            } else if control.steward.is_none() {
+            } else if control.controller.is_none() {
                 world.start(node, !control.empty);
             }
         }
--- a/crates/control/src/tests/failover.rs
+++ b/crates/control/src/tests/failover.rs
@@ -486,8 +486,8 @@
         let server = u.choose(&servers)?.clone();
         match u.int_in_range(0..=13)? {
             0 => world.kill(node),
-            1 if world.controls[&node].steward.is_none() => world.start(node, true),
-            2 if world.controls[&node].steward.is_some() => world.freeze(node),
+            1 if world.controls[&node].controller.is_none() => world.start(node, true),
+            2 if world.controls[&node].controller.is_some() => world.freeze(node),
             3 if world.controls[&node].frozen => world.thaw(node),
             4 if world.servers[&server].health == Health::Up => world.crash(&server),
             5 if world.servers[&server].health == Health::Up => world.darken(&server),
@@ -533,7 +533,7 @@
     for node in 1..=3 {
         if world.controls[&node].frozen {
             world.thaw(node);
-        } else if world.controls[&node].steward.is_none() {
+        } else if world.controls[&node].controller.is_none() {
             world.start(node, true);
         }
     }
--- a/crates/control/src/tests/members.rs
+++ b/crates/control/src/tests/members.rs
@@ -1,7 +1,7 @@
 //! Beats that come late or twice, leavers, silence; and the routers' leases one by one.
 
+use crate::leases::Leases;
 use crate::members::{Beat, Members, Phase};
-use crate::sessions::Sessions;
 
 fn beat(seq: u64, phase: Phase) -> Beat {
     let text = |t: &str| t.to_owned();
@@ -74,7 +74,7 @@
 
 #[test]
 fn a_lease_ends_when_it_is_known_or_over() {
-    let mut sessions = Sessions::begin(1.0);
+    let mut sessions = Leases::begin(1.0);
     assert!(!sessions.all_know(0.9, 5), "leases of the leader before may still run");
     assert!(sessions.all_know(1.0, 5));
     sessions.renew(1.0, "r", 1, 4, 1.0);
--- a/crates/control/src/tests/voters.rs
+++ b/crates/control/src/tests/voters.rs
@@ -1,7 +1,7 @@
 //! The set that decides, as it changes: machines join, leave and resign; what was agreed on is never lost or forked.
 
-use crate::message::{Node, Peer};
-use crate::register::{Ballot, Record, Register, RegisterOut};
+use crate::consensus::{Ballot, Consensus, ConsensusOutput, Record};
+use crate::message::{Node, PeerMessage};
 use crate::state::State;
 use arbtest::arbtest;
 use std::collections::BTreeMap;
@@ -9,7 +9,7 @@
 const SUSPECT: f64 = 0.6;
 
 struct Machine {
-    register: Register,
+    consensus: Consensus,
     saved: Record,
     up: bool,
 }
@@ -17,7 +17,7 @@
 /// Machines by address, and the messages under way between them.
 struct Net {
     machines: BTreeMap<Node, Machine>,
-    bag: Vec<(Node, Node, Peer)>,
+    bag: Vec<(Node, Node, PeerMessage)>,
     now: f64,
     agreed: BTreeMap<u64, State>,
     wins: Vec<(f64, Node)>,
@@ -40,9 +40,9 @@
 
     fn start(&mut self, node: Node, saved: Record, votes: bool) {
         let seed = 7 + u64::from(node);
-        let mut register = Register::new(node, saved.clone(), votes, self.now, seed, SUSPECT);
-        register.seeds(vec![1, 2, 3]);
-        self.machines.insert(node, Machine { register, saved, up: true });
+        let mut consensus = Consensus::new(node, saved.clone(), votes, self.now, seed, SUSPECT);
+        consensus.seeds(vec![1, 2, 3]);
+        self.machines.insert(node, Machine { consensus, saved, up: true });
     }
 
     /// An empty machine at an address of its own.
@@ -50,15 +50,15 @@
         self.start(node, Record { state: State::first(vec![1, 2, 3]), ..Record::default() }, false);
     }
 
-    fn take(&mut self, node: Node, outs: Vec<RegisterOut>) {
+    fn take(&mut self, node: Node, outs: Vec<ConsensusOutput>) {
         for out in outs {
             let Some(machine) = self.machines.get_mut(&node) else { return };
             match out {
-                RegisterOut::Save => machine.saved = machine.register.record().clone(),
-                RegisterOut::Send(to, message) => self.bag.push((node, to, message)),
-                RegisterOut::Won | RegisterOut::Agreed => {
-                    let state = machine.register.record().state.clone();
-                    if out == RegisterOut::Won {
+                ConsensusOutput::Save => machine.saved = machine.consensus.record().clone(),
+                ConsensusOutput::Send(to, message) => self.bag.push((node, to, message)),
+                ConsensusOutput::Won | ConsensusOutput::Agreed => {
+                    let state = machine.consensus.record().state.clone();
+                    if out == ConsensusOutput::Won {
                         self.wins.push((self.now, node));
                         let newest = self.agreed.keys().max().copied().unwrap_or(0);
                         assert!(state.seq >= newest, "{node} won with {} after {newest}", state.seq);
@@ -66,10 +66,10 @@
                     let other = self.agreed.insert(state.seq, state.clone());
                     assert!(other.is_none_or(|o| o == state), "forked at {}", state.seq);
                 }
-                RegisterOut::Lost => {}
+                ConsensusOutput::Lost => {}
             }
         }
-        let acting = self.machines.values().filter(|m| m.up && m.register.authority() > self.now).count();
+        let acting = self.machines.values().filter(|m| m.up && m.consensus.authority() > self.now).count();
         assert!(acting < 2, "{acting} may act at {}", self.now);
     }
 
@@ -77,7 +77,7 @@
         let now = self.now;
         if let Some(machine) = self.machines.get_mut(&node).filter(|m| m.up) {
             let mut outs = Vec::new();
-            machine.register.tick(now, &mut outs);
+            machine.consensus.tick(now, &mut outs);
             self.take(node, outs);
         }
     }
@@ -87,18 +87,19 @@
         let now = self.now;
         if let Some(machine) = self.machines.get_mut(&to).filter(|m| m.up) {
             let mut outs = Vec::new();
-            machine.register.message(now, from, message, &mut outs);
+            machine.consensus.message(now, from, message, &mut outs);
             self.take(to, outs);
         }
     }
 
     fn propose(&mut self, epoch: u64) {
         let now = self.now;
-        let leads = self.machines.iter().find(|(_, m)| m.up && m.register.authority() > now).map(|(n, _)| *n);
+        let leads =
+            self.machines.iter().find(|(_, m)| m.up && m.consensus.authority() > now).map(|(n, _)| *n);
         let Some(machine) = leads.and_then(|n| self.machines.get_mut(&n)) else { return };
         let mut outs = Vec::new();
-        if let Some(state) = machine.register.agreed().cloned() {
-            machine.register.propose(now, state.with_config(epoch, b"{}"), &mut outs);
+        if let Some(state) = machine.consensus.agreed().cloned() {
+            machine.consensus.propose(now, state.with_config(epoch, b"{}"), &mut outs);
         }
         self.take(leads.unwrap_or_default(), outs);
     }
@@ -125,11 +126,11 @@
     }
 
     fn leader(&self) -> Option<Node> {
-        self.machines.iter().find(|(_, m)| m.up && m.register.leads().is_some()).map(|(n, _)| *n)
+        self.machines.iter().find(|(_, m)| m.up && m.consensus.leads().is_some()).map(|(n, _)| *n)
     }
 
     fn voters(&self) -> Vec<Node> {
-        self.leader().map(|l| self.machines[&l].register.voters().to_vec()).unwrap_or_default()
+        self.leader().map(|l| self.machines[&l].consensus.voters().to_vec()).unwrap_or_default()
     }
 }
 
@@ -143,7 +144,7 @@
     net.join(4);
     net.calm(1.5);
     assert!(net.voters().contains(&4), "it decides within a second of its start: {:?}", net.voters());
-    assert!(net.machines[&4].register.votes());
+    assert!(net.machines[&4].consensus.votes());
     net.calm(4.0);
     assert_eq!(net.voters().len(), 3, "the one that is gone makes room: {:?}", net.voters());
     // One more may be lost now.
@@ -220,7 +221,7 @@
     net.calm(1.0);
     let leader = net.leader().expect("somebody leads");
     let mut outs = Vec::new();
-    net.machines.get_mut(&leader).expect("it is there").register.resign(&mut outs);
+    net.machines.get_mut(&leader).expect("it is there").consensus.resign(&mut outs);
     net.take(leader, outs);
     let asked = net.now;
     net.calm(1.0);
@@ -234,7 +235,7 @@
     let mut net = Net::new();
     net.now = 0.2;
     net.tick(1);
-    let asked = net.bag.iter().position(|(_, to, m)| *to == 2 && matches!(m, Peer::Prepare { .. }));
+    let asked = net.bag.iter().position(|(_, to, m)| *to == 2 && matches!(m, PeerMessage::Prepare { .. }));
     net.deliver(asked.expect("it stands"));
     // All that is under way is lost, the promise too.
     net.bag.clear();
--- a/crates/control/src/tests/world.rs
+++ b/crates/control/src/tests/world.rs
@@ -1,18 +1,20 @@
-//! A small world round the stewards: three control machines, routers, the servers of one service and the platform, all
+//! A small world round the controllers: three control machines, routers, the servers of one service and the platform, all
 //! driven by one clock that the test moves. Routers hold leases as the program's sessions do; servers keep logs of
 //! commits, so that what was acknowledged can be looked for. Rules are checked at every event.
 
-use crate::steward::{Call, Out, Steward, StewardTiming};
-use crate::{Asked, Ballot, Beat, Evidence, GrantNews, Node, Peer, Record, Row, State, Statement, Timing};
+use crate::controller::{Call, ControlTiming, Controller, Output};
+use crate::{
+    Asked, Ballot, Beat, Evidence, GrantNews, Node, PeerMessage, Record, Row, State, Statement, Timing,
+};
 use crate::{ToControl, ToRouter};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 pub const SERVICE: &str = "s";
 /// As the program sets them by default, with heartbeats of 1.2 s.
-pub fn timing() -> StewardTiming {
+pub fn timing() -> ControlTiming {
     let service =
         Timing { ask: 0.2, ask_replica: 1.0, silence: 0.6, answer: 0.6, heartbeat: 1.2, drain: 7.0 };
-    StewardTiming { lease: 1.0, suspect: 0.6, platform: 1.0, call: 2.5, forget: 4.8, service }
+    ControlTiming { lease: 1.0, suspect: 0.6, platform: 1.0, call: 2.5, forget: 4.8, service }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,7 +28,7 @@
 
 #[derive(Clone)]
 pub struct Control {
-    pub steward: Option<Steward>,
+    pub controller: Option<Controller>,
     pub life: u64,
     pub saved: Record,
     /// Its disk was lost, and nothing was saved on it since.
@@ -110,7 +112,7 @@
 #[derive(Clone, Debug)]
 enum Event {
     Tick(Node, u64),
-    Peer { from: Node, to: Node, message: Peer },
+    PeerMessage { from: Node, to: Node, message: PeerMessage },
     Met(Node, Node),
     AskAt { node: Node, life: u64, id: String, statement: Statement, asked: f64 },
     Asked { node: Node, life: u64, id: String, asked: Asked },
@@ -219,7 +221,7 @@
         for node in 1..=3 {
             let saved = Record { state: State::first(vec![1, 2, 3]), ..Record::default() };
             let control = Control {
-                steward: None,
+                controller: None,
                 life: 0,
                 saved,
                 empty: false,
@@ -321,9 +323,9 @@
         control.frozen = false;
         control.inbox.clear();
         let record = control.saved.clone();
-        control.steward = Some(Steward::new(node, record, votes, now + control.offset, seed, timing()));
+        control.controller = Some(Controller::new(node, record, votes, now + control.offset, seed, timing()));
         let kept = control.kept.clone();
-        control.steward.as_mut().unwrap().recall(now + control.offset, kept);
+        control.controller.as_mut().unwrap().recall(now + control.offset, kept);
         let life = control.life;
         self.put(0.0, Event::Tick(node, life));
         for other in nodes.into_iter().filter(|n| *n != node) {
@@ -337,8 +339,8 @@
     pub fn kill(&mut self, node: Node) {
         self.say(|| format!("control {node} killed"));
         let control = self.controls.get_mut(&node).unwrap();
-        if let Some(steward) = control.steward.take() {
-            control.kept = steward.members().kept();
+        if let Some(controller) = control.controller.take() {
+            control.kept = controller.members().kept();
         }
         control.health = Health::Down;
         control.frozen = false;
@@ -377,15 +379,15 @@
     pub fn leader(&self) -> Option<Node> {
         let acts = |(node, c): (&Node, &Control)| {
             let clock = self.now + c.offset;
-            let steward = c.steward.as_ref().filter(|_| !c.frozen)?;
-            steward.acts(clock).then_some(*node)
+            let controller = c.controller.as_ref().filter(|_| !c.frozen)?;
+            controller.acts(clock).then_some(*node)
         };
         self.controls.iter().find_map(acts)
     }
 
     pub fn phase(&self) -> &'static str {
         let Some(leader) = self.leader() else { return "none" };
-        let primaries = self.controls[&leader].steward.as_ref().unwrap().primaries();
+        let primaries = self.controls[&leader].controller.as_ref().unwrap().primaries();
         primaries.first().map_or("unknown", |p| p.1)
     }
 
@@ -394,31 +396,31 @@
         self.with(node, |s, now| s.call(now, number, call));
     }
 
-    fn with(&mut self, node: Node, act: impl FnOnce(&mut Steward, f64) -> Vec<Out>) {
+    fn with(&mut self, node: Node, act: impl FnOnce(&mut Controller, f64) -> Vec<Output>) {
         let now = self.now;
         let control = self.controls.get_mut(&node).unwrap();
         let clock = now + control.offset;
-        let Some(steward) = &mut control.steward else { return };
-        let out = act(steward, clock);
+        let Some(controller) = &mut control.controller else { return };
+        let out = act(controller, clock);
         self.perform(node, out);
     }
 
-    fn perform(&mut self, node: Node, out: Vec<Out>) {
+    fn perform(&mut self, node: Node, out: Vec<Output>) {
         let life = self.controls[&node].life;
         for one in out {
             let way = self.way();
             match one {
-                Out::Save => {
+                Output::Save => {
                     let control = self.controls.get_mut(&node).unwrap();
-                    control.saved = control.steward.as_ref().unwrap().record().clone();
+                    control.saved = control.controller.as_ref().unwrap().record().clone();
                     control.empty = false;
                 }
-                Out::Peer(to, message) => {
+                Output::Peer(to, message) => {
                     if !self.cut.contains(&(node, to)) {
-                        self.put(way, Event::Peer { from: node, to, message });
+                        self.put(way, Event::PeerMessage { from: node, to, message });
                     }
                 }
-                Out::Router(conn, message) => {
+                Output::Router(conn, message) => {
                     let found = self.routers.iter().position(|r| {
                         r.conn.as_ref().is_some_and(|c| c.id == conn && c.node == node && c.life == life)
                     });
@@ -432,7 +434,7 @@
                         self.put(after, Event::News { router, conn, message });
                     }
                 }
-                Out::Ask { id, endpoint, statement, .. } => {
+                Output::Ask { id, endpoint, statement, .. } => {
                     let asked = self.now + self.controls[&node].offset;
                     let server = self.servers.get(&id).filter(|s| s.endpoint == endpoint);
                     let health = server.map_or(Health::Down, |s| s.health);
@@ -444,10 +446,10 @@
                         self.put(way, Event::AskAt { node, life, id, statement, asked });
                     }
                 }
-                Out::Promote { id, fence, before, .. } => {
+                Output::Promote { id, fence, before, .. } => {
                     self.put(way, Event::Post { node, life, id, fence, before });
                 }
-                Out::Reply(call, answer) => {
+                Output::Reply(call, answer) => {
                     self.replies.entry(call).or_insert((answer.status, answer.body));
                 }
             }
@@ -505,7 +507,7 @@
         let fit: Vec<Node> = self
             .controls
             .iter()
-            .filter(|(n, c)| c.steward.is_some() && !c.frozen && !self.deaf_controls.contains(n))
+            .filter(|(n, c)| c.controller.is_some() && !c.frozen && !self.deaf_controls.contains(n))
             .map(|(n, _)| *n)
             .collect();
         if fit.is_empty() { None } else { Some(fit[self.draw(fit.len() as u64) as usize]) }
@@ -627,7 +629,7 @@
         let acting: Vec<Node> = self
             .controls
             .iter()
-            .filter(|(_, c)| c.steward.as_ref().is_some_and(|s| s.acts(self.now + c.offset)))
+            .filter(|(_, c)| c.controller.as_ref().is_some_and(|s| s.acts(self.now + c.offset)))
             .map(|(n, _)| *n)
             .collect();
         assert!(acting.len() < 2, "{}: two control machines may act at once: {acting:?}", self.now);
@@ -635,7 +637,7 @@
 
     fn reaches(&mut self, node: Node, life: Option<u64>, event: &Event) -> bool {
         let control = self.controls.get_mut(&node).unwrap();
-        if control.steward.is_none() || life.is_some_and(|l| l != control.life) {
+        if control.controller.is_none() || life.is_some_and(|l| l != control.life) {
             return false;
         }
         if control.frozen {
@@ -652,10 +654,10 @@
                     return;
                 }
                 self.with(*node, |s, now| s.tick(now));
-                let leads = self.controls[node].steward.as_ref().is_some_and(Steward::leads);
+                let leads = self.controls[node].controller.as_ref().is_some_and(Controller::leads);
                 self.put(if leads { 0.02 } else { 0.05 }, Event::Tick(*node, *life));
             }
-            Event::Peer { from, to, message } => {
+            Event::PeerMessage { from, to, message } => {
                 if self.reaches(*to, None, &event) {
                     let message = message.clone();
                     self.with(*to, |s, now| s.peer(now, *from, message));
@@ -690,7 +692,7 @@
                 if self.reaches(*node, Some(*life), &event) {
                     let control = self.controls.get_mut(node).unwrap();
                     let now = self.now + control.offset;
-                    control.steward.as_mut().unwrap().asked(now, SERVICE, id, *asked);
+                    control.controller.as_mut().unwrap().asked(now, SERVICE, id, *asked);
                 }
             }
             Event::Renew { node, life, conn, router, call } => {
@@ -765,7 +767,7 @@
                     return;
                 }
                 let control = &self.controls[node];
-                let promised = control.steward.as_ref().unwrap().record().promised.0;
+                let promised = control.controller.as_ref().unwrap().record().promised.0;
                 if self.now + control.offset >= *before || promised != *fence {
                     let answer = Event::PostAnswer { node: *node, life: *life, status: None };
                     self.put(0.0, answer);
@@ -780,7 +782,7 @@
                 if self.reaches(*node, Some(*life), &event) {
                     let control = self.controls.get_mut(node).unwrap();
                     let now = self.now + control.offset;
-                    control.steward.as_mut().unwrap().promoted(now, SERVICE, *status);
+                    control.controller.as_mut().unwrap().promoted(now, SERVICE, *status);
                 }
             }
             Event::Depose(id, term) => {
--- /dev/null
+++ b/crates/node/src/control/calls.rs
@@ -0,0 +1,53 @@
+//! HTTP calls of servers and operators.
+
+use super::*;
+
+impl http::Handler for Control {
+    async fn answer(self: Rc<Self>, request: Request) -> Vec<u8> {
+        let keep = request.keep_alive && !self.ending.get();
+        let operation = match call::dispatch(&request) {
+            Ok(operation) => operation,
+            Err(e) => return response(400, &[], format!("{e}\n").as_bytes(), keep),
+        };
+        let call = match operation {
+            Operation::Beat { id, beat } => Call::Beat { id, beat: read_beat(beat) },
+            Operation::Depart { id } => Call::Depart { id },
+            Operation::Replace { base, body } => match Config::read(body) {
+                Ok(config) => {
+                    Call::Replace { base: base.unwrap_or(0), epoch: config.epoch, body: body.to_vec() }
+                }
+                Err(e) => {
+                    log::info!("event=config_refused error={:?}", e.to_string());
+                    return response(400, &[], format!("{e}\n").as_bytes(), keep);
+                }
+            },
+            Operation::Read => Call::Read,
+            Operation::Readiness => return response(200, &[], b"", keep),
+            Operation::Other if ReadStatus::asked(&request) => {
+                return call::reply(&Reply::Done(self.status()), &request.path, keep);
+            }
+            Operation::Other => return response(404, &[], b"there is no such call\n", keep),
+        };
+        let is_read = matches!(call, Call::Read);
+        let answer = self.settle(call).await;
+        if is_read && answer.status == 200 && answer.body.is_empty() {
+            return response(404, &[], b"there is no configuration yet\n", keep);
+        }
+        response(answer.status, &[], &answer.body, keep)
+    }
+}
+
+fn read_beat(beat: beats::Heartbeat) -> Beat {
+    let phase = match beat.phase {
+        beats::Phase::Ready => Phase::Ready,
+        beats::Phase::Draining => Phase::Draining,
+    };
+    Beat {
+        service: beat.backend,
+        endpoint: beat.endpoint,
+        zone: beat.zone,
+        slots: beat.capacity.max(1),
+        phase,
+        call_seq: beat.call_seq,
+    }
+}
--- a/crates/node/src/frames.rs
+++ b/crates/node/src/frames.rs
@@ -1,7 +1,7 @@
 //! What the system's processes say to each other, as frames on a connection: a length, then `bincode`.
 
 use async_io::{Async, Timer};
-use badgerstream_control::{Node, Peer, ToControl, ToRouter};
+use badgerstream_control::{Node, PeerMessage, ToControl, ToRouter};
 use bincode::{Decode, Encode};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use std::io::{Error, ErrorKind, Result};
@@ -21,7 +21,7 @@
     /// The first on a connection of a control machine.
     Control { node: Node },
     /// Between control machines.
-    Peer(Peer),
+    Peer(PeerMessage),
     /// A router asks.
     Renew(ToControl),
     /// A router is told.
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -3,7 +3,7 @@
 //! Nothing relies on it: a file that can't be read whole is passed over, and whoever is named there but gone is missed as
 //! any other.
 
-use badgerstream_control::{MemberNews, Steward};
+use badgerstream_control::{Controller, MemberNews};
 use std::cell::Cell;
 use std::fs::File;
 use std::io::{Read, Write};
@@ -43,14 +43,14 @@
     }
 
     /// Keeps what is known if it has changed. A disk in trouble is no reason to stop: the next life waits for beats then.
-    pub fn keep(&self, now: f64, steward: &Steward) {
+    pub fn keep(&self, now: f64, controller: &Controller) {
         let (at, changes) = self.written.get();
-        let known = steward.members().changes();
+        let known = controller.members().changes();
         if known == changes || now - at < EVERY {
             return;
         }
         self.written.set((now, known));
-        if let Err(e) = self.write(&steward.members().kept()) {
+        if let Err(e) = self.write(&controller.members().kept()) {
             log::warn!("event=servers_not_kept error={e}");
         }
     }
--- a/crates/scale/src/decisions.rs
+++ b/crates/scale/src/decisions.rs
@@ -1,11 +1,11 @@
-//! What the decisions of control cost by themselves: three stewards in one process, joined by a queue, in a time of their
+//! What the decisions of control cost by themselves: three controllers in one process, joined by a queue, in a time of their
 //! own. Only this thread's processor time is measured, so the figures hold on a busy machine too.
 
 use crate::plan::{HEARTBEAT_MS, Plan, ServerSpec};
 use crate::servers::World;
 use badgerstream_control::{
-    Asked, Beat, Call, Evidence, Node, Out, Peer, Phase, Record, State, Steward, StewardTiming, Timing,
-    ToControl, ToRouter,
+    Asked, Beat, Call, ControlTiming, Controller, Evidence, Node, Output, PeerMessage, Phase, Record, State,
+    Timing, ToControl, ToRouter,
 };
 use badgerstream_node::asker::read_row;
 use badgerstream_node::frames::{self, Frame};
@@ -66,12 +66,12 @@
 /// Three control machines, the servers and the routers.
 pub struct Decisions {
     now: f64,
-    stewards: Vec<(Node, Steward)>,
+    controllers: Vec<(Node, Controller)>,
     world: World,
     servers: Vec<ServerSpec>,
     routers: Vec<Router>,
     evidence: usize,
-    queue: VecDeque<(Node, Node, Peer)>,
+    queue: VecDeque<(Node, Node, PeerMessage)>,
     seq: u64,
     replies: HashMap<u64, u16>,
     renews: Vec<ToControl>,
@@ -86,10 +86,10 @@
     }
 }
 
-fn timing() -> StewardTiming {
+fn timing() -> ControlTiming {
     let heartbeat = HEARTBEAT_MS as f64 / 1000.0;
     let service = Timing { ask: 0.2, ask_replica: 1.0, silence: 0.6, answer: 0.6, heartbeat, drain: 7.0 };
-    StewardTiming { lease: 1.5, suspect: 0.6, platform: 1.0, call: 2.5, forget: 4.0 * heartbeat, service }
+    ControlTiming { lease: 1.5, suspect: 0.6, platform: 1.0, call: 2.5, forget: 4.0 * heartbeat, service }
 }
 
 impl Decisions {
@@ -102,13 +102,13 @@
                 accepted: Default::default(),
                 state: State::first(nodes.clone()),
             };
-            (*me, Steward::new(*me, record, true, 0.0, 7 + n as u64, timing()))
+            (*me, Controller::new(*me, record, true, 0.0, 7 + n as u64, timing()))
         };
         let servers = plan.servers();
         let router = |_| Router { known: Default::default(), epoch: 0, holds: false };
         Decisions {
             now: 0.0,
-            stewards: nodes.iter().enumerate().map(one).collect(),
+            controllers: nodes.iter().enumerate().map(one).collect(),
             world: World::new(&servers),
             servers,
             routers: (0..plan.routers).map(router).collect(),
@@ -128,11 +128,11 @@
 
     /// None for a machine that is gone.
     fn at(&self, of: Node) -> Option<usize> {
-        self.stewards.iter().position(|(n, _)| *n == of)
+        self.controllers.iter().position(|(n, _)| *n == of)
     }
 
     fn leader(&self) -> Option<usize> {
-        self.stewards.iter().position(|(_, s)| s.acts(self.now))
+        self.controllers.iter().position(|(_, s)| s.acts(self.now))
     }
 
     /// How many routers know this epoch and hold a lease.
@@ -143,25 +143,30 @@
     /// Services whose primary routers may use.
     pub fn granted(&self) -> usize {
         let Some(leader) = self.leader() else { return 0 };
-        self.stewards[leader].1.primaries().iter().filter(|(_, _, g)| !g.closing && !g.id.is_empty()).count()
+        self.controllers[leader]
+            .1
+            .primaries()
+            .iter()
+            .filter(|(_, _, g)| !g.closing && !g.id.is_empty())
+            .count()
     }
 
     /// Does what this machine decided; the time that its frames took.
-    fn perform(&mut self, of: usize, out: Vec<Out>) -> f64 {
+    fn perform(&mut self, of: usize, out: Vec<Output>) -> f64 {
         let mut framed = 0.0;
-        let me = self.stewards[of].0;
+        let me = self.controllers[of].0;
         let leads = self.leader() == Some(of);
         let mut asked = Vec::new();
         for one in out {
             match one {
-                Out::Save | Out::Promote { .. } => {}
-                Out::Peer(to, message) => {
+                Output::Save | Output::Promote { .. } => {}
+                Output::Peer(to, message) => {
                     if leads {
                         self.costs.peer_bytes += frames::bytes(&Frame::Peer(message.clone())).len() as u64;
                     }
                     self.queue.push_back((me, to, message));
                 }
-                Out::Router(session, message) => {
+                Output::Router(session, message) => {
                     let began = spent();
                     let frame = Frame::News(message);
                     let bytes = frames::bytes(&frame).len() as u64;
@@ -173,8 +178,8 @@
                         self.take(session, news);
                     }
                 }
-                Out::Ask { id, service, statement, .. } => asked.push((id, service, statement)),
-                Out::Reply(call, answer) => {
+                Output::Ask { id, service, statement, .. } => asked.push((id, service, statement)),
+                Output::Reply(call, answer) => {
                     self.replies.insert(call, answer.status);
                 }
             }
@@ -189,7 +194,7 @@
             let row = self.world.ask(&id, &text).and_then(|row| read_row(row.as_bytes()));
             let answer = row.map_or(Asked::Refused, |row| Asked::Row { statement, row, asked: self.now });
             let began = spent();
-            self.stewards[of].1.asked(self.now, &service, &id, answer);
+            self.controllers[of].1.asked(self.now, &service, &id, answer);
             if leads {
                 add(&mut self.costs.answers, spent() - began);
             }
@@ -231,7 +236,7 @@
         let session = (leader as u64 + 1) * 10_000 + at as u64;
         self.costs.renewal_bytes += frames::bytes(&Frame::Renew(call.clone())).len() as u64;
         let began = spent();
-        let out = self.stewards[leader].1.router(self.now, session, call);
+        let out = self.controllers[leader].1.router(self.now, session, call);
         let took = spent() - began;
         add(&mut self.costs.renewals, took);
         self.perform(leader, out);
@@ -241,10 +246,10 @@
     pub fn step(&mut self) {
         self.now += STEP;
         let round = (self.now / STEP).round() as usize;
-        for n in 0..self.stewards.len() {
+        for n in 0..self.controllers.len() {
             let leads = self.leader() == Some(n);
             let began = spent();
-            let out = self.stewards[n].1.tick(self.now);
+            let out = self.controllers[n].1.tick(self.now);
             let took = spent() - began;
             let framed = self.perform(n, out);
             if leads {
@@ -282,7 +287,7 @@
             call_seq: self.seq,
         };
         let call = Call::Beat { id: server.id.clone(), beat };
-        let at = n % self.stewards.len();
+        let at = n % self.controllers.len();
         self.call(at, call);
     }
 
@@ -292,7 +297,7 @@
         let is_beat = matches!(call, Call::Beat { .. });
         let leads = self.leader() == Some(at);
         let began = spent();
-        let out = self.stewards[at].1.call(self.now, number, call);
+        let out = self.controllers[at].1.call(self.now, number, call);
         let took = spent() - began;
         let framed = self.perform(at, out);
         if leads {
@@ -309,9 +314,9 @@
         while let Some((from, to, message)) = self.queue.pop_front() {
             let Some(at) = self.at(to) else { continue };
             let leads = self.leader() == Some(at);
-            let members = matches!(message, Peer::Members(_));
+            let members = matches!(message, PeerMessage::Members(_));
             let began = spent();
-            let out = self.stewards[at].1.peer(self.now, from, message);
+            let out = self.controllers[at].1.peer(self.now, from, message);
             let took = spent() - began;
             let framed = self.perform(at, out);
             if leads {
@@ -340,7 +345,7 @@
     /// The leader is gone: the others go on without it.
     pub fn end_leader(&mut self) {
         if let Some(leader) = self.leader() {
-            let (gone, _) = self.stewards.remove(leader);
+            let (gone, _) = self.controllers.remove(leader);
             self.queue.retain(|(_, to, _)| *to != gone);
             for router in &mut self.routers {
                 router.holds = false;
