Store: both ballots in the small row, so that the same value under another ballot isn't written again

Cause: an acceptance rewrote the whole value with its ballot, also where only the ballot had changed: at every election. A store whose save failed answers every further save with an error, and nothing told its owner so before it tried.

Change: rows of version 2: the ballots, and the identity with the value. Store::save_ballots. StoreError::Closed for an owner that has let go of a failed store. Rows of version 1 are refused by name, as before.

--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -25,6 +25,10 @@
         Foreign(path: PathBuf) {
             display("{} doesn't belong in a folder of the control state", path.display())
         }
+        /// A save before this one failed, and the store wasn't opened anew yet.
+        Closed(path: PathBuf) {
+            display("{} has to be opened anew", path.display())
+        }
         /// The value is longer than is kept, in bytes.
         TooLarge(length: usize) {
             display("a value of {} bytes is above the bound of {}", length, crate::MAX_VALUE)
--- a/crates/store/src/format.rs
+++ b/crates/store/src/format.rs
@@ -5,7 +5,7 @@
 use bincode::{Decode, Encode};
 
 /// The version of the rows that this program writes and reads.
-pub(crate) const VERSION: u8 = 1;
+pub(crate) const VERSION: u8 = 2;
 
 /// The bytes before the body: the version and the checksum.
 const HEADER: usize = 5;
@@ -15,22 +15,21 @@
 
 /// The row that each ballot rewrites.
 #[derive(Encode, Decode)]
-pub(crate) struct Promise {
+pub(crate) struct Ballots {
     pub(crate) promised: u64,
+    pub(crate) accepted: u64,
 }
 
-/// The row that each acceptance rewrites, as written: the value is borrowed.
+/// The row that each new value rewrites, as written: the value is borrowed.
 #[derive(Encode)]
-pub(crate) struct Acceptance<'a> {
-    pub(crate) accepted: u64,
+pub(crate) struct Value<'a> {
     pub(crate) identity: u64,
     pub(crate) value: &'a [u8],
 }
 
-/// The row that each acceptance rewrites, as read back.
+/// The row that each new value rewrites, as read back.
 #[derive(Decode)]
-pub(crate) struct Accepted {
-    pub(crate) accepted: u64,
+pub(crate) struct OwnedValue {
     pub(crate) identity: u64,
     pub(crate) value: Vec<u8>,
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -27,11 +27,11 @@
 /// Pages that `redb` may keep, in bytes. Everything is read once, at the start, so a cache earns nothing.
 const CACHE: usize = 64 * 1024;
 
-/// One row for what changes with each ballot and one for what changes with each acceptance: a promise then writes a few
-/// bytes, not the value again.
+/// One row for what changes with each ballot and one for what changes with each value: a promise, or the same value under
+/// another ballot, then writes a few bytes, not the value again.
 const CONTROL: TableDefinition<u8, &[u8]> = TableDefinition::new("control");
-const PROMISE: u8 = 0;
-const ACCEPTANCE: u8 = 1;
+const BALLOTS: u8 = 0;
+const VALUE: u8 = 1;
 
 /// What a core machine must not forget.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -67,7 +67,7 @@
 
 /// The open store. Dropping it closes the file, for which it may write and sync once more; nothing depends on that.
 ///
-/// After an error of [`save`](Store::save) or [`promise`](Store::promise) either the old or the new record is on the disk: it
+/// After an error of [`save`](Store::save) or [`save_ballots`](Store::save_ballots) either the old or the new record is on the disk: it
 /// must be opened anew before anything is said about it.
 #[derive(Debug)]
 pub struct Store {
@@ -129,18 +129,19 @@
         if record.value.len() > MAX_VALUE {
             return Err(StoreError::TooLarge(record.value.len()));
         }
-        let acceptance =
-            format::Acceptance { accepted: record.accepted, identity: record.identity, value: &record.value };
-        self.write(record.promised, Some(acceptance)).map_err(|cause| self.failed("save to", cause))
+        let ballots = format::Ballots { promised: record.promised, accepted: record.accepted };
+        let value = format::Value { identity: record.identity, value: &record.value };
+        self.write(&ballots, Some(value)).map_err(|cause| self.failed("save to", cause))
     }
 
-    /// Puts a new promise on the disk and leaves the rest of the record as it is: a few pages, whatever the size of the
-    /// value. When this returns, power may go.
+    /// Puts new ballots on the disk and leaves the value as it is: a few pages, whatever the size of the value. When this
+    /// returns, power may go.
     ///
     /// # Errors
     /// See [`Store`].
-    pub fn promise(&mut self, promised: u64) -> Result<(), StoreError> {
-        self.write(promised, None).map_err(|cause| self.failed("save to", cause))
+    pub fn save_ballots(&mut self, promised: u64, accepted: u64) -> Result<(), StoreError> {
+        let ballots = format::Ballots { promised, accepted };
+        self.write(&ballots, None).map_err(|cause| self.failed("save to", cause))
     }
 
     fn make(
@@ -166,17 +167,17 @@
             Err(cause) => return Err(StoreError::Database("open", path, Box::new(cause.into()))),
         };
         let store = Store { database, path };
-        let (promise, acceptance) = store.rows().map_err(|cause| store.failed("read", cause))?;
+        let (ballots, value) = store.rows().map_err(|cause| store.failed("read", cause))?;
         let wrong = |what| StoreError::Record(store.path.clone(), what);
-        let promise: format::Promise =
-            format::decode(&promise.ok_or_else(|| wrong("holds no promise"))?).map_err(wrong)?;
-        let acceptance: format::Accepted =
-            format::decode(&acceptance.ok_or_else(|| wrong("holds no acceptance"))?).map_err(wrong)?;
+        let ballots: format::Ballots =
+            format::decode(&ballots.ok_or_else(|| wrong("holds no ballots"))?).map_err(wrong)?;
+        let value: format::OwnedValue =
+            format::decode(&value.ok_or_else(|| wrong("holds no value"))?).map_err(wrong)?;
         let record = Record {
-            promised: promise.promised,
-            accepted: acceptance.accepted,
-            value: acceptance.value,
-            identity: acceptance.identity,
+            promised: ballots.promised,
+            accepted: ballots.accepted,
+            value: value.value,
+            identity: value.identity,
         };
         Ok((store, record))
     }
@@ -186,20 +187,19 @@
         let transaction = self.database.begin_read()?;
         let table = transaction.open_table(CONTROL)?;
         let row = |key| Ok::<_, redb::Error>(table.get(key)?.map(|row| row.value().to_vec()));
-        Ok((row(PROMISE)?, row(ACCEPTANCE)?))
+        Ok((row(BALLOTS)?, row(VALUE)?))
     }
 
-    fn write(&self, promised: u64, acceptance: Option<format::Acceptance<'_>>) -> Result<(), redb::Error> {
+    fn write(&self, ballots: &format::Ballots, value: Option<format::Value<'_>>) -> Result<(), redb::Error> {
         let transaction = self.database.begin_write()?;
         {
             let mut table = transaction.open_table(CONTROL)?;
-            let promise = format::Promise { promised };
-            let length = format::length(&promise);
-            format::encode(&promise, table.insert_reserve(PROMISE, length)?.as_mut());
-            if let Some(acceptance) = acceptance {
+            let length = format::length(ballots);
+            format::encode(ballots, table.insert_reserve(BALLOTS, length)?.as_mut());
+            if let Some(value) = value {
                 // Straight into the page: another copy of the value would be paid for as memory.
-                let length = format::length(&acceptance);
-                format::encode(&acceptance, table.insert_reserve(ACCEPTANCE, length)?.as_mut());
+                let length = format::length(&value);
+                format::encode(&value, table.insert_reserve(VALUE, length)?.as_mut());
             }
         }
         transaction.commit()?;
--- a/crates/store/src/tests.rs
+++ b/crates/store/src/tests.rs
@@ -26,11 +26,13 @@
 #[derive(Clone, Debug, Default)]
 struct Recorder {
     state: Arc<Mutex<(Vec<u8>, Vec<Change>)>>,
+    /// So many changes more are taken, and then none; all if it isn't told.
+    takes: Arc<Mutex<Option<u64>>>,
 }
 
 impl Recorder {
     fn holding(content: Vec<u8>) -> Recorder {
-        Recorder { state: Arc::new(Mutex::new((content, Vec::new()))) }
+        Recorder { state: Arc::new(Mutex::new((content, Vec::new()))), ..Recorder::default() }
     }
 
     fn changes(&self) -> Vec<Change> {
@@ -41,7 +43,16 @@
         self.state.lock().unwrap().1.len()
     }
 
+    fn refuse_after(&self, changes: Option<u64>) {
+        *self.takes.lock().unwrap() = changes;
+    }
+
     fn change(&self, change: Change) -> io::Result<()> {
+        match &mut *self.takes.lock().unwrap() {
+            Some(0) => return Err(io::ErrorKind::StorageFull.into()),
+            Some(left) => *left -= 1,
+            None => {}
+        }
         let (content, changes) = &mut *self.state.lock().unwrap();
         apply(content, &change);
         changes.push(change);
@@ -192,7 +203,8 @@
             store.save(&current).unwrap();
             safe.push((disk.done(), current.clone()));
             current.promised += 1;
-            store.promise(current.promised).unwrap();
+            current.accepted += 1;
+            store.save_ballots(current.promised, current.accepted).unwrap();
             safe.push((disk.done(), current.clone()));
         }
         (History { start, changes: Vec::new(), safe }, disk, store)
@@ -304,7 +316,7 @@
         let (syncs, bytes) = cost(before);
         assert!((1..=3).contains(&syncs) && bytes < 200_000, "{syncs} syncs, {bytes} bytes");
         let before = disk.done();
-        store.promise(10 * round + 1).unwrap();
+        store.save_ballots(10 * round + 1, 10 * round).unwrap();
         let (syncs, bytes) = cost(before);
         assert!((1..=2).contains(&syncs) && bytes < 40_000, "{syncs} syncs, {bytes} bytes");
     }
@@ -376,8 +388,8 @@
     let copy = Folder::new();
     fs::copy(folder.file(), copy.file()).unwrap();
     assert_eq!(copy.open().unwrap().1, saved);
-    store.promise(99).unwrap();
-    saved.promised = 99;
+    store.save_ballots(99, 98).unwrap();
+    (saved.promised, saved.accepted) = (99, 98);
     drop(store);
     assert_eq!(folder.open().unwrap().1, saved);
 }
@@ -458,21 +470,49 @@
 #[test]
 fn a_row_is_refused_when_cut_changed_or_of_another_version() {
     assert_eq!(format::checksum(b"1234", b"56789"), 0xCBF4_3926);
-    let promise = format::Promise { promised: 0x0102 };
-    let mut row = vec![0; format::length(&promise)];
-    format::encode(&promise, &mut row);
-    assert_eq!(row[5..], [2, 1, 0, 0, 0, 0, 0, 0], "the page says so");
+    let ballots = format::Ballots { promised: 0x0102, accepted: 0x03 };
+    let mut row = vec![0; format::length(&ballots)];
+    format::encode(&ballots, &mut row);
+    assert_eq!(row[5..], [2, 1, 0, 0, 0, 0, 0, 0, 3, 0, 0, 0, 0, 0, 0, 0], "the page says so");
     assert_eq!(row[0], format::VERSION);
-    assert_eq!(format::decode::<format::Promise>(&row).unwrap().promised, 0x0102);
+    let read = format::decode::<format::Ballots>(&row).unwrap();
+    assert_eq!((read.promised, read.accepted), (0x0102, 0x03));
     for at in 0..row.len() {
-        assert!(format::decode::<format::Promise>(&row[..at]).is_err());
+        assert!(format::decode::<format::Ballots>(&row[..at]).is_err());
         let mut changed = row.clone();
         changed[at] ^= 4;
-        assert!(format::decode::<format::Promise>(&changed).is_err());
+        assert!(format::decode::<format::Ballots>(&changed).is_err());
+    }
+    for other in [1, 3] {
+        let mut row = row.clone();
+        row[0] = other;
+        let sum = format::checksum(&[other], &row[5..]);
+        row[1..5].copy_from_slice(&sum.to_le_bytes());
+        assert_eq!(format::decode::<format::Ballots>(&row).err(), Some("holds a row of another version"));
+    }
+}
+
+/// A disk that takes no more bytes fails the save; once it takes bytes again the store that is opened anew has the record
+/// before it or the one that was refused, and goes on.
+#[test]
+fn a_refused_save_costs_only_itself() {
+    for refused_from in 0..12 {
+        let disk = Recorder::default();
+        let (mut store, _) = Store::make(disk.clone(), PathBuf::from("f"), IDENTITY).unwrap();
+        store.save(&record(1, 50_000)).unwrap();
+        disk.refuse_after(Some(refused_from));
+        let refused = store.save(&record(2, 60_000)).is_err();
+        assert!(refused || refused_from > 2, "nothing was refused");
+        if refused {
+            assert!(store.save(&record(3, 100)).is_err(), "a store that failed says nothing more");
+        }
+        drop(store);
+        disk.refuse_after(None);
+        let (mut store, found) = Store::read(disk.clone(), PathBuf::from("f")).unwrap();
+        assert!(found == record(2, 60_000) || refused && found == record(1, 50_000), "{refused_from}");
+        store.save(&record(4, 70_000)).unwrap();
+        drop(store);
+        let (_, found) = Store::read(disk, PathBuf::from("f")).unwrap();
+        assert_eq!(found, record(4, 70_000));
     }
-    let mut later = row.clone();
-    later[0] = 2;
-    let sum = format::checksum(&[2], &later[5..]);
-    later[1..5].copy_from_slice(&sum.to_le_bytes());
-    assert_eq!(format::decode::<format::Promise>(&later).err(), Some("holds a row of another version"));
 }
