Control: failover split into a file for each phase

A move only: types, observations, grant and each phase of crates/control/src/failover.rs stand in files of failover/; the root keeps the phases and the step. No line of a function changed but its visibility.

--- /dev/null
+++ b/crates/control/src/failover/types.rs
@@ -0,0 +1,112 @@
+//! What is handed in and out of a failover: servers as they are seen from outside, questions, answers and actions.
+
+/// A position in a service's log: term and number.
+pub type Position = (u64, u64);
+
+/// What a server tells of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// It sees itself as the primary.
+    pub leader: bool,
+    /// The term of its log.
+    pub term: u64,
+    /// How far its log goes.
+    pub received: Position,
+    /// The highest term that it has heard of.
+    pub held: u64,
+}
+
+/// What a server is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Statement {
+    /// How it stands.
+    Status,
+    /// To receive nothing until a promote.
+    Pause(u64),
+    /// To receive again.
+    Resume,
+    /// To follow, if its term is lower.
+    StepDown(u64),
+}
+
+/// What came of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Asked {
+    /// The answer, to what was asked at that second.
+    Row { statement: Statement, row: Row, asked: f64 },
+    /// It answered, but not with a row.
+    Busy,
+    /// No answer in time, or the connection broke.
+    Silent,
+    /// Nobody listens at its address, or somebody else does.
+    Refused,
+}
+
+/// Spans, in seconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Between two questions to a primary.
+    pub ask: f64,
+    /// Between two questions to a replica.
+    pub ask_replica: f64,
+    /// A primary of which nobody had an answer for so long counts as dead.
+    pub silence: f64,
+    /// What a server is given for its answer.
+    pub answer: f64,
+    /// Heartbeats come this often.
+    pub heartbeat: f64,
+    /// A draining server is used for no longer than this from when it said so.
+    pub drain: f64,
+}
+
+/// What a server looks like from outside.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidate {
+    pub id: String,
+    pub draining_since: Option<f64>,
+    pub heard: f64,
+}
+
+/// What a step goes by.
+pub(crate) struct Around<'a> {
+    pub now: f64,
+    /// The members of the service.
+    pub members: &'a [Candidate],
+    /// Those that left or fell silent a while ago, and from when on they took part in nothing.
+    pub lost: &'a [(String, f64)],
+    /// The primary that was agreed on last: it leads this term or a later one. Just this one, once no router can use
+    /// another any more.
+    pub record: Option<(&'a str, u64)>,
+    /// Whether all routers know of all that was told up to this number.
+    pub all_know: &'a dyn Fn(u64) -> bool,
+    /// Since when this machine leads.
+    pub since: f64,
+    /// Nothing may be changed before this: leases and calls of former leaders.
+    pub not_before: f64,
+    /// How many replicas must have a commit before it is acknowledged.
+    pub sync: u32,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Act {
+    Ask(String, Statement),
+    Agree {
+        to: String,
+        above: u64,
+    },
+    /// The change to this primary is complete.
+    Settle {
+        id: String,
+        term: u64,
+    },
+    Promote {
+        to: String,
+    },
+    /// The grant of this service is now this.
+    Grant {
+        id: String,
+        term: u64,
+        closing: bool,
+    },
+}
