--- a/crates/store/src/tests.rs
+++ b/crates/store/src/tests.rs
@@ -462,6 +462,7 @@
     let mut row = vec![0; format::length(&promise)];
     format::encode(&promise, &mut row);
     assert_eq!(row[5..], [2, 1, 0, 0, 0, 0, 0, 0], "the page says so");
+    assert_eq!(row[1..5], 0x1520_0C24_u32.to_le_bytes(), "the checksum that version 1 has always had");
     assert_eq!(row[0], format::VERSION);
     assert_eq!(format::decode::<format::Promise>(&row).unwrap().promised, 0x0102);
     for at in 0..row.len() {
