--- a/crates/store/src/format.rs
+++ b/crates/store/src/format.rs
@@ -71,23 +71,8 @@
 
 /// CRC-32 as in IEEE 802.3 (reflected, 0xEDB88320), over both parts one after the other.
 pub(crate) fn checksum(first: &[u8], second: &[u8]) -> u32 {
-    const TABLE: [u32; 256] = table();
-    let step = |sum: u32, byte: &u8| TABLE[usize::from(sum as u8 ^ byte)] ^ (sum >> 8);
-    !second.iter().fold(first.iter().fold(!0, step), step)
-}
-
-const fn table() -> [u32; 256] {
-    let mut table = [0; 256];
-    let mut at = 0;
-    while at < 256 {
-        let mut sum = at as u32;
-        let mut bit = 0;
-        while bit < 8 {
-            sum = if sum & 1 == 1 { 0xEDB8_8320 ^ (sum >> 1) } else { sum >> 1 };
-            bit += 1;
-        }
-        table[at] = sum;
-        at += 1;
-    }
-    table
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(first);
+    hasher.update(second);
+    hasher.finalize()
 }
