Node: the file of known servers under a CRC-32 of crc32fast in place of FNV-1a

The file is a hint on which nothing relies. One that a program before this change wrote is passed over as torn: the machine waits for its servers' heartbeats then, as with no file at all. Tests pin the bytes and say that torn and former files are passed over.

--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -30,13 +30,10 @@
     pub fn read(&self) -> Vec<MemberNews> {
         let mut bytes = Vec::new();
         let read = File::open(&self.path).and_then(|file| file.take(MOST).read_to_end(&mut bytes));
-        if read.is_err() || bytes.len() < 8 {
-            return Vec::new();
-        }
-        let (sum, body) = bytes.split_at(8);
-        if sum != digest(body).to_le_bytes() {
+        if read.is_err() {
             return Vec::new();
         }
+        let Some(body) = unpack(&bytes) else { return Vec::new() };
         let read =
             bincode::decode_from_slice(body, bincode::config::standard().with_limit::<{ MOST as usize }>());
         read.map(|(kept, _)| kept).unwrap_or_default()
@@ -58,16 +55,25 @@
     fn write(&self, kept: &[MemberNews]) -> std::io::Result<()> {
         let body =
             bincode::encode_to_vec(kept, bincode::config::standard()).map_err(std::io::Error::other)?;
-        let mut bytes = digest(&body).to_le_bytes().to_vec();
-        bytes.extend_from_slice(&body);
         let mut file = File::create(&self.path)?;
-        file.write_all(&bytes)?;
+        file.write_all(&pack(&body))?;
         file.sync_data()
     }
 }
 
-/// FNV-1a: tells a torn file from a whole one.
-fn digest(body: &[u8]) -> u64 {
-    body.iter()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3))
+/// The bytes of the file: the CRC-32 of the body (little-endian) and the body.
+fn pack(body: &[u8]) -> Vec<u8> {
+    let mut bytes = crc32fast::hash(body).to_le_bytes().to_vec();
+    bytes.extend_from_slice(body);
+    bytes
 }
+
+/// The body of the file; none if it is torn.
+fn unpack(bytes: &[u8]) -> Option<&[u8]> {
+    let (checksum, body) = bytes.split_first_chunk()?;
+    (u32::from_le_bytes(*checksum) == crc32fast::hash(body)).then_some(body)
+}
+
+#[cfg(test)]
+#[path = "tests/servers.rs"]
+mod tests;
