Node: Bell is Notify, and rings are notifications of a generation

A rename: bell.rs to notify.rs, ring to notify_waiters, rings to generation, after to notified_since; its users change by these words alone.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -7,8 +7,8 @@
 mod status;
 
 use crate::asker::{self, Whom};
-use crate::bell::Bell;
 use crate::frames::{self, Frame};
+use crate::notify::Notify;
 use crate::servers::Servers;
 use crate::{clock, http};
 use async_channel::{Receiver, Sender};
@@ -53,7 +53,7 @@
     /// What is on the disk.
     kept: RefCell<badgerstream_store::Record>,
     links: RefCell<HashMap<Node, Sender<PeerMessage>>>,
-    heard: RefCell<HashMap<Node, Rc<Bell>>>,
+    heard: RefCell<HashMap<Node, Rc<Notify>>>,
     sessions: RefCell<HashMap<u64, Sender<ToRouter>>>,
     askers: RefCell<HashMap<String, Sender<Statement>>>,
     calls: RefCell<HashMap<u64, Sender<Answer>>>,
--- a/crates/node/src/control/links.rs
+++ b/crates/node/src/control/links.rs
@@ -4,7 +4,7 @@
 
 impl Control {
     /// Rung whenever this control machine has opened a connection to here.
-    pub(super) fn heard_of(&self, node: Node) -> Rc<Bell> {
+    pub(super) fn heard_of(&self, node: Node) -> Rc<Notify> {
         self.heard.borrow_mut().entry(node).or_default().clone()
     }
 
@@ -24,10 +24,10 @@
         loop {
             let Ok(first) = messages.recv().await else { return };
             let heard = self.heard_of(node);
-            let rings = heard.rings();
+            let generation = heard.generation();
             let Ok(mut stream) = future::or(frames::connect(to, frames::CONNECT, 1.0), async {
                 // It has just called: an attempt from before it was up would only be waited for.
-                heard.after(rings).await;
+                heard.notified_since(generation).await;
                 Err(io::ErrorKind::Interrupted.into())
             })
             .await
@@ -35,7 +35,7 @@
                 let pause = async {
                     Timer::after(Duration::from_millis(60)).await;
                 };
-                future::or(pause, heard.after(rings)).await;
+                future::or(pause, heard.notified_since(generation)).await;
                 // What waited is old by now; beats and values are sent again.
                 while messages.len() > 4 {
                     let _ = messages.try_recv();
@@ -97,7 +97,7 @@
             match frame {
                 Frame::Control { node: of } => {
                     node = Some(of);
-                    self.heard_of(of).ring();
+                    self.heard_of(of).notify_waiters();
                 }
                 Frame::Peer(message) => {
                     let Some(from) = node else { break };
--- a/crates/node/src/edge/place.rs
+++ b/crates/node/src/edge/place.rs
@@ -116,12 +116,12 @@
             if now >= give_up {
                 return Err(COME_BACK_S);
             }
-            let rings = self.shared.changed.rings();
+            let generation = self.shared.changed.generation();
             let (pool, proof) = match self.pick(want, session, tried, now) {
                 Pick::Primary(pool) => (pool, None),
                 Pick::Replica(pool, proof) => (pool, Some(proof)),
                 Pick::Nobody(at) => {
-                    net::until(at.min(give_up), self.shared.changed.after(rings)).await;
+                    net::until(at.min(give_up), self.shared.changed.notified_since(generation)).await;
                     continue;
                 }
             };
@@ -130,10 +130,10 @@
             let take = async { Some(Checkout::take(self, &pool, &turn, values, shape, want.works).await) };
             let overtaken = async {
                 // Its place in the queue is kept through news that doesn't concern it.
-                let mut rings = rings;
+                let mut generation = generation;
                 loop {
-                    self.shared.changed.after(rings).await;
-                    rings = self.shared.changed.rings();
+                    self.shared.changed.notified_since(generation).await;
+                    generation = self.shared.changed.generation();
                     if !self.is_still(&pool, proof.is_none()) {
                         return None;
                     }
--- a/crates/node/src/edge/talk.rs
+++ b/crates/node/src/edge/talk.rs
@@ -123,7 +123,7 @@
     };
     let until = clock::now() + CONFIG_S;
     loop {
-        let rings = edge.shared.changed.rings();
+        let generation = edge.shared.changed.generation();
         let config = edge.shared.view.borrow().config.clone();
         match config {
             Some(config) if config.route(database).is_some() => {
@@ -135,7 +135,7 @@
                 return None;
             }
             None => {
-                if net::until(until, edge.shared.changed.after(rings)).await.is_none() {
+                if net::until(until, edge.shared.changed.notified_since(generation)).await.is_none() {
                     client.write(format!("ERROR RETRY {}\r\n", back_ms(COME_BACK_S)).as_bytes()).await;
                     return None;
                 }
@@ -733,7 +733,7 @@
             self.session.mark.touch(clock::now());
             loop {
                 // A write is kept only under the lease; a lease that has run out may be renewed in time.
-                let rings = self.edge.shared.changed.rings();
+                let generation = self.edge.shared.changed.generation();
                 if self.edge.is_leased(&held.pool.server, clock::now()) {
                     return true;
                 }
@@ -744,7 +744,7 @@
                 if other {
                     return false;
                 }
-                self.edge.shared.changed.after(rings).await;
+                self.edge.shared.changed.notified_since(generation).await;
             }
         });
         if ready.await != Some(true) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,7 +1,6 @@
 //! The program of every machine: sockets, clock and disk around the decisions.
 
 pub mod asker;
-pub mod bell;
 pub mod cli;
 pub mod clock;
 pub mod control;
@@ -9,6 +8,7 @@
 pub mod frames;
 pub mod http;
 pub mod node;
+pub mod notify;
 pub mod servers;
 pub mod session;
 pub mod view;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -145,7 +145,7 @@
     let asked = clock::now();
     log::info!("event=ending");
     shared.ending.set(Some(asked));
-    shared.changed.ring();
+    shared.changed.notify_waiters();
     if let Some(control) = &control {
         control.end();
     }
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -247,7 +247,7 @@
         if changed {
             view.changes += 1;
             drop(view);
-            self.shared.changed.ring();
+            self.shared.changed.notify_waiters();
         }
         sent.is_some()
     }
--- a/crates/node/src/tests/edge.rs
+++ b/crates/node/src/tests/edge.rs
@@ -46,9 +46,9 @@
     got: RefCell<Vec<Got>>,
     /// The next statement whose text begins so meets a trick.
     tricks: RefCell<Vec<(&'static str, Trick)>>,
-    /// All connections are closed when this rings.
-    hang_up: crate::bell::Bell,
-    changed: crate::bell::Bell,
+    /// All connections are closed when this notifies.
+    hang_up: crate::notify::Notify,
+    changed: crate::notify::Notify,
 }
 
 impl Fake {
@@ -65,15 +65,15 @@
                     spawn
                         .spawn(async move {
                             fake.open.set(fake.open.get() + 1);
-                            let rings = fake.hang_up.rings();
+                            let generation = fake.hang_up.generation();
                             let serve = async { fake.serve(stream).await };
                             let end = async {
-                                fake.hang_up.after(rings).await;
+                                fake.hang_up.notified_since(generation).await;
                                 Some(())
                             };
                             futures_lite::future::or(serve, end).await;
                             fake.open.set(fake.open.get() - 1);
-                            fake.changed.ring();
+                            fake.changed.notify_waiters();
                         })
                         .detach();
                 }
@@ -85,11 +85,11 @@
     /// Waits for this.
     async fn sees(&self, what: impl Fn(&Self) -> bool) {
         loop {
-            let rings = self.changed.rings();
+            let generation = self.changed.generation();
             if what(self) {
                 return;
             }
-            self.changed.after(rings).await;
+            self.changed.notified_since(generation).await;
         }
     }
 
@@ -134,7 +134,7 @@
                 values: values.iter().map(|(n, v)| format!("{n}={v};")).collect(),
                 shape: shape.clone(),
             });
-            self.changed.ring();
+            self.changed.notify_waiters();
             let trick = {
                 let mut tricks = self.tricks.borrow_mut();
                 tricks.iter().position(|(t, _)| text.contains(t)).map(|at| tricks.remove(at).1)
@@ -197,7 +197,7 @@
                 }
                 _ => panic!("{text}"),
             }
-            self.changed.ring();
+            self.changed.notify_waiters();
             match trick {
                 Some(Trick::Silence) => continue,
                 Some(Trick::Close) => return None,
@@ -321,7 +321,7 @@
     /// Changes what the router knows.
     fn tell(&self, change: impl FnOnce(&mut crate::view::View)) {
         change(&mut self.shared.view.borrow_mut());
-        self.shared.changed.ring();
+        self.shared.changed.notify_waiters();
     }
 
     fn configure(&self, change: impl FnOnce(String) -> String) {
@@ -535,7 +535,7 @@
         rig.primary.tricks.borrow_mut().push(("PUT", Trick::Error("FAILED no")));
         assert_eq!(a.ask("a5", "PUT x 1").await, "ERROR FAILED no|IDLE I 3.2");
         // A connection that the server has closed at rest is not used.
-        rig.primary.hang_up.ring();
+        rig.primary.hang_up.notify_waiters();
         rig.primary.sees(|p| p.open.get() == 0).await;
         assert_eq!(a.ask("a6", "PUT x 1").await, "COMPLETE s.a6|IDLE I 3.3");
     });
@@ -622,7 +622,7 @@
         a.ask("a1", "BEGIN").await;
         a.ask("a2", "PUT x 1").await;
         rig.shared.ending.set(Some(clock::now()));
-        rig.shared.changed.ring();
+        rig.shared.changed.notify_waiters();
         assert_eq!(idle.line().await, None);
         assert_eq!(a.line().await.as_deref(), Some("ERROR ABORTED the router ends"));
         assert_eq!(a.line().await, None);
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -70,7 +70,7 @@
     /// The view itself; never borrowed across an await.
     pub view: Rc<RefCell<View>>,
     /// Woken at each change, also of the lease.
-    pub changed: Rc<crate::bell::Bell>,
+    pub changed: Rc<crate::notify::Notify>,
     /// SIGTERM has come, at this second of the steady clock.
     pub ending: Rc<Cell<Option<f64>>>,
 }
--- a/crates/standin/src/beats.rs
+++ b/crates/standin/src/beats.rs
@@ -24,7 +24,7 @@
     let mut draining: Option<f64> = None;
     let mut acknowledged: Option<f64> = None;
     loop {
-        let rings = stage.changed.rings();
+        let generation = stage.changed.generation();
         let Some(beat) = stage.world.borrow_mut().beat(&id) else { return };
         let tells = stage.world.borrow().tells(&id);
         let body = beat.serialize_json();
@@ -60,7 +60,7 @@
             (None, None) => f64::INFINITY,
         };
         let until = ends.min(now + pause);
-        changed(&stage, &id, tells, rings, until).await;
+        changed(&stage, &id, tells, generation, until).await;
         if clock::now() >= ends {
             let _ = call::follow(to, ACKNOWLEDGED, "POST", &format!("{DEPART}{id}"), &[], b"").await;
             // What ends this task is the end of the server: nothing may follow it.
@@ -71,15 +71,15 @@
 }
 
 /// Waits until this second, or until the server has something new to tell.
-async fn changed(stage: &Stage, id: &str, told: (bool, bool), mut rings: u64, until: f64) {
+async fn changed(stage: &Stage, id: &str, told: (bool, bool), mut generation: u64, until: f64) {
     let left = (until - clock::now()).max(0.0);
     let late = async {
         Timer::after(Duration::from_secs_f64(left)).await;
     };
     let news = async {
         while stage.world.borrow().tells(id) == told {
-            stage.changed.after(rings).await;
-            rings = stage.changed.rings();
+            stage.changed.notified_since(generation).await;
+            generation = stage.changed.generation();
         }
     };
     future::or(late, news).await;
--- a/crates/standin/src/desk.rs
+++ b/crates/standin/src/desk.rs
@@ -45,7 +45,7 @@
         let text = String::from_utf8_lossy(&request.body);
         let Ok(asked) = Promotion::deserialize_json(&text) else { return 400 };
         let status = self.stage.world.borrow_mut().promote(now, &asked.backend, &asked.id, fence);
-        self.stage.changed.ring();
+        self.stage.changed.notify_waiters();
         log::info!("event=promotion service={} id={} fence={fence} status={status}", asked.backend, asked.id);
         status
     }
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -6,9 +6,9 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use badgerstream_calls::http::response;
-use badgerstream_node::bell::Bell;
 use badgerstream_node::clock;
 use badgerstream_node::frames::{self, within};
+use badgerstream_node::notify::Notify;
 use badgerstream_wire::{LineBuffer, Request};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use std::cell::RefCell;
@@ -29,7 +29,7 @@
     /// Its rules.
     pub world: RefCell<World>,
     /// Rings when anything may have changed.
-    pub changed: Bell,
+    pub changed: Notify,
     /// The `control` addresses, for beats.
     pub seeds: Vec<SocketAddr>,
     /// Between two beats, in seconds.
@@ -50,7 +50,7 @@
         let ids = world.ids();
         let stage = Rc::new(Self {
             world: RefCell::new(world),
-            changed: Bell::default(),
+            changed: Notify::default(),
             seeds,
             heartbeat,
             drain,
@@ -69,7 +69,7 @@
     pub fn crash(&self, id: &str) {
         self.servers.borrow_mut().remove(id);
         self.world.borrow_mut().crash(clock::now(), id);
-        self.changed.ring();
+        self.changed.notify_waiters();
     }
 
     /// Starts a server that has ended, with what it had.
@@ -78,14 +78,14 @@
             return Ok(());
         }
         self.world.borrow_mut().start(clock::now(), id);
-        self.changed.ring();
+        self.changed.notify_waiters();
         self.listen(id)
     }
 
     /// Plans the end of a server: it says that it drains, and ends when its time has come.
     pub fn retire(self: &Rc<Self>, id: &str) {
         self.world.borrow_mut().drain(id);
-        self.changed.ring();
+        self.changed.notify_waiters();
     }
 
     fn listen(self: &Rc<Self>, id: &str) -> Result<(), String> {
@@ -100,7 +100,7 @@
     /// Lets time pass for the world.
     async fn run(self: Rc<Self>) {
         loop {
-            let rings = self.changed.rings();
+            let generation = self.changed.generation();
             let out = self.world.borrow_mut().step(clock::now());
             for one in out {
                 match one {
@@ -118,7 +118,7 @@
             let wait = async {
                 Timer::after(Duration::from_secs_f64(pause)).await;
             };
-            future::or(wait, self.changed.after(rings)).await;
+            future::or(wait, self.changed.notified_since(generation)).await;
         }
     }
 
@@ -157,11 +157,11 @@
         };
         let (sender, answers) = async_channel::bounded(4);
         self.answers.borrow_mut().insert(conn, sender);
-        self.changed.ring();
+        self.changed.notify_waiters();
         self.talk(conn, &mut stream, &mut lines, &answers).await;
         self.answers.borrow_mut().remove(&conn);
         self.world.borrow_mut().closed(clock::now(), conn);
-        self.changed.ring();
+        self.changed.notify_waiters();
     }
 
     async fn talk(
@@ -179,7 +179,7 @@
             });
             let Some(asked) = asked.await else { return };
             self.world.borrow_mut().ask(clock::now(), conn, &asked);
-            self.changed.ring();
+            self.changed.notify_waiters();
         }
     }
 
--- a/crates/standin/tests/system.rs
+++ b/crates/standin/tests/system.rs
@@ -3,8 +3,8 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use badgerstream_node::bell::Bell;
 use badgerstream_node::clock;
+use badgerstream_node::notify::Notify;
 use badgerstream_standin::children::Children;
 use badgerstream_standin::client::Client;
 use badgerstream_standin::plan::{Net, Plan};
@@ -49,7 +49,7 @@
     gap: Cell<f64>,
     stale: RefCell<Vec<String>>,
     done: Cell<bool>,
-    changed: Bell,
+    changed: Notify,
 }
 
 impl Rig {
@@ -115,7 +115,7 @@
                 client = None;
             }
         }
-        seen.changed.ring();
+        seen.changed.notify_waiters();
     }
 }
 
@@ -138,7 +138,7 @@
             Ok(_) => {}
             Err(_) => client = None,
         }
-        seen.changed.ring();
+        seen.changed.notify_waiters();
     }
 }
 
@@ -168,11 +168,11 @@
         };
         let held = async {
             loop {
-                let rings = self.changed.rings();
+                let generation = self.changed.generation();
                 if holds(self) {
                     return;
                 }
-                self.changed.after(rings).await;
+                self.changed.notified_since(generation).await;
             }
         };
         future::or(held, late).await;
