Node: a server's pool in a file for each job

A move only: health, idle connections, checkout, preparing a connection and the exchange of a statement stand in files of edge/pool/; the root keeps the pool and its admission.

--- /dev/null
+++ b/crates/node/src/edge/pool/exchange.rs
@@ -0,0 +1,134 @@
+//! A statement and its answer on a connection in use.
+
+use super::Pool;
+use super::checkout::{Checkout, Left};
+use super::health::Unanswered;
+use crate::clock;
+use crate::edge::net;
+use badgerstream_wire::{Answer, Code, Outcome, State};
+
+/// Between two looks at an answer that is late, in seconds.
+const LOOK_S: f64 = 0.05;
+
+/// What became of a statement that gave no outcome.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lost {
+    /// Nothing of it was sent.
+    Unsent,
+    /// It was sent, in part at least, and the connection broke off.
+    Broken,
+    /// It was sent, and there is no answer yet.
+    Silent,
+    /// It was sent and the answer is overdue, while what was sent later is answered: lost, most likely.
+    Overdue,
+    /// A part of its answer was passed on to a client who has gone.
+    Gone,
+}
+
+impl Checkout {
+    /// Sends a statement and waits for its outcome until this second. `answer` then holds what is to be passed on;
+    /// long answers are passed on in parts by `pass`, which tells whether the client is still there.
+    pub async fn ask(
+        &mut self, line: &[u8], answer: &mut Answer, at: f64, pass: impl AsyncFn(&[u8]) -> bool,
+    ) -> Result<Outcome, Lost> {
+        let Some(link) = &mut self.link else { return Err(Lost::Unsent) };
+        let sent = clock::now();
+        // Under the lease at this moment no other primary exists, so its log has all that was acknowledged.
+        let leased = self.edge.is_leased(&self.pool.server, sent);
+        if self.left == Left::Clean {
+            self.left = Left::Pending;
+        }
+        match net::until(at, link.send(line)).await {
+            Some(Ok(())) => {}
+            other => {
+                self.link = None;
+                self.pool.broke();
+                return Err(if matches!(other, Some(Err(e)) if e.none) {
+                    Lost::Unsent
+                } else {
+                    Lost::Broken
+                });
+            }
+        }
+        // What is our own takes no slot there: it tells nothing of the pace.
+        self.paced = !line.starts_with(b"QUERY - ");
+        self.unanswered = Some(Unanswered::new(&self.pool, sent, leased));
+        self.wait(answer, at, pass).await
+    }
+
+    /// As `ask`; `Overdue` as soon as the answer of a statement with this aim (seconds) most likely is lost.
+    pub async fn ask_patiently(
+        &mut self, line: &[u8], answer: &mut Answer, target: f64, at: f64, pass: impl AsyncFn(&[u8]) -> bool,
+    ) -> Result<Outcome, Lost> {
+        let look = |now: f64, pool: &Pool| (now + pool.pace().patience(target)).min(at);
+        let first = look(clock::now(), &self.pool);
+        let mut outcome = self.ask(line, answer, first, &pass).await;
+        while outcome == Err(Lost::Silent) {
+            let now = clock::now();
+            if now >= at {
+                break;
+            }
+            if self.is_overtaken() {
+                return Err(Lost::Overdue);
+            }
+            // Until others are answered nothing tells this one from them.
+            let next = look(now, &self.pool).min(now + LOOK_S);
+            outcome = self.wait(answer, next, &pass).await;
+        }
+        outcome
+    }
+
+    /// Waits on, until this second, for the outcome of what was asked and is `Silent`.
+    pub async fn wait(
+        &mut self, answer: &mut Answer, at: f64, pass: impl AsyncFn(&[u8]) -> bool,
+    ) -> Result<Outcome, Lost> {
+        let Some(link) = &mut self.link else { return Err(Lost::Broken) };
+        loop {
+            match net::until(at, link.answer(answer, &self.edge.scratch)).await {
+                None => return Err(Lost::Silent),
+                Some(Err(())) => {
+                    self.link = None;
+                    self.unanswered = None;
+                    self.pool.broke();
+                    return Err(Lost::Broken);
+                }
+                Some(Ok(None)) => {
+                    if let Some(asked) = &mut self.unanswered {
+                        asked.partly = true;
+                    }
+                    if !pass(&answer.raw).await {
+                        return Err(Lost::Gone);
+                    }
+                    answer.raw.clear();
+                }
+                Some(Ok(Some(outcome))) => {
+                    self.pool.answered(outcome.position);
+                    let idle = outcome.state == State::Idle;
+                    if let Some(asked) = self.unanswered.take() {
+                        if self.paced {
+                            self.pool.paced(asked.sent);
+                        } else {
+                            self.pool.travelled(asked.sent);
+                        }
+                        if asked.leased && idle {
+                            self.edge.sample(&self.pool.server, asked.sent, outcome.position);
+                        }
+                    }
+                    let clean = idle && link.is_clean() && outcome.error != Some(Code::Unknown);
+                    self.left = if clean { Left::Clean } else { Left::Closed };
+                    let kept = self.keeps && outcome.error.is_none();
+                    if idle && std::mem::take(&mut self.changed_inside) && !kept {
+                        // Nobody has said whether an end that rolls back takes values back, too.
+                        link.held.doubt();
+                    }
+                    return Ok(outcome);
+                }
+            }
+        }
+    }
+
+    /// The server has answered what was sent after this statement, so that its answer may be lost.
+    pub fn is_overtaken(&self) -> bool {
+        self.unanswered.as_ref().is_some_and(|u| !u.partly && self.pool.last_answered.get() > u.sent)
+    }
+}
--- /dev/null
+++ b/crates/node/src/edge/pool/health.rs
@@ -0,0 +1,113 @@
+//! What the answers of a server told of it: whether it is up, how fast it is, how long it fails.
+
+use super::Pool;
+use crate::clock;
+use badgerstream_pooling::pace::Pace;
+use badgerstream_pooling::standing::Standing;
+use badgerstream_wire::Position;
+use std::rc::Rc;
+
+/// A statement unanswered for so long counts as a sign that the server is gone, in seconds.
+const SILENCE_S: f64 = 0.3;
+
+impl Pool {
+    /// How fast it answers.
+    pub fn pace(&self) -> Pace {
+        self.pace.get()
+    }
+
+    /// How it stands.
+    pub fn standing(&self) -> Standing {
+        self.standing.get()
+    }
+
+    /// It lacks this position.
+    pub fn lagged(&self, position: Position) {
+        let mut standing = self.standing.get();
+        standing.lagged(clock::now(), position);
+        self.standing.set(standing);
+    }
+
+    /// It could not be reached: it is left alone for a moment.
+    pub(super) fn unreachable(&self) {
+        let mut standing = self.standing.get();
+        standing.failed(clock::now());
+        self.standing.set(standing);
+        self.broke();
+    }
+
+    /// A connection broke off. That may be the connection's trouble alone: the next is opened at once, and tells.
+    pub(super) fn broke(&self) {
+        let now = clock::now();
+        if self.failing_since.get().is_none() {
+            self.failing_since.set(Some(now));
+        }
+    }
+
+    /// It answered something.
+    pub(super) fn answered(&self, position: Option<Position>) {
+        let mut standing = self.standing.get();
+        standing.answered(position);
+        self.standing.set(standing);
+        self.last_answer.set(clock::now());
+        self.failing_since.set(None);
+    }
+
+    /// It answered a statement that was sent at this second.
+    pub(super) fn paced(&self, sent: f64) {
+        let mut pace = self.pace.get();
+        pace.answered(clock::now() - sent);
+        self.pace.set(pace);
+        self.set_in_flight();
+        self.last_answered.set(self.last_answered.get().max(sent));
+    }
+
+    /// It answered what takes no slot and was sent at this second.
+    pub(super) fn travelled(&self, sent: f64) {
+        let mut pace = self.pace.get();
+        pace.travelled(clock::now() - sent);
+        self.pace.set(pace);
+    }
+
+    /// When it last answered; 0 for never.
+    pub fn last_answer(&self) -> f64 {
+        self.last_answer.get()
+    }
+
+    /// Since when it fails to answer; none while it does answer, or nothing is asked.
+    pub fn failing_since(&self, now: f64) -> Option<f64> {
+        let last = self.last_answer.get();
+        let oldest = self.unanswered.borrow().iter().copied().filter(|t| *t > last).reduce(f64::min);
+        let silent = oldest.filter(|t| now - t > SILENCE_S);
+        match (silent, self.failing_since.get()) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        }
+    }
+}
+
+/// A statement without answer, for as long as it is.
+pub(super) struct Unanswered {
+    pub(super) pool: Rc<Pool>,
+    pub(super) sent: f64,
+    /// The lease was valid then.
+    pub(super) leased: bool,
+    /// A part of its answer has been passed on.
+    pub(super) partly: bool,
+}
+
+impl Unanswered {
+    pub(super) fn new(pool: &Rc<Pool>, sent: f64, leased: bool) -> Self {
+        pool.unanswered.borrow_mut().push(sent);
+        Self { pool: pool.clone(), sent, leased, partly: false }
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        let mut all = self.pool.unanswered.borrow_mut();
+        if let Some(at) = all.iter().position(|t| *t == self.sent) {
+            all.swap_remove(at);
+        }
+    }
+}
