Node: a client's session in a file for each job

A move: edge/talk.rs is edge/client.rs, with the connection, the handshake, the next line, the dispatch, single statements, transactions and the commit in files of edge/client/.

--- /dev/null
+++ b/crates/node/src/edge/client/handshake.rs
@@ -0,0 +1,54 @@
+//! The first line of a client: the database that it connects to.
+
+use super::connection::Client;
+use super::reply::back_ms;
+use crate::clock;
+use crate::edge::place::COME_BACK_S;
+use crate::edge::{Edge, net};
+use badgerstream_wire::Request;
+use std::rc::Rc;
+
+/// A client may take so long to say whom it wants, in seconds.
+const HELLO_S: f64 = 10.0;
+/// Before the first configuration a client waits for it so long, in seconds.
+const CONFIG_S: f64 = 1.5;
+
+/// The database that the client connects to, once it has its answer; none if it was refused or has gone.
+pub(super) async fn hello(edge: &Rc<Edge>, client: &Client) -> Option<Rc<str>> {
+    let line = net::until(clock::now() + HELLO_S, async {
+        loop {
+            if let Some(line) = client.line().ok()? {
+                return Some(line);
+            }
+            if !client.read(edge).await {
+                return None;
+            }
+        }
+    })
+    .await??;
+    let Ok(Request::Connect { database, .. }) = Request::parse(&line) else {
+        client.write(b"ERROR MALFORMED CONNECT comes first\r\n").await;
+        return None;
+    };
+    let until = clock::now() + CONFIG_S;
+    loop {
+        let generation = edge.shared.changed.generation();
+        let config = edge.shared.view.borrow().config.clone();
+        match config {
+            Some(config) if config.route(database).is_some() => {
+                let answered = client.write(b"IDLE I -\r\n").await;
+                return answered.then(|| database.into());
+            }
+            Some(_) => {
+                client.write(format!("ERROR NODB {database}\r\n").as_bytes()).await;
+                return None;
+            }
+            None => {
+                if net::until(until, edge.shared.changed.notified_since(generation)).await.is_none() {
+                    client.write(format!("ERROR RETRY {}\r\n", back_ms(COME_BACK_S)).as_bytes()).await;
+                    return None;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/edge/client/single.rs
@@ -0,0 +1,150 @@
+//! A statement outside a transaction.
+
+use super::Talk;
+use super::reply::{Told, come_back, error};
+use super::statement::Statement;
+use super::{HOLD, PAUSE_S};
+use crate::clock;
+use crate::edge::net;
+use crate::edge::place::{COME_BACK_S, Want};
+use crate::edge::pool::Lost;
+use badgerstream_pooling::choice::Class;
+use badgerstream_wire::{Answer, Code, Kind, Outcome, State, Verdict};
+use futures_lite::future::or;
+use std::cell::RefCell;
+use std::future::pending;
+
+/// How often a read is asked again since its answer most likely is lost.
+const MAX_AGAIN: usize = 2;
+/// The shortest wait before a read is asked elsewhere, in seconds.
+const ELSEWHERE_S: f64 = 0.15;
+
+impl Talk {
+    /// A statement outside a transaction.
+    pub(super) async fn single(&mut self, statement: &Statement<'_>) -> Told {
+        let Some(terms) = self.bind() else { return error(Code::NoDb, &*self.database, State::Idle) };
+        let reads = statement.kind == Kind::Fetch;
+        let deadline = statement.arrived + terms.deadline;
+        let give_up = statement.arrived + terms.deadline * HOLD;
+        let class = if reads { Class::Read } else { Class::Write };
+        let shape = statement.execute.map(|(shape, _)| shape);
+        let arrived = statement.arrived;
+        let want = Want { terms: &terms, class, arrived, waits_since: arrived, shape, works: true };
+        let mut tried = Vec::new();
+        let mut back = COME_BACK_S;
+        let mut again = 0;
+        let mut next = None;
+        for attempt in 0..terms.tries.max(2) + 2 {
+            let limit = if attempt == 0 { give_up } else { give_up.max(clock::now() + 0.05).min(deadline) };
+            let mut placed = if let Some(placed) = next.take() {
+                placed
+            } else {
+                let place = async { Some(self.edge.place(&want, &self.session, &tried, limit).await) };
+                let Some(placed) = or(place, self.client.gone(&self.edge)).await else { return Told::Gone };
+                match placed {
+                    Ok(placed) => placed,
+                    Err(wait) => {
+                        back = wait;
+                        break;
+                    }
+                }
+            };
+            let primary = placed.proof.is_none();
+            let waitpos = placed.proof.map_or(String::new(), |p| format!("WAITPOS {p} "));
+            let Some(line) = statement.line(&placed.out, &waitpos) else { break };
+            let now = clock::now();
+            if primary {
+                self.session.mark.touch(now);
+            }
+            // A read is asked again as soon as its answer most likely is lost; elsewhere also if a replica is silent.
+            let elsewhere = reads && !primary && attempt == 0;
+            let first = (terms.target / 2.0).max(ELSEWHERE_S).min(terms.deadline / 3.0);
+            let at = if elsewhere { (now + first).min(deadline) } else { deadline };
+            let pool = placed.out.pool.clone();
+            let mut answer = Answer::default();
+            let mut passed = false;
+            let (client, flag) = (&self.client, RefCell::new(&mut passed));
+            let pass = async |part: &[u8]| {
+                **flag.borrow_mut() = true;
+                client.write(part).await
+            };
+            let mut outcome = placed.out.ask_patiently(&line, &mut answer, terms.target, at, &pass).await;
+            if outcome == Err(Lost::Overdue) {
+                // It holds its place here no longer, since it most likely holds none there. Its answer is still
+                // welcome; a read is asked again if another connection is had before.
+                placed.out.leave();
+                let more = reads && again < MAX_AGAIN;
+                let elsewhere = async {
+                    if !more {
+                        return pending().await;
+                    }
+                    match self.edge.place(&want, &self.session, &tried, deadline).await {
+                        Ok(placed) => Err(placed),
+                        Err(_) => pending().await,
+                    }
+                };
+                let wait = async { Ok(placed.out.wait(&mut answer, deadline, &pass).await) };
+                match or(wait, elsewhere).await {
+                    Ok(waited) => outcome = waited,
+                    Err(placed) => {
+                        next = Some(placed);
+                        again += 1;
+                    }
+                }
+            }
+            let id = pool.server.id.clone();
+            match outcome {
+                Ok(outcome) => match outcome.error {
+                    None => {
+                        if !reads {
+                            self.session.wrote(outcome.position);
+                        }
+                        return self.whole(answer.raw, &outcome);
+                    }
+                    Some(_) if passed => return self.whole(answer.raw, &outcome),
+                    Some(code) if code.verdict() == Verdict::NotRun => {
+                        if let (Code::Lagging, Some(proof)) = (code, placed.proof) {
+                            pool.lagged(proof);
+                        }
+                        log::debug!("event=not_run server={id} code={}", code.word());
+                        drop(placed);
+                        if primary {
+                            net::sleep_until(clock::now() + PAUSE_S * f64::from(1 << attempt.min(4))).await;
+                        }
+                    }
+                    Some(Code::Failed) if reads && attempt < 2 => drop(placed),
+                    Some(_) => return self.whole(answer.raw, &outcome),
+                },
+                Err(Lost::Gone) => return Told::Gone,
+                Err(_) if passed => return Told::Gone,
+                Err(Lost::Unsent) => {}
+                Err(Lost::Broken | Lost::Silent | Lost::Overdue) if !reads => {
+                    log::info!("event=in_doubt server={id} database={}", self.database);
+                    return error(Code::InDoubt, "no clear answer", State::Idle);
+                }
+                Err(Lost::Broken) => {}
+                Err(Lost::Overdue) => {
+                    log::debug!("event=asked_again server={id} database={}", self.database);
+                }
+                Err(Lost::Silent) => {
+                    if clock::now() >= deadline {
+                        return error(Code::Timeout, "no answer", State::Idle);
+                    }
+                }
+            }
+            tried.push(id);
+        }
+        come_back(back.min(terms.deadline.max(COME_BACK_S)), State::Idle)
+    }
+
+    /// A server's answer outside a transaction: should it say another state, that ends with its connection.
+    pub(super) fn whole(&self, mut raw: Vec<u8>, outcome: &Outcome) -> Told {
+        if outcome.state != State::Idle
+            && let Some(at) = raw.windows(7).rposition(|w| w.starts_with(b"\nIDLE "))
+        {
+            raw.truncate(at + 1);
+            raw.extend_from_slice(b"IDLE I -\r\n");
+        }
+        Told::Answer(raw)
+    }
+}
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -2,12 +2,12 @@
 //!
 //! A task serves each client; what it may do is decided in `badgerstream_pooling`, under the lease of the view.
 
+mod client;
 mod gate;
 mod link;
 mod net;
 mod place;
 mod pool;
-mod talk;
 
 use crate::clock;
 use crate::view::{Server, Shared};
@@ -244,7 +244,7 @@
             self.sessions.borrow_mut().insert(id, handle.clone());
             let edge = self.clone();
             let work = async move {
-                talk::serve(&edge, stream, handle).await;
+                client::serve(&edge, stream, handle).await;
                 edge.sessions.borrow_mut().remove(&id);
             };
             self.tasks.spawn(work).detach();
--- a/crates/node/src/tests/edge.rs
+++ b/crates/node/src/tests/edge.rs
@@ -1,7 +1,7 @@
 //! The data plane between scripted servers and plain clients on loopback, all on one thread. Nothing sleeps: every
 //! wait is for something that is said.
 
-use super::{Edge, EdgeLimits, talk};
+use super::{Edge, EdgeLimits, client};
 use crate::clock;
 use crate::view::{Grant, Server, Shared};
 use async_executor::LocalExecutor;
@@ -655,7 +655,7 @@
     async_io::block_on(async {
         let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
         let stream = Async::<TcpStream>::connect(listener.local_addr().unwrap()).await.unwrap();
-        let size = std::mem::size_of_val(&talk::serve(&rig.edge, stream, Rc::default()));
+        let size = std::mem::size_of_val(&client::serve(&rig.edge, stream, Rc::default()));
         assert!(size < 2048, "{size} bytes");
     });
 }
