--- a/crates/node/src/edge/client.rs
+++ b/crates/node/src/edge/client.rs
@@ -5,22 +5,22 @@
 mod dispatch;
 mod handshake;
 mod input;
-mod reply;
+mod response;
 mod single;
 mod statement;
 mod transaction;
 
 use super::net;
-use super::place::Terms;
+use super::place::RouteTerms;
 use super::pool::Checkout;
-use super::{Edge, Handle};
+use super::{Edge, SessionHandle};
 use crate::clock;
 use async_io::Async;
 use badgerstream_pooling::session::{Session, Transaction};
 use badgerstream_wire::Request;
-use connection::Client;
-use handshake::hello;
-use reply::Told;
+use connection::ClientConnection;
+use handshake::handshake;
+use response::Response;
 use std::cell::RefCell;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -29,56 +29,56 @@
 const USER_TIMEOUT_MS: u32 = 10_000;
 /// The part of its deadline after which a statement that no server was offered is given back to its client: what is
 /// held longer is as good as lost there.
-const HOLD: f64 = 0.45;
+const HOLD_FRACTION: f64 = 0.45;
 /// The pause after a server's refusal, in seconds.
-const PAUSE_S: f64 = 0.02;
+const BACKOFF_S: f64 = 0.02;
 
 /// Serves a client until it ends.
-pub async fn serve(edge: &Rc<Edge>, stream: Async<TcpStream>, handle: Rc<Handle>) {
+pub async fn serve(edge: &Rc<Edge>, stream: Async<TcpStream>, handle: Rc<SessionHandle>) {
     if net::options(&stream, USER_TIMEOUT_MS).is_err() {
         return;
     }
-    let client = Client { stream, lines: RefCell::default() };
-    let Some(database) = hello(edge, &client).await else { return };
-    let mut talk = Talk {
+    let client = ClientConnection { stream, lines: RefCell::default() };
+    let Some(database) = handshake(edge, &client).await else { return };
+    let mut session = ClientSession {
         edge: edge.clone(),
         database,
         client,
         session: Session::default(),
         handle,
         terms: None,
-        held: None,
-        told: true,
+        checkout: None,
+        failure_reported: true,
     };
-    talk.run().await;
-    talk.handle.inside.set(false);
-    if let Some(held) = talk.held.take() {
+    session.run().await;
+    session.handle.inside.set(false);
+    if let Some(held) = session.checkout.take() {
         held.roll_back();
     }
 }
 
 /// A session at work.
-struct Talk {
+struct ClientSession {
     edge: Rc<Edge>,
     database: Rc<str>,
-    client: Client,
+    client: ClientConnection,
     session: Session,
-    handle: Rc<Handle>,
+    handle: Rc<SessionHandle>,
     /// The route's terms that bind the open transaction.
-    terms: Option<Terms>,
+    terms: Option<RouteTerms>,
     /// The connection of the open transaction, once it was begun at a server.
-    held: Option<Checkout>,
+    checkout: Option<Checkout>,
     /// The client knows that its transaction has failed.
-    told: bool,
+    failure_reported: bool,
 }
 
-impl Talk {
+impl ClientSession {
     async fn run(&mut self) {
         loop {
-            let Some(line) = self.next().await else { return };
-            let working = Working::new(&self.edge);
+            let Some(line) = self.next_request().await else { return };
+            let working = ActiveStatement::new(&self.edge);
             let arrived = clock::now();
-            let told = match Request::parse(&line) {
+            let response = match Request::parse(&line) {
                 Ok(Request::Query { id, text }) => {
                     // On the heap while it lasts: a resting session keeps no room for it.
                     Box::pin(self.query(id, text, arrived)).await
@@ -89,18 +89,18 @@
             };
             drop(line);
             self.handle.inside.set(self.session.transaction != Transaction::None);
-            let sent = match told {
-                Told::Answer(raw) => self.client.write(&raw).await,
-                Told::Error(code, text, state) => {
+            let sent = match response {
+                Response::Forward(raw) => self.client.write(&raw).await,
+                Response::Error(code, text, state) => {
                     let blank = if text.is_empty() { "" } else { " " };
                     let line = format!("ERROR {}{blank}{text}\r\nIDLE {} -\r\n", code.word(), state.letter());
                     self.client.write(line.as_bytes()).await
                 }
-                Told::Done => {
+                Response::Done => {
                     let state = self.session.transaction.state().letter();
                     self.client.write(format!("COMPLETE -\r\nIDLE {state} -\r\n").as_bytes()).await
                 }
-                Told::Gone => false,
+                Response::ClientGone => false,
             };
             drop(working);
             if !sent {
@@ -110,25 +110,25 @@
     }
 
     /// The terms of the session's database, as they stand now.
-    fn bind(&self) -> Option<Terms> {
+    fn route_terms(&self) -> Option<RouteTerms> {
         let config = self.edge.shared.view.borrow().config.clone()?;
         let route = config.route(&self.database)?;
         let max_conns = config.services.iter().find(|s| s.name == route.service).map_or(16, |s| s.max_conns);
-        Some(Terms::of(route, max_conns as usize))
+        Some(RouteTerms::of(route, max_conns as usize))
     }
 }
 
 /// Counts what is in work.
-struct Working(Rc<Edge>);
+struct ActiveStatement(Rc<Edge>);
 
-impl Working {
+impl ActiveStatement {
     fn new(edge: &Rc<Edge>) -> Self {
         edge.working.set(edge.working.get() + 1);
         Self(edge.clone())
     }
 }
 
-impl Drop for Working {
+impl Drop for ActiveStatement {
     fn drop(&mut self) {
         self.0.working.set(self.0.working.get() - 1);
     }
--- a/crates/node/src/edge/client/commit.rs
+++ b/crates/node/src/edge/client/commit.rs
@@ -1,33 +1,35 @@
 //! The commit of a transaction, under the lease.
 
-use super::reply::{Told, error};
-use super::{HOLD, Talk};
+use super::response::{Response, error};
+use super::{ClientSession, HOLD_FRACTION};
 use crate::clock;
 use crate::edge::net;
-use crate::edge::pool::Lost;
+use crate::edge::pool::ExchangeError;
 use badgerstream_pooling::session::Transaction;
 use badgerstream_wire::{Answer, Code, State};
 
-impl Talk {
+impl ClientSession {
     /// The end that keeps.
-    pub(super) async fn commit(&mut self, id: &str, text: &str, arrived: f64) -> Told {
-        if let Err(told) = self.begin(arrived, None).await {
+    pub(super) async fn commit(&mut self, id: &str, text: &str, arrived: f64) -> Response {
+        if let Err(response) = self.begin_at_server(arrived, None).await {
             // The client has asked for the end, and has it.
-            self.over();
-            return match told {
-                Told::Error(code, text, _) => error(code, text, State::Idle),
-                told => told,
+            self.finish_transaction();
+            return match response {
+                Response::Error(code, text, _) => error(code, text, State::Idle),
+                response => response,
             };
         }
         let aborted = |why: &str| error(Code::Aborted, why, State::Idle);
-        let Transaction::Open { wrote, .. } = self.session.transaction else { return Told::Gone };
-        let (Some(mut held), Some(terms)) = (self.held.take(), self.terms.take()) else { return Told::Gone };
-        self.over();
+        let Transaction::Open { wrote, .. } = self.session.transaction else { return Response::ClientGone };
+        let (Some(mut held), Some(terms)) = (self.checkout.take(), self.terms.take()) else {
+            return Response::ClientGone;
+        };
+        self.finish_transaction();
         let deadline = arrived + terms.deadline;
-        let give_up = arrived + terms.deadline * HOLD;
+        let give_up = arrived + terms.deadline * HOLD_FRACTION;
         let ready = net::until(give_up, async {
             // Values that were set since are its client's wherever it runs.
-            if held.hold(&self.session.values, None).await.is_err() {
+            if held.prepare(&self.session.values, None).await.is_err() {
                 return false;
             }
             held.enter().await;
@@ -61,7 +63,7 @@
         let pass = async |_: &[u8]| true;
         let mut outcome =
             held.ask_patiently(line.as_bytes(), &mut answer, terms.target, deadline, pass).await;
-        if outcome == Err(Lost::Overdue) && wrote {
+        if outcome == Err(ExchangeError::Overdue) && wrote {
             held.leave();
             outcome = held.wait(&mut answer, deadline, pass).await;
         }
@@ -70,9 +72,9 @@
                 if outcome.error.is_none() && wrote {
                     self.session.wrote(outcome.position);
                 }
-                self.whole(answer.raw, &outcome)
+                self.forward(answer.raw, &outcome)
             }
-            Err(Lost::Unsent) => aborted("the server was lost"),
+            Err(ExchangeError::Unsent) => aborted("the server was lost"),
             // Nothing was written, so nothing is kept.
             Err(_) if !wrote => aborted("the server was lost"),
             Err(_) => {
--- a/crates/node/src/edge/client/connection.rs
+++ b/crates/node/src/edge/client/connection.rs
@@ -9,18 +9,18 @@
 use std::net::TcpStream;
 
 /// A client that takes no byte for so long is gone, in seconds.
-const WRITE_S: f64 = 10.0;
+const WRITE_TIMEOUT_S: f64 = 10.0;
 
 /// The client's connection.
-pub(super) struct Client {
+pub(super) struct ClientConnection {
     pub(super) stream: Async<TcpStream>,
     pub(super) lines: RefCell<LineBuffer>,
 }
 
-impl Client {
+impl ClientConnection {
     /// Whether all of it was taken.
     pub(super) async fn write(&self, bytes: &[u8]) -> bool {
-        let written = net::until(clock::now() + WRITE_S, net::write(&self.stream, bytes)).await;
+        let written = net::until(clock::now() + WRITE_TIMEOUT_S, net::write(&self.stream, bytes)).await;
         matches!(written, Some(Ok(())))
     }
 
@@ -39,7 +39,7 @@
     }
 
     /// Waits until the client has gone; none then. Whoever asks on meanwhile is there.
-    pub(super) async fn gone<T>(&self, edge: &Edge) -> Option<T> {
+    pub(super) async fn until_closed<T>(&self, edge: &Edge) -> Option<T> {
         if self.lines.borrow().is_empty() && !self.read(edge).await {
             return None;
         }
@@ -47,7 +47,7 @@
     }
 
     /// The next line; none if the stream can't be read on.
-    pub(super) fn line(&self) -> Result<Option<Vec<u8>>, ()> {
+    pub(super) fn next_line(&self) -> Result<Option<Vec<u8>>, ()> {
         self.lines.borrow_mut().next().map(|l| l.map(<[u8]>::to_vec)).map_err(drop)
     }
 }
--- a/crates/node/src/edge/client/dispatch.rs
+++ b/crates/node/src/edge/client/dispatch.rs
@@ -1,13 +1,13 @@
 //! What each statement asks for: answered here, or run at a server.
 
-use super::Talk;
-use super::reply::{Told, error};
+use super::ClientSession;
+use super::response::{Response, error};
 use super::statement::Statement;
 use badgerstream_pooling::session::Transaction;
 use badgerstream_wire::{Code, Kind, State, Text};
 
-impl Talk {
-    pub(super) async fn query(&mut self, id: &str, text: &str, arrived: f64) -> Told {
+impl ClientSession {
+    pub(super) async fn query(&mut self, id: &str, text: &str, arrived: f64) -> Response {
         let parsed = match Text::parse(text) {
             Ok(parsed) => parsed,
             Err(e) => return self.malformed(&e.to_string()),
@@ -16,15 +16,15 @@
         if transaction == Transaction::Failed {
             return match parsed {
                 Text::Commit => {
-                    self.end_failed();
+                    self.roll_back();
                     error(Code::Aborted, "the transaction had failed", State::Idle)
                 }
                 Text::Abort => {
-                    self.end_failed();
-                    Told::Done
+                    self.roll_back();
+                    Response::Done
                 }
-                _ if !self.told => {
-                    self.told = true;
+                _ if !self.failure_reported => {
+                    self.failure_reported = true;
                     error(Code::Aborted, "the transaction was ended", State::Failed)
                 }
                 _ => error(Code::Malformed, "the transaction has failed", State::Failed),
@@ -33,20 +33,20 @@
         let (kind, execute) = match parsed {
             Text::Set { name, value } => {
                 return match self.session.set(name, value) {
-                    Ok(()) => Told::Done,
+                    Ok(()) => Response::Done,
                     Err(e) => self.malformed(&e.to_string()),
                 };
             }
             Text::Prepare { name, kind, shape } => {
                 return match self.session.prepare(name, kind, shape) {
-                    Ok(()) => Told::Done,
+                    Ok(()) => Response::Done,
                     Err(e) => self.malformed(&e.to_string()),
                 };
             }
             Text::Release { name } => {
                 return match self.session.release(name) {
-                    Ok(()) => Told::Done,
-                    Err(_) => self.unknown(name),
+                    Ok(()) => Response::Done,
+                    Err(_) => self.unknown_shape(name),
                 };
             }
             Text::Begin { fetch } => {
@@ -54,14 +54,14 @@
                     return self.malformed("inside a transaction");
                 }
                 self.session.transaction = Transaction::Open { fetch, arrived, wrote: false };
-                return Told::Done;
+                return Response::Done;
             }
             Text::Abort => {
                 if transaction == Transaction::None {
                     return self.malformed("outside a transaction");
                 }
-                self.end_failed();
-                return Told::Done;
+                self.roll_back();
+                return Response::Done;
             }
             Text::Commit => {
                 if transaction == Transaction::None {
@@ -72,29 +72,29 @@
             Text::Fetch => (Kind::Fetch, None),
             Text::Put => (Kind::Put, None),
             Text::Execute { name, rest } => {
-                let Some(shape) = self.session.shape(name).cloned() else { return self.unknown(name) };
+                let Some(shape) = self.session.shape(name).cloned() else { return self.unknown_shape(name) };
                 (shape.kind, Some((shape, rest)))
             }
         };
         let execute = execute.as_ref().map(|(shape, rest)| (shape, *rest));
         let statement = Statement { id, text, kind, execute, arrived };
         if transaction == Transaction::None {
-            self.single(&statement).await
+            self.run_single(&statement).await
         } else {
-            self.inside(&statement).await
+            self.run_in_transaction(&statement).await
         }
     }
 
-    pub(super) fn malformed(&mut self, why: &str) -> Told {
+    pub(super) fn malformed(&mut self, why: &str) -> Response {
         if let Transaction::Open { .. } = self.session.transaction {
-            self.fail();
+            self.fail_transaction();
         }
         error(Code::Malformed, why, self.session.transaction.state())
     }
 
-    pub(super) fn unknown(&mut self, name: &str) -> Told {
+    pub(super) fn unknown_shape(&mut self, name: &str) -> Response {
         if let Transaction::Open { .. } = self.session.transaction {
-            self.fail();
+            self.fail_transaction();
         }
         error(Code::Unknown, name, self.session.transaction.state())
     }
--- a/crates/node/src/edge/client/handshake.rs
+++ b/crates/node/src/edge/client/handshake.rs
@@ -1,23 +1,23 @@
 //! The first line of a client: the database that it connects to.
 
-use super::connection::Client;
-use super::reply::back_ms;
+use super::connection::ClientConnection;
+use super::response::retry_after_ms;
 use crate::clock;
-use crate::edge::place::COME_BACK_S;
+use crate::edge::place::RETRY_AFTER_S;
 use crate::edge::{Edge, net};
 use badgerstream_wire::Request;
 use std::rc::Rc;
 
 /// A client may take so long to say whom it wants, in seconds.
-const HELLO_S: f64 = 10.0;
+const HANDSHAKE_TIMEOUT_S: f64 = 10.0;
 /// Before the first configuration a client waits for it so long, in seconds.
-const CONFIG_S: f64 = 1.5;
+const CONFIG_WAIT_S: f64 = 1.5;
 
 /// The database that the client connects to, once it has its answer; none if it was refused or has gone.
-pub(super) async fn hello(edge: &Rc<Edge>, client: &Client) -> Option<Rc<str>> {
-    let line = net::until(clock::now() + HELLO_S, async {
+pub(super) async fn handshake(edge: &Rc<Edge>, client: &ClientConnection) -> Option<Rc<str>> {
+    let line = net::until(clock::now() + HANDSHAKE_TIMEOUT_S, async {
         loop {
-            if let Some(line) = client.line().ok()? {
+            if let Some(line) = client.next_line().ok()? {
                 return Some(line);
             }
             if !client.read(edge).await {
@@ -30,7 +30,7 @@
         client.write(b"ERROR MALFORMED CONNECT comes first\r\n").await;
         return None;
     };
-    let until = clock::now() + CONFIG_S;
+    let until = clock::now() + CONFIG_WAIT_S;
     loop {
         let generation = edge.shared.changed.generation();
         let config = edge.shared.view.borrow().config.clone();
@@ -45,7 +45,9 @@
             }
             None => {
                 if net::until(until, edge.shared.changed.notified_since(generation)).await.is_none() {
-                    client.write(format!("ERROR RETRY {}\r\n", back_ms(COME_BACK_S)).as_bytes()).await;
+                    client
+                        .write(format!("ERROR RETRY {}\r\n", retry_after_ms(RETRY_AFTER_S)).as_bytes())
+                        .await;
                     return None;
                 }
             }
--- a/crates/node/src/edge/client/input.rs
+++ b/crates/node/src/edge/client/input.rs
@@ -1,6 +1,6 @@
 //! Waiting for a client's next line, its end, or the end of an idle transaction.
 
-use super::Talk;
+use super::ClientSession;
 use crate::clock;
 use crate::edge::net;
 use badgerstream_pooling::session::Transaction;
@@ -8,10 +8,10 @@
 use std::future::poll_fn;
 use std::task::Poll;
 
-impl Talk {
+impl ClientSession {
     /// The next line of the client; none when the session ends.
-    pub(super) async fn next(&mut self) -> Option<Vec<u8>> {
-        if let Some(line) = self.client.line().ok()? {
+    pub(super) async fn next_request(&mut self) -> Option<Vec<u8>> {
+        if let Some(line) = self.client.next_line().ok()? {
             return Some(line);
         }
         self.client.lines.borrow_mut().shrink();
@@ -31,7 +31,7 @@
                 .await;
                 None
             });
-            let came = if self.held.is_some() {
+            let came = if self.checkout.is_some() {
                 let idle =
                     self.edge.shared.view.borrow().config.as_ref().map_or(3000, |c| c.limits.txn_idle_ms);
                 net::until(clock::now() + idle as f64 / 1000.0, read).await
@@ -42,11 +42,11 @@
                 // A transaction that rests too long is ended; its client hears of it when it asks again.
                 None => {
                     log::debug!("event=transaction_idle database={}", self.database);
-                    self.fail();
-                    self.told = false;
+                    self.fail_transaction();
+                    self.failure_reported = false;
                 }
                 Some(Some(true)) => {
-                    if let Some(line) = self.client.line().ok()? {
+                    if let Some(line) = self.client.next_line().ok()? {
                         self.handle.idle_since.set(None);
                         return Some(line);
                     }
@@ -60,7 +60,7 @@
                         &mut self.client.lines.borrow_mut(),
                     );
                     if matches!(come, Ok(Some(n)) if n > 0)
-                        && let Some(line) = self.client.line().ok()?
+                        && let Some(line) = self.client.next_line().ok()?
                     {
                         self.handle.idle_since.set(None);
                         return Some(line);
--- /dev/null
+++ b/crates/node/src/edge/client/response.rs
@@ -0,0 +1,32 @@
+//! The answer that a client gets to its statement.
+
+use badgerstream_pooling::pace::MIN_BACK_S;
+use badgerstream_wire::{Code, State};
+
+/// No client is told to come back later than this, in seconds.
+const MAX_RETRY_AFTER_S: f64 = 2.0;
+
+/// How the client is answered.
+pub(super) enum Response {
+    /// The server's answer, untouched.
+    Forward(Vec<u8>),
+    /// An error, and the state after it.
+    Error(Code, String, State),
+    /// Our own success.
+    Done,
+    /// Not at all: the client has closed its connection.
+    ClientGone,
+}
+
+pub(super) fn error(code: Code, text: impl Into<String>, state: State) -> Response {
+    Response::Error(code, text.into(), state)
+}
+
+/// Nothing has run: come back in so many seconds.
+pub(super) fn retry_later(wait: f64, state: State) -> Response {
+    error(Code::Retry, retry_after_ms(wait).to_string(), state)
+}
+
+pub(super) fn retry_after_ms(wait: f64) -> u32 {
+    (wait.clamp(MIN_BACK_S, MAX_RETRY_AFTER_S) * 1000.0).round() as u32
+}
--- a/crates/node/src/edge/client/single.rs
+++ b/crates/node/src/edge/client/single.rs
@@ -1,13 +1,13 @@
 //! A statement outside a transaction.
 
-use super::Talk;
-use super::reply::{Told, come_back, error};
+use super::ClientSession;
+use super::response::{Response, error, retry_later};
 use super::statement::Statement;
-use super::{HOLD, PAUSE_S};
+use super::{BACKOFF_S, HOLD_FRACTION};
 use crate::clock;
 use crate::edge::net;
-use crate::edge::place::{COME_BACK_S, Want};
-use crate::edge::pool::Lost;
+use crate::edge::place::{PlacementRequest, RETRY_AFTER_S};
+use crate::edge::pool::ExchangeError;
 use badgerstream_pooling::choice::Class;
 use badgerstream_wire::{Answer, Code, Kind, Outcome, State, Verdict};
 use futures_lite::future::or;
@@ -15,23 +15,30 @@
 use std::future::pending;
 
 /// How often a read is asked again since its answer most likely is lost.
-const MAX_AGAIN: usize = 2;
+const MAX_REISSUES: usize = 2;
 /// The shortest wait before a read is asked elsewhere, in seconds.
-const ELSEWHERE_S: f64 = 0.15;
+const MIN_FIRST_TRY_S: f64 = 0.15;
 
-impl Talk {
+impl ClientSession {
     /// A statement outside a transaction.
-    pub(super) async fn single(&mut self, statement: &Statement<'_>) -> Told {
-        let Some(terms) = self.bind() else { return error(Code::NoDb, &*self.database, State::Idle) };
+    pub(super) async fn run_single(&mut self, statement: &Statement<'_>) -> Response {
+        let Some(terms) = self.route_terms() else { return error(Code::NoDb, &*self.database, State::Idle) };
         let reads = statement.kind == Kind::Fetch;
         let deadline = statement.arrived + terms.deadline;
-        let give_up = statement.arrived + terms.deadline * HOLD;
+        let give_up = statement.arrived + terms.deadline * HOLD_FRACTION;
         let class = if reads { Class::Read } else { Class::Write };
         let shape = statement.execute.map(|(shape, _)| shape);
         let arrived = statement.arrived;
-        let want = Want { terms: &terms, class, arrived, waits_since: arrived, shape, works: true };
+        let request = PlacementRequest {
+            terms: &terms,
+            class,
+            arrived,
+            waiting_since: arrived,
+            shape,
+            takes_slot: true,
+        };
         let mut tried = Vec::new();
-        let mut back = COME_BACK_S;
+        let mut back = RETRY_AFTER_S;
         let mut again = 0;
         let mut next = None;
         for attempt in 0..terms.tries.max(2) + 2 {
@@ -39,8 +46,10 @@
             let mut placed = if let Some(placed) = next.take() {
                 placed
             } else {
-                let place = async { Some(self.edge.place(&want, &self.session, &tried, limit).await) };
-                let Some(placed) = or(place, self.client.gone(&self.edge)).await else { return Told::Gone };
+                let place = async { Some(self.edge.place(&request, &self.session, &tried, limit).await) };
+                let Some(placed) = or(place, self.client.until_closed(&self.edge)).await else {
+                    return Response::ClientGone;
+                };
                 match placed {
                     Ok(placed) => placed,
                     Err(wait) => {
@@ -58,7 +67,7 @@
             }
             // A read is asked again as soon as its answer most likely is lost; elsewhere also if a replica is silent.
             let elsewhere = reads && !primary && attempt == 0;
-            let first = (terms.target / 2.0).max(ELSEWHERE_S).min(terms.deadline / 3.0);
+            let first = (terms.target / 2.0).max(MIN_FIRST_TRY_S).min(terms.deadline / 3.0);
             let at = if elsewhere { (now + first).min(deadline) } else { deadline };
             let pool = placed.out.pool.clone();
             let mut answer = Answer::default();
@@ -69,16 +78,16 @@
                 client.write(part).await
             };
             let mut outcome = placed.out.ask_patiently(&line, &mut answer, terms.target, at, &pass).await;
-            if outcome == Err(Lost::Overdue) {
+            if outcome == Err(ExchangeError::Overdue) {
                 // It holds its place here no longer, since it most likely holds none there. Its answer is still
                 // welcome; a read is asked again if another connection is had before.
                 placed.out.leave();
-                let more = reads && again < MAX_AGAIN;
+                let more = reads && again < MAX_REISSUES;
                 let elsewhere = async {
                     if !more {
                         return pending().await;
                     }
-                    match self.edge.place(&want, &self.session, &tried, deadline).await {
+                    match self.edge.place(&request, &self.session, &tried, deadline).await {
                         Ok(placed) => Err(placed),
                         Err(_) => pending().await,
                     }
@@ -99,9 +108,9 @@
                         if !reads {
                             self.session.wrote(outcome.position);
                         }
-                        return self.whole(answer.raw, &outcome);
+                        return self.forward(answer.raw, &outcome);
                     }
-                    Some(_) if passed => return self.whole(answer.raw, &outcome),
+                    Some(_) if passed => return self.forward(answer.raw, &outcome),
                     Some(code) if code.verdict() == Verdict::NotRun => {
                         if let (Code::Lagging, Some(proof)) = (code, placed.proof) {
                             pool.lagged(proof);
@@ -109,24 +118,24 @@
                         log::debug!("event=not_run server={id} code={}", code.word());
                         drop(placed);
                         if primary {
-                            net::sleep_until(clock::now() + PAUSE_S * f64::from(1 << attempt.min(4))).await;
+                            net::sleep_until(clock::now() + BACKOFF_S * f64::from(1 << attempt.min(4))).await;
                         }
                     }
                     Some(Code::Failed) if reads && attempt < 2 => drop(placed),
-                    Some(_) => return self.whole(answer.raw, &outcome),
+                    Some(_) => return self.forward(answer.raw, &outcome),
                 },
-                Err(Lost::Gone) => return Told::Gone,
-                Err(_) if passed => return Told::Gone,
-                Err(Lost::Unsent) => {}
-                Err(Lost::Broken | Lost::Silent | Lost::Overdue) if !reads => {
+                Err(ExchangeError::ClientGone) => return Response::ClientGone,
+                Err(_) if passed => return Response::ClientGone,
+                Err(ExchangeError::Unsent) => {}
+                Err(ExchangeError::Broken | ExchangeError::Silent | ExchangeError::Overdue) if !reads => {
                     log::info!("event=in_doubt server={id} database={}", self.database);
                     return error(Code::InDoubt, "no clear answer", State::Idle);
                 }
-                Err(Lost::Broken) => {}
-                Err(Lost::Overdue) => {
+                Err(ExchangeError::Broken) => {}
+                Err(ExchangeError::Overdue) => {
                     log::debug!("event=asked_again server={id} database={}", self.database);
                 }
-                Err(Lost::Silent) => {
+                Err(ExchangeError::Silent) => {
                     if clock::now() >= deadline {
                         return error(Code::Timeout, "no answer", State::Idle);
                     }
@@ -134,17 +143,17 @@
             }
             tried.push(id);
         }
-        come_back(back.min(terms.deadline.max(COME_BACK_S)), State::Idle)
+        retry_later(back.min(terms.deadline.max(RETRY_AFTER_S)), State::Idle)
     }
 
     /// A server's answer outside a transaction: should it say another state, that ends with its connection.
-    pub(super) fn whole(&self, mut raw: Vec<u8>, outcome: &Outcome) -> Told {
+    pub(super) fn forward(&self, mut raw: Vec<u8>, outcome: &Outcome) -> Response {
         if outcome.state != State::Idle
             && let Some(at) = raw.windows(7).rposition(|w| w.starts_with(b"\nIDLE "))
         {
             raw.truncate(at + 1);
             raw.extend_from_slice(b"IDLE I -\r\n");
         }
-        Told::Answer(raw)
+        Response::Forward(raw)
     }
 }
--- a/crates/node/src/edge/client/transaction.rs
+++ b/crates/node/src/edge/client/transaction.rs
@@ -1,40 +1,51 @@
 //! A transaction: begun at a server with its first statement, held there, and given up.
 
-use super::Talk;
-use super::reply::{Told, come_back, error};
+use super::ClientSession;
+use super::response::{Response, error, retry_later};
 use super::statement::Statement;
-use super::{HOLD, PAUSE_S};
+use super::{BACKOFF_S, HOLD_FRACTION};
 use crate::clock;
 use crate::edge::net;
-use crate::edge::place::{COME_BACK_S, Want};
-use crate::edge::pool::Lost;
+use crate::edge::place::{PlacementRequest, RETRY_AFTER_S};
+use crate::edge::pool::ExchangeError;
 use badgerstream_pooling::choice::Class;
 use badgerstream_pooling::session::{Shape, Transaction};
 use badgerstream_wire::{Answer, Code, Kind, State};
 use futures_lite::future::or;
 
 /// Beginning a transaction may take so long at one server, in seconds.
-const BEGIN_S: f64 = 0.5;
+const BEGIN_TIMEOUT_S: f64 = 0.5;
 
-impl Talk {
+impl ClientSession {
     /// Begins the open transaction at a server, if it isn't; what to tell the client if that can't be.
-    pub(super) async fn begin(&mut self, arrived: f64, shape: Option<&Shape>) -> Result<(), Told> {
-        if self.held.is_some() {
+    pub(super) async fn begin_at_server(
+        &mut self, arrived: f64, shape: Option<&Shape>,
+    ) -> Result<(), Response> {
+        if self.checkout.is_some() {
             return Ok(());
         }
         let Transaction::Open { fetch, arrived: began, .. } = self.session.transaction else { return Ok(()) };
-        let Some(terms) = self.bind() else {
-            self.fail();
+        let Some(terms) = self.route_terms() else {
+            self.fail_transaction();
             return Err(error(Code::Aborted, "the database is gone", State::Failed));
         };
-        let give_up = arrived + terms.deadline * HOLD;
+        let give_up = arrived + terms.deadline * HOLD_FRACTION;
         let class = if fetch { Class::Read } else { Class::Write };
-        let want = Want { terms: &terms, class, arrived: began, waits_since: arrived, shape, works: false };
+        let request = PlacementRequest {
+            terms: &terms,
+            class,
+            arrived: began,
+            waiting_since: arrived,
+            shape,
+            takes_slot: false,
+        };
         let mut tried = Vec::new();
-        let mut back = COME_BACK_S;
+        let mut back = RETRY_AFTER_S;
         for attempt in 0..terms.tries.max(2) + 2 {
-            let place = async { Some(self.edge.place(&want, &self.session, &tried, give_up).await) };
-            let Some(placed) = or(place, self.client.gone(&self.edge)).await else { return Err(Told::Gone) };
+            let place = async { Some(self.edge.place(&request, &self.session, &tried, give_up).await) };
+            let Some(placed) = or(place, self.client.until_closed(&self.edge)).await else {
+                return Err(Response::ClientGone);
+            };
             let mut placed = match placed {
                 Ok(placed) => placed,
                 Err(wait) => {
@@ -51,7 +62,7 @@
             if primary {
                 self.session.mark.touch(clock::now());
             }
-            let at = (clock::now() + BEGIN_S).min(arrived + terms.deadline);
+            let at = (clock::now() + BEGIN_TIMEOUT_S).min(arrived + terms.deadline);
             let pool = placed.out.pool.clone();
             // Nothing has run in it yet: it may be begun once more as soon as its answer most likely is lost.
             let begun = placed
@@ -66,13 +77,13 @@
                 .await;
             match begun {
                 Ok(outcome) if outcome.error.is_none() && outcome.state == State::Open => {
-                    let turn = want.turn(&pool, give_up.max(clock::now() + 0.05));
-                    if !placed.out.enter_first(&turn).await {
-                        back = pool.wait(&turn, clock::now());
+                    let admission = request.admission(&pool, give_up.max(clock::now() + 0.05));
+                    if !placed.out.enter_first(&admission).await {
+                        back = pool.wait(&admission, clock::now());
                         placed.out.roll_back();
                         break;
                     }
-                    self.held = Some(placed.out);
+                    self.checkout = Some(placed.out);
                     self.terms = Some(terms);
                     return Ok(());
                 }
@@ -82,26 +93,30 @@
                     }
                     drop(placed);
                     if primary {
-                        net::sleep_until(clock::now() + PAUSE_S * f64::from(1 << attempt.min(4))).await;
+                        net::sleep_until(clock::now() + BACKOFF_S * f64::from(1 << attempt.min(4))).await;
                     }
                 }
                 Err(_) => {}
             }
             tried.push(pool.server.id.clone());
         }
-        self.fail();
-        Err(come_back(back.min(terms.deadline.max(COME_BACK_S)), State::Failed))
+        self.fail_transaction();
+        Err(retry_later(back.min(terms.deadline.max(RETRY_AFTER_S)), State::Failed))
     }
 
     /// A statement inside a transaction.
-    pub(super) async fn inside(&mut self, statement: &Statement<'_>) -> Told {
+    pub(super) async fn run_in_transaction(&mut self, statement: &Statement<'_>) -> Response {
         let shape = statement.execute.map(|(shape, _)| shape);
-        if let Err(told) = self.begin(statement.arrived, shape).await {
-            return told;
+        if let Err(response) = self.begin_at_server(statement.arrived, shape).await {
+            return response;
         }
-        let (Some(held), Some(terms)) = (&mut self.held, &self.terms) else { return Told::Gone };
+        let (Some(held), Some(terms)) = (&mut self.checkout, &self.terms) else {
+            return Response::ClientGone;
+        };
         let deadline = statement.arrived + terms.deadline;
-        let Transaction::Open { fetch, wrote, .. } = &mut self.session.transaction else { return Told::Gone };
+        let Transaction::Open { fetch, wrote, .. } = &mut self.session.transaction else {
+            return Response::ClientGone;
+        };
         // What was begun elsewhere than where the lead is now can't be kept.
         let lead = {
             let view = self.edge.shared.view.borrow();
@@ -109,7 +124,7 @@
         };
         let ready = (*fetch || lead)
             && net::until(deadline, async {
-                held.hold(&self.session.values, shape).await?;
+                held.prepare(&self.session.values, shape).await?;
                 held.enter().await;
                 Ok::<(), ()>(())
             })
@@ -117,7 +132,7 @@
                 == Some(Ok(()));
         let line = if ready { statement.line(held, "") } else { None };
         let Some(line) = line else {
-            self.fail();
+            self.fail_transaction();
             return error(Code::Aborted, "the transaction was lost", State::Failed);
         };
         if !*fetch {
@@ -138,44 +153,44 @@
                     State::Open => {}
                     State::Failed => self.session.transaction = Transaction::Failed,
                     State::Idle => {
-                        self.held = None;
-                        self.over();
+                        self.checkout = None;
+                        self.finish_transaction();
                     }
                 }
-                Told::Answer(answer.raw)
+                Response::Forward(answer.raw)
             }
-            Err(Lost::Gone) => Told::Gone,
+            Err(ExchangeError::ClientGone) => Response::ClientGone,
             Err(_) => {
                 // Closing its connection rolls back, so that its client may begin anew at once, also where it is but
                 // the answer that most likely is lost.
-                self.held = None;
-                self.fail();
+                self.checkout = None;
+                self.fail_transaction();
                 error(Code::Aborted, "the server was lost", State::Failed)
             }
         }
     }
 
     /// The open transaction fails: nothing of it is kept.
-    pub(super) fn fail(&mut self) {
-        if let Some(held) = self.held.take() {
+    pub(super) fn fail_transaction(&mut self) {
+        if let Some(held) = self.checkout.take() {
             held.roll_back();
         }
         self.session.transaction = Transaction::Failed;
-        self.told = true;
+        self.failure_reported = true;
     }
 
     /// The end of a transaction that keeps nothing.
-    pub(super) fn end_failed(&mut self) {
-        if let Some(held) = self.held.take() {
+    pub(super) fn roll_back(&mut self) {
+        if let Some(held) = self.checkout.take() {
             held.roll_back();
         }
-        self.over();
+        self.finish_transaction();
     }
 
     /// The transaction is over.
-    pub(super) fn over(&mut self) {
+    pub(super) fn finish_transaction(&mut self) {
         self.session.transaction = Transaction::None;
         self.terms = None;
-        self.told = true;
+        self.failure_reported = true;
     }
 }
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -72,7 +72,7 @@
 
 /// How a client's session is seen from outside its task.
 #[derive(Default)]
-struct Handle {
+struct SessionHandle {
     /// Since when it rests outside a transaction; none while it works.
     idle_since: Cell<Option<f64>>,
     /// It is inside a transaction.
@@ -82,7 +82,7 @@
     waker: RefCell<Option<Waker>>,
 }
 
-impl Handle {
+impl SessionHandle {
     fn close(&self) {
         self.close.set(true);
         if let Some(waker) = self.waker.borrow_mut().take() {
@@ -99,7 +99,7 @@
     scratch: Scratch,
     pools: RefCell<HashMap<String, Rc<Pool>>>,
     freshness: RefCell<HashMap<String, Freshness>>,
-    sessions: RefCell<HashMap<u64, Rc<Handle>>>,
+    sessions: RefCell<HashMap<u64, Rc<SessionHandle>>>,
     next_session: Cell<u64>,
     working: Cell<usize>,
     routers: Cell<usize>,
@@ -240,7 +240,7 @@
             }
             let id = self.next_session.get();
             self.next_session.set(id + 1);
-            let handle = Rc::new(Handle::default());
+            let handle = Rc::new(SessionHandle::default());
             self.sessions.borrow_mut().insert(id, handle.clone());
             let edge = self.clone();
             let work = async move {
--- a/crates/node/src/edge/place.rs
+++ b/crates/node/src/edge/place.rs
@@ -2,7 +2,7 @@
 
 use super::Edge;
 use super::net;
-use super::pool::{Checkout, NotHad, Pool, Turn};
+use super::pool::{Admission, Checkout, CheckoutError, Pool};
 use crate::clock;
 use badgerstream_calls::config::{Mode, Route};
 use badgerstream_pooling::choice::{Ask, Choice, Class, Demand, choose};
@@ -12,11 +12,11 @@
 use std::rc::Rc;
 
 /// When a client is told to come back if no server is to be had, in seconds.
-pub const COME_BACK_S: f64 = 0.2;
+pub const RETRY_AFTER_S: f64 = 0.2;
 
 /// What a route asks of its statements, as it stood when the statement or its transaction came.
 #[derive(Debug, Clone)]
-pub struct Terms {
+pub struct RouteTerms {
     /// The service that holds the database.
     pub service: Rc<str>,
     /// How fresh reads must be.
@@ -33,7 +33,7 @@
     pub max_conns: usize,
 }
 
-impl Terms {
+impl RouteTerms {
     /// Those of a route.
     pub fn of(route: &Route, max_conns: usize) -> Self {
         let staleness = route.staleness_ms.map(|ms| ms as f64 / 1000.0);
@@ -55,31 +55,31 @@
 }
 
 /// What needs a connection.
-pub struct Want<'a> {
+pub struct PlacementRequest<'a> {
     /// Its route's terms.
-    pub terms: &'a Terms,
+    pub terms: &'a RouteTerms,
     /// It reads or writes.
     pub class: Class,
     /// When its first byte, or that of its transaction, arrived.
     pub arrived: f64,
     /// When the statement arrived that waits now: its aim counts from there.
-    pub waits_since: f64,
+    pub waiting_since: f64,
     /// The shape that the connection must know.
     pub shape: Option<&'a Shape>,
     /// It takes a slot of the server, as all but a `BEGIN`.
-    pub works: bool,
+    pub takes_slot: bool,
 }
 
-impl Want<'_> {
-    /// Its turn at this server, if it waits until this second at most.
-    pub fn turn(&self, pool: &Pool, give_up: f64) -> Turn {
-        let aim = self.waits_since + self.terms.target - pool.pace().mean();
-        Turn { rank: self.terms.rank.saturating_add(1), aim, give_up }
+impl PlacementRequest<'_> {
+    /// How it waits at this server, until this second at most.
+    pub fn admission(&self, pool: &Pool, give_up: f64) -> Admission {
+        let aim = self.waiting_since + self.terms.target - pool.pace().mean();
+        Admission { rank: self.terms.rank.saturating_add(1), aim, give_up }
     }
 }
 
 /// A connection that the statement may be sent on now.
-pub struct Placed {
+pub struct Placement {
     /// The connection.
     pub out: Checkout,
     /// What must be asked of the replica; none at the primary.
@@ -87,7 +87,7 @@
 }
 
 /// Who is to be asked.
-enum Pick {
+enum Target {
     Primary(Rc<Pool>),
     Replica(Rc<Pool>, Position),
     /// Nobody before this second, or before the view changes.
@@ -99,61 +99,63 @@
     /// is plain that there will be none by then: in how many seconds to come back. Servers that were `tried` in vain
     /// come last.
     pub async fn place(
-        self: &Rc<Self>, want: &Want<'_>, session: &Session, tried: &[String], give_up: f64,
-    ) -> Result<Placed, f64> {
-        let placed = self.place_or_wait(want, session, tried, give_up).await;
+        self: &Rc<Self>, request: &PlacementRequest<'_>, session: &Session, tried: &[String], give_up: f64,
+    ) -> Result<Placement, f64> {
+        let placed = self.place_or_wait(request, session, tried, give_up).await;
         placed.map_err(|wait| {
-            let service = &*want.terms.service;
+            let service = &*request.terms.service;
             self.with_freshness(service, |f| f.refusals.refused(clock::now(), wait))
         })
     }
 
     async fn place_or_wait(
-        self: &Rc<Self>, want: &Want<'_>, session: &Session, tried: &[String], give_up: f64,
-    ) -> Result<Placed, f64> {
+        self: &Rc<Self>, request: &PlacementRequest<'_>, session: &Session, tried: &[String], give_up: f64,
+    ) -> Result<Placement, f64> {
         loop {
             let now = clock::now();
             if now >= give_up {
-                return Err(COME_BACK_S);
+                return Err(RETRY_AFTER_S);
             }
             let generation = self.shared.changed.generation();
-            let (pool, proof) = match self.pick(want, session, tried, now) {
-                Pick::Primary(pool) => (pool, None),
-                Pick::Replica(pool, proof) => (pool, Some(proof)),
-                Pick::Nobody(at) => {
+            let (pool, proof) = match self.pick(request, session, tried, now) {
+                Target::Primary(pool) => (pool, None),
+                Target::Replica(pool, proof) => (pool, Some(proof)),
+                Target::Nobody(at) => {
                     net::until(at.min(give_up), self.shared.changed.notified_since(generation)).await;
                     continue;
                 }
             };
-            let turn = want.turn(&pool, give_up);
-            let (values, shape) = (&session.values, want.shape);
-            let take = async { Some(Checkout::take(self, &pool, &turn, values, shape, want.works).await) };
+            let admission = request.admission(&pool, give_up);
+            let (values, shape) = (&session.values, request.shape);
+            let take = async {
+                Some(Checkout::take(self, &pool, &admission, values, shape, request.takes_slot).await)
+            };
             let overtaken = async {
                 // Its place in the queue is kept through news that doesn't concern it.
                 let mut generation = generation;
                 loop {
                     self.shared.changed.notified_since(generation).await;
                     generation = self.shared.changed.generation();
-                    if !self.is_still(&pool, proof.is_none()) {
+                    if !self.is_still_valid(&pool, proof.is_none()) {
                         return None;
                     }
                 }
             };
             match net::until(give_up, or(take, overtaken)).await {
-                None => return Err(pool.wait(&turn, clock::now())),
-                Some(Some(Err(NotHad::Busy(wait)))) => return Err(wait),
+                None => return Err(pool.wait(&admission, clock::now())),
+                Some(Some(Err(CheckoutError::Busy(wait)))) => return Err(wait),
                 Some(Some(Ok(out))) => {
                     // The lease is looked at once more: time has passed.
                     if proof.is_some() || self.is_leased(&pool.server, clock::now()) {
-                        return Ok(Placed { out, proof });
+                        return Ok(Placement { out, proof });
                     }
                 }
-                Some(None | Some(Err(NotHad::Unreachable))) => {}
+                Some(None | Some(Err(CheckoutError::Unreachable))) => {}
             }
         }
     }
 
-    fn is_still(&self, pool: &Pool, primary: bool) -> bool {
+    fn is_still_valid(&self, pool: &Pool, primary: bool) -> bool {
         let view = self.shared.view.borrow();
         if primary {
             view.primary(&pool.server.service, clock::now()).is_some_and(|g| g.id == pool.server.id)
@@ -164,17 +166,17 @@
         }
     }
 
-    fn pick(&self, want: &Want<'_>, session: &Session, tried: &[String], now: f64) -> Pick {
+    fn pick(&self, request: &PlacementRequest<'_>, session: &Session, tried: &[String], now: f64) -> Target {
         let view = self.shared.view.borrow();
-        let service = &*want.terms.service;
-        let max_conns = want.terms.max_conns;
+        let service = &*request.terms.service;
+        let max_conns = request.terms.max_conns;
         let primary =
             view.primary(service, now).and_then(|g| view.servers.get(&g.id)).map(|s| self.pool(s, max_conns));
         let slow = primary.as_ref().is_none_or(|p| p.is_full() || !p.standing().is_up(now));
         let ask = Ask {
-            demand: want.terms.demand,
-            class: want.class,
-            arrived: want.arrived,
+            demand: request.terms.demand,
+            class: request.class,
+            arrived: request.arrived,
             primary_slow: slow || tried.iter().any(|t| primary.as_ref().is_some_and(|p| p.server.id == *t)),
         };
         if let Choice::Replica(proof) =
@@ -192,13 +194,13 @@
                 .collect();
             replicas.sort_by(|a, b| a.server.id.cmp(&b.server.id));
             if let Some(at) = self.with_freshness(service, |f| f.rotation.next(replicas.len(), |_| true)) {
-                return Pick::Replica(replicas.swap_remove(at), proof);
+                return Target::Replica(replicas.swap_remove(at), proof);
             }
         }
         match primary {
-            Some(primary) if primary.standing().is_up(now) => Pick::Primary(primary),
+            Some(primary) if primary.standing().is_up(now) => Target::Primary(primary),
             // Short pauses are looked at again; a change of the view is heard at once.
-            _ => Pick::Nobody(now + 0.05),
+            _ => Target::Nobody(now + 0.05),
         }
     }
 }
--- a/crates/node/src/edge/pool.rs
+++ b/crates/node/src/edge/pool.rs
@@ -15,7 +15,7 @@
 use badgerstream_pooling::share::{Share, in_flight};
 use badgerstream_pooling::standing::Standing;
 pub use checkout::Checkout;
-pub use exchange::Lost;
+pub use exchange::ExchangeError;
 use futures_lite::future::or;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -77,26 +77,26 @@
     }
 
     /// In how many seconds a place to work may come free for whoever comes now; more than that, not less.
-    pub fn wait(&self, turn: &Turn, now: f64) -> f64 {
-        let ahead = |gate: &Gate| gate.ahead(turn.rank, turn.aim, now);
+    pub fn wait(&self, admission: &Admission, now: f64) -> f64 {
+        let ahead = |gate: &Gate| gate.ahead(admission.rank, admission.aim, now);
         self.pace.get().wait(ahead(&self.conns) + ahead(&self.slots), self.slots.limit())
     }
 
     /// Waits to be let in, unless it is plain that it can't be in time: at the beginning, or once the aim is missed.
-    async fn enter(&self, gate: &Rc<Gate>, turn: &Turn) -> Result<Permit, NotHad> {
+    async fn enter(&self, gate: &Rc<Gate>, admission: &Admission) -> Result<Permit, CheckoutError> {
         let busy = |now: f64| {
-            let wait = self.wait(turn, now);
-            (now + wait > turn.give_up).then_some(NotHad::Busy(wait))
+            let wait = self.wait(admission, now);
+            (now + wait > admission.give_up).then_some(CheckoutError::Busy(wait))
         };
         if !gate.is_full() {
-            return Ok(gate.enter(turn.rank, turn.aim).await);
+            return Ok(gate.enter(admission.rank, admission.aim).await);
         }
         if let Some(busy) = busy(clock::now()) {
             return Err(busy);
         }
-        or(async { Ok(gate.enter(turn.rank, turn.aim).await) }, async {
-            if turn.aim > clock::now() {
-                sleep_until(turn.aim).await;
+        or(async { Ok(gate.enter(admission.rank, admission.aim).await) }, async {
+            if admission.aim > clock::now() {
+                sleep_until(admission.aim).await;
                 if let Some(busy) = busy(clock::now()) {
                     return Err(busy);
                 }
@@ -112,9 +112,9 @@
     }
 }
 
-/// Whose turn it is.
+/// By which rank and until when a statement waits to be admitted.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Turn {
+pub struct Admission {
     /// 0 goes first.
     pub rank: u32,
     /// Whoever is let in by this second can still make its aim.
@@ -125,9 +125,9 @@
 
 /// No connection is had, and nothing has run.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum NotHad {
+pub enum CheckoutError {
     /// The server can't be reached, or is another one.
     Unreachable,
-    /// So many wait that its turn would come too late: in so many seconds.
+    /// So many wait that it would be admitted too late: in so many seconds.
     Busy(f64),
 }
--- a/crates/node/src/edge/pool/checkout.rs
+++ b/crates/node/src/edge/pool/checkout.rs
@@ -1,7 +1,7 @@
 //! A connection in use by one client: taken from the pool, and given back as it may be left.
 
 use super::health::Unanswered;
-use super::{NotHad, Pool, Turn};
+use super::{Admission, CheckoutError, Pool};
 use crate::clock;
 use crate::edge::Edge;
 use crate::edge::gate::Permit;
@@ -20,9 +20,9 @@
 /// The pause after a server's refusal of a connection, in seconds.
 const FULL_PAUSE_S: f64 = 0.05;
 
-/// How the connection of a `Checkout` may be left.
+/// Whether the connection of a `Checkout` may be used by the next.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(super) enum Left {
+pub(super) enum Reuse {
     /// As it was taken: for the next.
     Clean,
     /// A statement outside a transaction is unanswered: nobody may have it until the answer is in.
@@ -40,7 +40,7 @@
     pub(super) link: Option<Link>,
     pub(super) conn: Option<Permit>,
     pub(super) slot: Option<Permit>,
-    pub(super) left: Left,
+    pub(super) reuse: Reuse,
     /// Own changes were made inside the transaction that is open.
     pub(super) changed_inside: bool,
     pub(super) keeps: bool,
@@ -51,11 +51,12 @@
 
 impl Checkout {
     /// Waits for a connection, makes it hold exactly these values and know this shape, and waits for a place to work if
-    /// what comes next `works`, which takes a slot of the server. Our own statements take none.
+    /// what comes next `takes_slot` of the server. Our own statements take none.
     pub async fn take(
-        edge: &Rc<Edge>, pool: &Rc<Pool>, turn: &Turn, values: &Values, shape: Option<&Shape>, works: bool,
-    ) -> Result<Self, NotHad> {
-        let conn = pool.enter(&pool.conns, turn).await?;
+        edge: &Rc<Edge>, pool: &Rc<Pool>, admission: &Admission, values: &Values, shape: Option<&Shape>,
+        takes_slot: bool,
+    ) -> Result<Self, CheckoutError> {
+        let conn = pool.enter(&pool.conns, admission).await?;
         let mut pause = FULL_PAUSE_S;
         let link = loop {
             if let Some(link) = pool.take_idle(values, &edge.scratch) {
@@ -85,7 +86,7 @@
                 Err(error) => {
                     pool.unreachable();
                     log::debug!("event=no_connection server={} error={error:?}", server.id);
-                    return Err(NotHad::Unreachable);
+                    return Err(CheckoutError::Unreachable);
                 }
             }
         };
@@ -95,15 +96,15 @@
             link: Some(link),
             conn: Some(conn),
             slot: None,
-            left: Left::Clean,
+            reuse: Reuse::Clean,
             changed_inside: false,
             keeps: false,
             unanswered: None,
             paced: false,
         };
-        checkout.hold(values, shape).await.map_err(|()| NotHad::Unreachable)?;
-        if works {
-            checkout.slot = Some(pool.enter(&pool.slots, turn).await?);
+        checkout.prepare(values, shape).await.map_err(|()| CheckoutError::Unreachable)?;
+        if takes_slot {
+            checkout.slot = Some(pool.enter(&pool.slots, admission).await?);
         }
         Ok(checkout)
     }
@@ -114,9 +115,9 @@
     }
 
     /// Waits for a place to work with what has only just begun, by its rank and aim; false if none is had in time.
-    pub async fn enter_first(&mut self, turn: &Turn) -> bool {
+    pub async fn enter_first(&mut self, admission: &Admission) -> bool {
         let pool = self.pool.clone();
-        let entered = net::until(turn.give_up, pool.enter(&pool.slots, turn)).await;
+        let entered = net::until(admission.give_up, pool.enter(&pool.slots, admission)).await;
         self.slot = entered.and_then(Result::ok);
         self.slot.is_some()
     }
@@ -157,10 +158,10 @@
 impl Drop for Checkout {
     fn drop(&mut self) {
         let Some(mut link) = self.link.take() else { return };
-        match self.left {
-            Left::Clean => self.pool.put_idle(link),
-            Left::Closed => {}
-            Left::Pending => {
+        match self.reuse {
+            Reuse::Clean => self.pool.put_idle(link),
+            Reuse::Closed => {}
+            Reuse::Pending => {
                 // The server works on it still: its place is taken until it answers, and breaking it off would waste
                 // what it did. If the answer is overdue it has most likely been given, and the place is free.
                 let overdue = self.is_overtaken();
--- a/crates/node/src/edge/pool/exchange.rs
+++ b/crates/node/src/edge/pool/exchange.rs
@@ -1,7 +1,7 @@
 //! A statement and its answer on a connection in use.
 
 use super::Pool;
-use super::checkout::{Checkout, Left};
+use super::checkout::{Checkout, Reuse};
 use super::health::Unanswered;
 use crate::clock;
 use crate::edge::net;
@@ -10,9 +10,9 @@
 /// Between two looks at an answer that is late, in seconds.
 const LOOK_S: f64 = 0.05;
 
-/// What became of a statement that gave no outcome.
+/// Why a statement has no outcome.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Lost {
+pub enum ExchangeError {
     /// Nothing of it was sent.
     Unsent,
     /// It was sent, in part at least, and the connection broke off.
@@ -22,7 +22,7 @@
     /// It was sent and the answer is overdue, while what was sent later is answered: lost, most likely.
     Overdue,
     /// A part of its answer was passed on to a client who has gone.
-    Gone,
+    ClientGone,
 }
 
 impl Checkout {
@@ -30,13 +30,13 @@
     /// long answers are passed on in parts by `pass`, which tells whether the client is still there.
     pub async fn ask(
         &mut self, line: &[u8], answer: &mut Answer, at: f64, pass: impl AsyncFn(&[u8]) -> bool,
-    ) -> Result<Outcome, Lost> {
-        let Some(link) = &mut self.link else { return Err(Lost::Unsent) };
+    ) -> Result<Outcome, ExchangeError> {
+        let Some(link) = &mut self.link else { return Err(ExchangeError::Unsent) };
         let sent = clock::now();
         // Under the lease at this moment no other primary exists, so its log has all that was acknowledged.
         let leased = self.edge.is_leased(&self.pool.server, sent);
-        if self.left == Left::Clean {
-            self.left = Left::Pending;
+        if self.reuse == Reuse::Clean {
+            self.reuse = Reuse::Pending;
         }
         match net::until(at, link.send(line)).await {
             Some(Ok(())) => {}
@@ -44,9 +44,9 @@
                 self.link = None;
                 self.pool.broke();
                 return Err(if matches!(other, Some(Err(e)) if e.none) {
-                    Lost::Unsent
+                    ExchangeError::Unsent
                 } else {
-                    Lost::Broken
+                    ExchangeError::Broken
                 });
             }
         }
@@ -59,17 +59,17 @@
     /// As `ask`; `Overdue` as soon as the answer of a statement with this aim (seconds) most likely is lost.
     pub async fn ask_patiently(
         &mut self, line: &[u8], answer: &mut Answer, target: f64, at: f64, pass: impl AsyncFn(&[u8]) -> bool,
-    ) -> Result<Outcome, Lost> {
+    ) -> Result<Outcome, ExchangeError> {
         let look = |now: f64, pool: &Pool| (now + pool.pace().patience(target)).min(at);
         let first = look(clock::now(), &self.pool);
         let mut outcome = self.ask(line, answer, first, &pass).await;
-        while outcome == Err(Lost::Silent) {
+        while outcome == Err(ExchangeError::Silent) {
             let now = clock::now();
             if now >= at {
                 break;
             }
             if self.is_overtaken() {
-                return Err(Lost::Overdue);
+                return Err(ExchangeError::Overdue);
             }
             // Until others are answered nothing tells this one from them.
             let next = look(now, &self.pool).min(now + LOOK_S);
@@ -81,23 +81,23 @@
     /// Waits on, until this second, for the outcome of what was asked and is `Silent`.
     pub async fn wait(
         &mut self, answer: &mut Answer, at: f64, pass: impl AsyncFn(&[u8]) -> bool,
-    ) -> Result<Outcome, Lost> {
-        let Some(link) = &mut self.link else { return Err(Lost::Broken) };
+    ) -> Result<Outcome, ExchangeError> {
+        let Some(link) = &mut self.link else { return Err(ExchangeError::Broken) };
         loop {
             match net::until(at, link.answer(answer, &self.edge.scratch)).await {
-                None => return Err(Lost::Silent),
+                None => return Err(ExchangeError::Silent),
                 Some(Err(())) => {
                     self.link = None;
                     self.unanswered = None;
                     self.pool.broke();
-                    return Err(Lost::Broken);
+                    return Err(ExchangeError::Broken);
                 }
                 Some(Ok(None)) => {
                     if let Some(asked) = &mut self.unanswered {
                         asked.partly = true;
                     }
                     if !pass(&answer.raw).await {
-                        return Err(Lost::Gone);
+                        return Err(ExchangeError::ClientGone);
                     }
                     answer.raw.clear();
                 }
@@ -115,7 +115,7 @@
                         }
                     }
                     let clean = idle && link.is_clean() && outcome.error != Some(Code::Unknown);
-                    self.left = if clean { Left::Clean } else { Left::Closed };
+                    self.reuse = if clean { Reuse::Clean } else { Reuse::Closed };
                     let kept = self.keeps && outcome.error.is_none();
                     if idle && std::mem::take(&mut self.changed_inside) && !kept {
                         // Nobody has said whether an end that rolls back takes values back, too.
--- a/crates/node/src/edge/pool/prepare.rs
+++ b/crates/node/src/edge/pool/prepare.rs
@@ -1,6 +1,6 @@
 //! Bringing a connection to the values and prepared shapes that its next statement needs.
 
-use super::checkout::{Checkout, Left, OWN_S};
+use super::checkout::{Checkout, OWN_S, Reuse};
 use crate::clock;
 use crate::edge::net::{self, sleep_until};
 use badgerstream_pooling::session::{Shape, Values};
@@ -9,16 +9,16 @@
 
 impl Checkout {
     /// Makes the connection hold exactly these values and know this shape. On failure it is closed.
-    pub async fn hold(&mut self, values: &Values, shape: Option<&Shape>) -> Result<(), ()> {
+    pub async fn prepare(&mut self, values: &Values, shape: Option<&Shape>) -> Result<(), ()> {
         let Some(link) = &mut self.link else { return Err(()) };
         let changes = link.held.changes(values, shape);
         if changes.is_empty() {
             return Ok(());
         }
-        let inside = self.left == Left::Closed;
+        let inside = self.reuse == Reuse::Closed;
         let state = if inside { State::Open } else { State::Idle };
         // Until all are acknowledged nobody knows what it holds.
-        self.left = Left::Closed;
+        self.reuse = Reuse::Closed;
         let mut bytes = Vec::new();
         for change in &changes {
             bytes.extend_from_slice(format!("QUERY - {}\r\n", change.text()).as_bytes());
@@ -49,7 +49,7 @@
         };
         match net::until(sent + OWN_S, or(made, lost)).await {
             Some(Ok(())) => {
-                self.left = if inside { Left::Closed } else { Left::Clean };
+                self.reuse = if inside { Reuse::Closed } else { Reuse::Clean };
                 self.changed_inside |= inside;
                 Ok(())
             }
