Pooling: the field's names

Renames only: pace is latency, standing health, conn connection (ConnectionState, StateChange), Demand Consistency (Strong, Bounded, ReadYourWrites), Class Access; what was an aim is a target of the route or the latest start of a waiter. Tests change by names alone.

--- a/crates/node/src/edge/client/response.rs
+++ b/crates/node/src/edge/client/response.rs
@@ -1,6 +1,6 @@
 //! The answer that a client gets to its statement.
 
-use badgerstream_pooling::pace::MIN_BACK_S;
+use badgerstream_pooling::latency::MIN_RETRY_AFTER_S;
 use badgerstream_wire::{Code, State};
 
 /// No client is told to come back later than this, in seconds.
@@ -28,5 +28,5 @@
 }
 
 pub(super) fn retry_after_ms(wait: f64) -> u32 {
-    (wait.clamp(MIN_BACK_S, MAX_RETRY_AFTER_S) * 1000.0).round() as u32
+    (wait.clamp(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S) * 1000.0).round() as u32
 }
--- a/crates/node/src/edge/client/single.rs
+++ b/crates/node/src/edge/client/single.rs
@@ -8,7 +8,7 @@
 use crate::edge::net;
 use crate::edge::place::{PlacementRequest, RETRY_AFTER_S};
 use crate::edge::pool::ExchangeError;
-use badgerstream_pooling::choice::Class;
+use badgerstream_pooling::choice::Access;
 use badgerstream_wire::{Answer, Code, Kind, Outcome, State, Verdict};
 use futures_lite::future::or;
 use std::cell::RefCell;
@@ -26,12 +26,12 @@
         let reads = statement.kind == Kind::Fetch;
         let deadline = statement.arrived + terms.deadline;
         let give_up = statement.arrived + terms.deadline * HOLD_FRACTION;
-        let class = if reads { Class::Read } else { Class::Write };
+        let access = if reads { Access::Read } else { Access::Write };
         let shape = statement.execute.map(|(shape, _)| shape);
         let arrived = statement.arrived;
         let request = PlacementRequest {
             terms: &terms,
-            class,
+            access,
             arrived,
             waiting_since: arrived,
             shape,
@@ -113,7 +113,7 @@
                     Some(_) if passed => return self.forward(answer.raw, &outcome),
                     Some(code) if code.verdict() == Verdict::NotRun => {
                         if let (Code::Lagging, Some(proof)) = (code, placed.proof) {
-                            pool.lagged(proof);
+                            pool.mark_lagging(proof);
                         }
                         log::debug!("event=not_run server={id} code={}", code.word());
                         drop(placed);
--- a/crates/node/src/edge/client/transaction.rs
+++ b/crates/node/src/edge/client/transaction.rs
@@ -8,7 +8,7 @@
 use crate::edge::net;
 use crate::edge::place::{PlacementRequest, RETRY_AFTER_S};
 use crate::edge::pool::ExchangeError;
-use badgerstream_pooling::choice::Class;
+use badgerstream_pooling::choice::Access;
 use badgerstream_pooling::session::{Shape, Transaction};
 use badgerstream_wire::{Answer, Code, Kind, State};
 use futures_lite::future::or;
@@ -30,10 +30,10 @@
             return Err(error(Code::Aborted, "the database is gone", State::Failed));
         };
         let give_up = arrived + terms.deadline * HOLD_FRACTION;
-        let class = if fetch { Class::Read } else { Class::Write };
+        let access = if fetch { Access::Read } else { Access::Write };
         let request = PlacementRequest {
             terms: &terms,
-            class,
+            access,
             arrived: began,
             waiting_since: arrived,
             shape,
@@ -89,7 +89,7 @@
                 }
                 Ok(outcome) => {
                     if let (Some(Code::Lagging), Some(proof)) = (outcome.error, placed.proof) {
-                        pool.lagged(proof);
+                        pool.mark_lagging(proof);
                     }
                     drop(placed);
                     if primary {
--- a/crates/node/src/edge/gate.rs
+++ b/crates/node/src/edge/gate.rs
@@ -42,15 +42,17 @@
         self.queue.borrow().limit()
     }
 
-    /// How many would be let in before one of this rank who comes now with this aim.
-    pub fn ahead(&self, rank: u32, aim: f64, now: f64) -> usize {
-        self.queue.borrow().ahead(rank, aim, now)
+    /// How many would be let in before one of this rank who comes now with this latest start.
+    pub fn ahead(&self, rank: u32, latest_start: f64, now: f64) -> usize {
+        self.queue.borrow().ahead(rank, latest_start, now)
     }
 
-    /// Waits to be let in, by rank (0 first) and arrival, after those who can still make their aim once the second
-    /// `aim` is past.
-    pub async fn enter(self: &Rc<Self>, rank: u32, aim: f64) -> Permit {
-        let Some(place) = self.queue.borrow_mut().enter(rank, aim) else { return Permit(self.clone()) };
+    /// Waits to be let in, by rank (0 first) and arrival; once `latest_start` is past, after those who can still be in
+    /// time.
+    pub async fn enter(self: &Rc<Self>, rank: u32, latest_start: f64) -> Permit {
+        let Some(place) = self.queue.borrow_mut().enter(rank, latest_start) else {
+            return Permit(self.clone());
+        };
         let _ticket = Ticket { gate: self.clone(), place };
         poll_fn(|cx| {
             let mut waiting = self.waiting.borrow_mut();
--- a/crates/node/src/edge/link.rs
+++ b/crates/node/src/edge/link.rs
@@ -3,7 +3,7 @@
 use super::net::{self, NotSent, Scratch};
 use crate::clock;
 use async_io::Async;
-use badgerstream_pooling::conn::Conn;
+use badgerstream_pooling::connection::ConnectionState;
 use badgerstream_wire::{Answer, Code, LineBuffer, Outcome, Position, Reply, State};
 use std::net::{SocketAddr, TcpStream};
 
@@ -19,7 +19,7 @@
     stream: Async<TcpStream>,
     lines: LineBuffer,
     /// What it holds for sure.
-    pub held: Conn,
+    pub held: ConnectionState,
     /// Since when it rests, in seconds of the steady clock.
     pub idle_since: f64,
 }
@@ -55,7 +55,7 @@
                         Some(Reply::Error { code: Code::ConnLimit, .. }) => return Err(OpenError::Full),
                         _ => return Err(OpenError::Refused),
                     };
-                    let link = Self { stream, lines, held: Conn::default(), idle_since: 0.0 };
+                    let link = Self { stream, lines, held: ConnectionState::default(), idle_since: 0.0 };
                     return Ok((link, position));
                 }
                 match net::read(&stream, scratch, &mut lines).await {
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -14,7 +14,7 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use badgerstream_pooling::freshness::History;
-use badgerstream_pooling::pace::Refusals;
+use badgerstream_pooling::latency::Refusals;
 use badgerstream_routing::Rotation;
 use badgerstream_wire::Position;
 use net::Scratch;
--- a/crates/node/src/edge/place.rs
+++ b/crates/node/src/edge/place.rs
@@ -5,7 +5,7 @@
 use super::pool::{Admission, Checkout, CheckoutError, Pool};
 use crate::clock;
 use badgerstream_calls::config::{Mode, Route};
-use badgerstream_pooling::choice::{Ask, Choice, Class, Demand, choose};
+use badgerstream_pooling::choice::{Access, Choice, ChoiceInput, Consistency, choose};
 use badgerstream_pooling::session::{Session, Shape};
 use badgerstream_wire::Position;
 use futures_lite::future::or;
@@ -19,11 +19,11 @@
 pub struct RouteTerms {
     /// The service that holds the database.
     pub service: Rc<str>,
-    /// How fresh reads must be.
-    pub demand: Demand,
+    /// How consistent reads must be.
+    pub consistency: Consistency,
     /// The most that a statement may take, in seconds.
     pub deadline: f64,
-    /// What an operation aims at, in seconds.
+    /// The time in which an operation should be answered, in seconds.
     pub target: f64,
     /// 0 goes first.
     pub rank: u32,
@@ -37,14 +37,14 @@
     /// Those of a route.
     pub fn of(route: &Route, max_conns: usize) -> Self {
         let staleness = route.staleness_ms.map(|ms| ms as f64 / 1000.0);
-        let demand = match (route.mode, staleness) {
-            (Mode::Leader, _) | (_, None) => Demand::Fresh,
-            (Mode::BoundedStaleness, Some(s)) => Demand::Bounded(s),
-            (Mode::InHouse, Some(s)) => Demand::Own(s),
+        let consistency = match (route.mode, staleness) {
+            (Mode::Leader, _) | (_, None) => Consistency::Strong,
+            (Mode::BoundedStaleness, Some(s)) => Consistency::Bounded(s),
+            (Mode::InHouse, Some(s)) => Consistency::ReadYourWrites(s),
         };
         Self {
             service: route.service.as_str().into(),
-            demand,
+            consistency,
             deadline: route.deadline_ms as f64 / 1000.0,
             target: route.target_ms as f64 / 1000.0,
             rank: route.rank,
@@ -59,10 +59,10 @@
     /// Its route's terms.
     pub terms: &'a RouteTerms,
     /// It reads or writes.
-    pub class: Class,
+    pub access: Access,
     /// When its first byte, or that of its transaction, arrived.
     pub arrived: f64,
-    /// When the statement arrived that waits now: its aim counts from there.
+    /// When the statement arrived that waits now: its target counts from there.
     pub waiting_since: f64,
     /// The shape that the connection must know.
     pub shape: Option<&'a Shape>,
@@ -73,8 +73,8 @@
 impl PlacementRequest<'_> {
     /// How it waits at this server, until this second at most.
     pub fn admission(&self, pool: &Pool, give_up: f64) -> Admission {
-        let aim = self.waiting_since + self.terms.target - pool.pace().mean();
-        Admission { rank: self.terms.rank.saturating_add(1), aim, give_up }
+        let latest_start = self.waiting_since + self.terms.target - pool.latency().mean();
+        Admission { rank: self.terms.rank.saturating_add(1), latest_start, give_up }
     }
 }
 
@@ -172,15 +172,15 @@
         let max_conns = request.terms.max_conns;
         let primary =
             view.primary(service, now).and_then(|g| view.servers.get(&g.id)).map(|s| self.pool(s, max_conns));
-        let slow = primary.as_ref().is_none_or(|p| p.is_full() || !p.standing().is_up(now));
-        let ask = Ask {
-            demand: request.terms.demand,
-            class: request.class,
+        let slow = primary.as_ref().is_none_or(|p| p.is_full() || !p.health().is_up(now));
+        let input = ChoiceInput {
+            consistency: request.terms.consistency,
+            access: request.access,
             arrived: request.arrived,
             primary_slow: slow || tried.iter().any(|t| primary.as_ref().is_some_and(|p| p.server.id == *t)),
         };
         if let Choice::Replica(proof) =
-            self.with_freshness(service, |f| choose(&ask, session, &f.history, now))
+            self.with_freshness(service, |f| choose(&input, session, &f.history, now))
         {
             let leads = view.grants.get(service).map(|g| &g.id);
             let mut replicas: Vec<_> = view
@@ -190,7 +190,7 @@
                     s.service == service && !s.draining && Some(&s.id) != leads && !tried.contains(&s.id)
                 })
                 .map(|s| self.pool(s, max_conns))
-                .filter(|p| p.standing().is_up(now) && p.standing().may_have(proof, now))
+                .filter(|p| p.health().is_up(now) && p.health().may_have(proof, now))
                 .collect();
             replicas.sort_by(|a, b| a.server.id.cmp(&b.server.id));
             if let Some(at) = self.with_freshness(service, |f| f.rotation.next(replicas.len(), |_| true)) {
@@ -198,7 +198,7 @@
             }
         }
         match primary {
-            Some(primary) if primary.standing().is_up(now) => Target::Primary(primary),
+            Some(primary) if primary.health().is_up(now) => Target::Primary(primary),
             // Short pauses are looked at again; a change of the view is heard at once.
             _ => Target::Nobody(now + 0.05),
         }
--- a/crates/node/src/edge/pool.rs
+++ b/crates/node/src/edge/pool.rs
@@ -11,9 +11,9 @@
 use super::net::sleep_until;
 use crate::clock;
 use crate::view::Server;
-use badgerstream_pooling::pace::Pace;
+use badgerstream_pooling::health::Health;
+use badgerstream_pooling::latency::Latency;
 use badgerstream_pooling::share::{Share, in_flight};
-use badgerstream_pooling::standing::Standing;
 pub use checkout::Checkout;
 pub use exchange::ExchangeError;
 use futures_lite::future::or;
@@ -29,8 +29,8 @@
     slots: Rc<Gate>,
     share: Cell<Share>,
     routers: Cell<usize>,
-    standing: Cell<Standing>,
-    pace: Cell<Pace>,
+    health: Cell<Health>,
+    latency: Cell<Latency>,
     last_answer: Cell<f64>,
     /// When the youngest statement was sent that is answered.
     last_answered: Cell<f64>,
@@ -49,8 +49,8 @@
             slots: Gate::new(in_flight(server.slots as usize, routers, 1.0)),
             routers: Cell::new(routers),
             share: Cell::new(share),
-            standing: Cell::default(),
-            pace: Cell::default(),
+            health: Cell::default(),
+            latency: Cell::default(),
             last_answer: Cell::new(0.0),
             last_answered: Cell::new(0.0),
             failing_since: Cell::new(None),
@@ -70,7 +70,7 @@
     }
 
     fn set_in_flight(&self) {
-        let limit = in_flight(self.server.slots as usize, self.routers.get(), self.pace.get().stretch());
+        let limit = in_flight(self.server.slots as usize, self.routers.get(), self.latency.get().stretch());
         if limit != self.slots.limit() {
             self.slots.set_limit(limit);
         }
@@ -78,25 +78,25 @@
 
     /// In how many seconds a place to work may come free for whoever comes now; more than that, not less.
     pub fn wait(&self, admission: &Admission, now: f64) -> f64 {
-        let ahead = |gate: &Gate| gate.ahead(admission.rank, admission.aim, now);
-        self.pace.get().wait(ahead(&self.conns) + ahead(&self.slots), self.slots.limit())
+        let ahead = |gate: &Gate| gate.ahead(admission.rank, admission.latest_start, now);
+        self.latency.get().queue_wait(ahead(&self.conns) + ahead(&self.slots), self.slots.limit())
     }
 
-    /// Waits to be let in, unless it is plain that it can't be in time: at the beginning, or once the aim is missed.
+    /// Waits to be let in, unless it is plain that it can't be in time: at the beginning, or once its latest start is past.
     async fn enter(&self, gate: &Rc<Gate>, admission: &Admission) -> Result<Permit, CheckoutError> {
         let busy = |now: f64| {
             let wait = self.wait(admission, now);
             (now + wait > admission.give_up).then_some(CheckoutError::Busy(wait))
         };
         if !gate.is_full() {
-            return Ok(gate.enter(admission.rank, admission.aim).await);
+            return Ok(gate.enter(admission.rank, admission.latest_start).await);
         }
         if let Some(busy) = busy(clock::now()) {
             return Err(busy);
         }
-        or(async { Ok(gate.enter(admission.rank, admission.aim).await) }, async {
-            if admission.aim > clock::now() {
-                sleep_until(admission.aim).await;
+        or(async { Ok(gate.enter(admission.rank, admission.latest_start).await) }, async {
+            if admission.latest_start > clock::now() {
+                sleep_until(admission.latest_start).await;
                 if let Some(busy) = busy(clock::now()) {
                     return Err(busy);
                 }
@@ -117,8 +117,8 @@
 pub struct Admission {
     /// 0 goes first.
     pub rank: u32,
-    /// Whoever is let in by this second can still make its aim.
-    pub aim: f64,
+    /// Whoever is admitted by this second can still meet the target of its route.
+    pub latest_start: f64,
     /// Nobody waits longer than until this second.
     pub give_up: f64,
 }
--- a/crates/node/src/edge/pool/checkout.rs
+++ b/crates/node/src/edge/pool/checkout.rs
@@ -45,8 +45,8 @@
     pub(super) changed_inside: bool,
     pub(super) keeps: bool,
     pub(super) unanswered: Option<Unanswered>,
-    /// What was asked last takes a slot of the server, so that its answer tells the pace.
-    pub(super) paced: bool,
+    /// What was asked last takes a slot of the server, so that its answer tells the latency.
+    pub(super) takes_slot: bool,
 }
 
 impl Checkout {
@@ -69,7 +69,7 @@
             drop(opening);
             match opened {
                 Ok((link, position)) => {
-                    pool.answered(position);
+                    pool.mark_answered(position);
                     log::debug!("event=server_connection server={}", server.id);
                     break link;
                 }
@@ -84,7 +84,7 @@
                     pause = (pause * 2.0).min(8.0 * FULL_PAUSE_S);
                 }
                 Err(error) => {
-                    pool.unreachable();
+                    pool.mark_unreachable();
                     log::debug!("event=no_connection server={} error={error:?}", server.id);
                     return Err(CheckoutError::Unreachable);
                 }
@@ -100,7 +100,7 @@
             changed_inside: false,
             keeps: false,
             unanswered: None,
-            paced: false,
+            takes_slot: false,
         };
         checkout.prepare(values, shape).await.map_err(|()| CheckoutError::Unreachable)?;
         if takes_slot {
@@ -114,7 +114,7 @@
         self.link.as_ref().and_then(|l| l.held.number(shape))
     }
 
-    /// Waits for a place to work with what has only just begun, by its rank and aim; false if none is had in time.
+    /// Waits for a place to work with what has only just begun, by its rank and latest start; false if none is had in time.
     pub async fn enter_first(&mut self, admission: &Admission) -> bool {
         let pool = self.pool.clone();
         let entered = net::until(admission.give_up, pool.enter(&pool.slots, admission)).await;
@@ -169,7 +169,7 @@
                 let (edge, pool) = (self.edge.clone(), self.pool.clone());
                 let slot = self.slot.take().filter(|_| !overdue);
                 let unanswered = self.unanswered.take();
-                let sent = unanswered.as_ref().filter(|_| self.paced).map(|u| u.sent);
+                let sent = unanswered.as_ref().filter(|_| self.takes_slot).map(|u| u.sent);
                 let permits = (self.conn.take(), slot, unanswered);
                 let tasks = edge.tasks.clone();
                 let work = async move {
@@ -183,10 +183,10 @@
                         }
                     });
                     if let Some(Ok(outcome)) = drained.await {
-                        pool.answered(outcome.position);
+                        pool.mark_answered(outcome.position);
                         if let Some(sent) = sent {
                             // It was not lost but slow, as others are then.
-                            pool.paced(sent);
+                            pool.record_answer(sent);
                         }
                         if outcome.state == State::Idle && outcome.error.is_none() && link.is_clean() {
                             pool.put_idle(link);
--- a/crates/node/src/edge/pool/exchange.rs
+++ b/crates/node/src/edge/pool/exchange.rs
@@ -42,7 +42,7 @@
             Some(Ok(())) => {}
             other => {
                 self.link = None;
-                self.pool.broke();
+                self.pool.mark_failing();
                 return Err(if matches!(other, Some(Err(e)) if e.none) {
                     ExchangeError::Unsent
                 } else {
@@ -50,17 +50,17 @@
                 });
             }
         }
-        // What is our own takes no slot there: it tells nothing of the pace.
-        self.paced = !line.starts_with(b"QUERY - ");
+        // What is our own takes no slot there: it tells nothing of the latency.
+        self.takes_slot = !line.starts_with(b"QUERY - ");
         self.unanswered = Some(Unanswered::new(&self.pool, sent, leased));
         self.wait(answer, at, pass).await
     }
 
-    /// As `ask`; `Overdue` as soon as the answer of a statement with this aim (seconds) most likely is lost.
+    /// As `ask`; `Overdue` as soon as the answer of a statement with this target (seconds) most likely is lost.
     pub async fn ask_patiently(
         &mut self, line: &[u8], answer: &mut Answer, target: f64, at: f64, pass: impl AsyncFn(&[u8]) -> bool,
     ) -> Result<Outcome, ExchangeError> {
-        let look = |now: f64, pool: &Pool| (now + pool.pace().patience(target)).min(at);
+        let look = |now: f64, pool: &Pool| (now + pool.latency().overdue_after(target)).min(at);
         let first = look(clock::now(), &self.pool);
         let mut outcome = self.ask(line, answer, first, &pass).await;
         while outcome == Err(ExchangeError::Silent) {
@@ -89,7 +89,7 @@
                 Some(Err(())) => {
                     self.link = None;
                     self.unanswered = None;
-                    self.pool.broke();
+                    self.pool.mark_failing();
                     return Err(ExchangeError::Broken);
                 }
                 Some(Ok(None)) => {
@@ -102,13 +102,13 @@
                     answer.raw.clear();
                 }
                 Some(Ok(Some(outcome))) => {
-                    self.pool.answered(outcome.position);
+                    self.pool.mark_answered(outcome.position);
                     let idle = outcome.state == State::Idle;
                     if let Some(asked) = self.unanswered.take() {
-                        if self.paced {
-                            self.pool.paced(asked.sent);
+                        if self.takes_slot {
+                            self.pool.record_answer(asked.sent);
                         } else {
-                            self.pool.travelled(asked.sent);
+                            self.pool.record_round_trip(asked.sent);
                         }
                         if asked.leased && idle {
                             self.edge.sample(&self.pool.server, asked.sent, outcome.position);
@@ -119,7 +119,7 @@
                     let kept = self.keeps && outcome.error.is_none();
                     if idle && std::mem::take(&mut self.changed_inside) && !kept {
                         // Nobody has said whether an end that rolls back takes values back, too.
-                        link.held.doubt();
+                        link.held.mark_uncertain();
                     }
                     return Ok(outcome);
                 }
--- a/crates/node/src/edge/pool/health.rs
+++ b/crates/node/src/edge/pool/health.rs
@@ -2,8 +2,8 @@
 
 use super::Pool;
 use crate::clock;
-use badgerstream_pooling::pace::Pace;
-use badgerstream_pooling::standing::Standing;
+use badgerstream_pooling::health::Health;
+use badgerstream_pooling::latency::Latency;
 use badgerstream_wire::Position;
 use std::rc::Rc;
 
@@ -12,32 +12,32 @@
 
 impl Pool {
     /// How fast it answers.
-    pub fn pace(&self) -> Pace {
-        self.pace.get()
+    pub fn latency(&self) -> Latency {
+        self.latency.get()
     }
 
     /// How it stands.
-    pub fn standing(&self) -> Standing {
-        self.standing.get()
+    pub fn health(&self) -> Health {
+        self.health.get()
     }
 
     /// It lacks this position.
-    pub fn lagged(&self, position: Position) {
-        let mut standing = self.standing.get();
-        standing.lagged(clock::now(), position);
-        self.standing.set(standing);
+    pub fn mark_lagging(&self, position: Position) {
+        let mut health = self.health.get();
+        health.lagged(clock::now(), position);
+        self.health.set(health);
     }
 
     /// It could not be reached: it is left alone for a moment.
-    pub(super) fn unreachable(&self) {
-        let mut standing = self.standing.get();
-        standing.failed(clock::now());
-        self.standing.set(standing);
-        self.broke();
+    pub(super) fn mark_unreachable(&self) {
+        let mut health = self.health.get();
+        health.failed(clock::now());
+        self.health.set(health);
+        self.mark_failing();
     }
 
     /// A connection broke off. That may be the connection's trouble alone: the next is opened at once, and tells.
-    pub(super) fn broke(&self) {
+    pub(super) fn mark_failing(&self) {
         let now = clock::now();
         if self.failing_since.get().is_none() {
             self.failing_since.set(Some(now));
@@ -45,28 +45,28 @@
     }
 
     /// It answered something.
-    pub(super) fn answered(&self, position: Option<Position>) {
-        let mut standing = self.standing.get();
-        standing.answered(position);
-        self.standing.set(standing);
+    pub(super) fn mark_answered(&self, position: Option<Position>) {
+        let mut health = self.health.get();
+        health.answered(position);
+        self.health.set(health);
         self.last_answer.set(clock::now());
         self.failing_since.set(None);
     }
 
     /// It answered a statement that was sent at this second.
-    pub(super) fn paced(&self, sent: f64) {
-        let mut pace = self.pace.get();
-        pace.answered(clock::now() - sent);
-        self.pace.set(pace);
+    pub(super) fn record_answer(&self, sent: f64) {
+        let mut latency = self.latency.get();
+        latency.record_answer(clock::now() - sent);
+        self.latency.set(latency);
         self.set_in_flight();
         self.last_answered.set(self.last_answered.get().max(sent));
     }
 
     /// It answered what takes no slot and was sent at this second.
-    pub(super) fn travelled(&self, sent: f64) {
-        let mut pace = self.pace.get();
-        pace.travelled(clock::now() - sent);
-        self.pace.set(pace);
+    pub(super) fn record_round_trip(&self, sent: f64) {
+        let mut latency = self.latency.get();
+        latency.record_round_trip(clock::now() - sent);
+        self.latency.set(latency);
     }
 
     /// When it last answered; 0 for never.
--- a/crates/node/src/edge/pool/prepare.rs
+++ b/crates/node/src/edge/pool/prepare.rs
@@ -35,13 +35,13 @@
                 }
                 link.held.acknowledged(change);
             }
-            pool.travelled(sent);
+            pool.record_round_trip(sent);
             Ok(())
         };
         // Another connection does as well: an answer that most likely is lost isn't waited for.
         let lost = async {
             loop {
-                sleep_until(clock::now() + pool.pace().patience(0.0)).await;
+                sleep_until(clock::now() + pool.latency().overdue_after(0.0)).await;
                 if pool.last_answered.get() > sent {
                     return Err(());
                 }
@@ -54,7 +54,7 @@
                 Ok(())
             }
             _ => {
-                self.pool.broke();
+                self.pool.mark_failing();
                 self.link = None;
                 Err(())
             }
--- a/crates/pooling/src/choice.rs
+++ b/crates/pooling/src/choice.rs
@@ -4,20 +4,20 @@
 use crate::session::Session;
 use badgerstream_wire::Position;
 
-/// What a route demands of reads.
+/// The consistency that a route asks of its reads.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Demand {
+pub enum Consistency {
     /// Every acknowledged commit (`leader`).
-    Fresh,
+    Strong,
     /// Every commit acknowledged more than so many seconds before (`bounded_staleness`).
     Bounded(f64),
     /// The same, and every commit of the session (`in_house`).
-    Own(f64),
+    ReadYourWrites(f64),
 }
 
-/// What is to be sent outside of a transaction on the connection.
+/// Whether a statement, or a transaction, reads or writes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Class {
+pub enum Access {
     /// A read, or the beginning of a transaction that only reads.
     Read,
     /// A write, or the beginning of a transaction that may write.
@@ -33,13 +33,13 @@
     Replica(Position),
 }
 
-/// What the choice goes by besides the session.
+/// What the choice depends on besides the session.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Ask {
-    /// What the route demands.
-    pub demand: Demand,
-    /// What is to be sent.
-    pub class: Class,
+pub struct ChoiceInput {
+    /// The consistency of the route.
+    pub consistency: Consistency,
+    /// Whether it reads or writes.
+    pub access: Access,
     /// When its first byte, or that of its transaction, arrived.
     pub arrived: f64,
     /// The primary is unknown, full or slow.
@@ -48,16 +48,16 @@
 
 /// The choice of the design: writes and fresh reads go to the primary, a marked session reads there, other reads
 /// take a replica that is proven fresh enough.
-pub fn choose(ask: &Ask, session: &Session, history: &History, now: f64) -> Choice {
-    let (staleness, owed) = match (ask.class, ask.demand) {
-        (Class::Write, _) | (_, Demand::Fresh) => return Choice::Primary,
-        (_, Demand::Bounded(s)) => (s, None),
-        (_, Demand::Own(s)) => (s, session.written),
+pub fn choose(input: &ChoiceInput, session: &Session, history: &History, now: f64) -> Choice {
+    let (staleness, owed) = match (input.access, input.consistency) {
+        (Access::Write, _) | (_, Consistency::Strong) => return Choice::Primary,
+        (_, Consistency::Bounded(s)) => (s, None),
+        (_, Consistency::ReadYourWrites(s)) => (s, session.written),
     };
-    if session.mark.marked(now) && !ask.primary_slow {
+    if session.mark.marked(now) && !input.primary_slow {
         return Choice::Primary;
     }
-    match history.proof(ask.arrived - staleness) {
+    match history.proof(input.arrived - staleness) {
         Some(proof) => Choice::Replica(owed.map_or(proof, |owed| owed.max(proof))),
         None => Choice::Primary,
     }
--- a/crates/pooling/src/conn.rs
+++ b/crates/pooling/src/connection.rs
@@ -1,4 +1,4 @@
-//! What a connection to a server holds, and what brings it to what a client's session holds.
+//! The session state that a connection to a server holds, and what brings it to that of a client's session.
 
 use crate::session::{Shape, Values};
 
@@ -7,7 +7,7 @@
 
 /// A statement of our own that changes what a connection holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Own {
+pub enum StateChange {
     /// Drops values and prepared names.
     Reset,
     /// Sets a value.
@@ -26,7 +26,7 @@
     },
 }
 
-impl Own {
+impl StateChange {
     /// Its text on the wire.
     pub fn text(&self) -> String {
         match self {
@@ -50,16 +50,16 @@
     Reset,
 }
 
-/// What a connection is known to hold.
+/// The session state that a connection is known to hold.
 #[derive(Debug, Default)]
-pub struct Conn {
+pub struct ConnectionState {
     values: Values,
     shapes: Vec<(Shape, u32)>,
-    last: u32,
+    last_number: u32,
     uncertain: bool,
 }
 
-impl Conn {
+impl ConnectionState {
     /// How far it is from these values.
     pub fn distance(&self, values: &Values) -> Distance {
         if self.uncertain {
@@ -75,42 +75,42 @@
 
     /// The statements, in their order, after which it holds exactly these values and knows this shape. Inside a
     /// transaction, where it began with the session's own values, none of them is a reset.
-    pub fn changes(&self, values: &Values, shape: Option<&Shape>) -> Vec<Own> {
+    pub fn changes(&self, values: &Values, shape: Option<&Shape>) -> Vec<StateChange> {
         let mut changes = Vec::new();
         let known = shape.is_none_or(|s| self.number(s).is_some());
         let reset = self.distance(values) == Distance::Reset || !known && self.shapes.len() >= MAX_SHAPES;
         if reset {
-            changes.push(Own::Reset);
+            changes.push(StateChange::Reset);
         }
         for (name, value) in values.iter() {
             if reset || self.values.get(name) != Some(value) {
-                changes.push(Own::Set { name: name.into(), value: value.into() });
+                changes.push(StateChange::Set { name: name.into(), value: value.into() });
             }
         }
         if let Some(shape) = shape.filter(|_| reset || !known) {
-            changes.push(Own::Prepare { number: self.last + 1, shape: shape.clone() });
+            changes.push(StateChange::Prepare { number: self.last_number + 1, shape: shape.clone() });
         }
         changes
     }
 
     /// The server has acknowledged this change.
-    pub fn acknowledged(&mut self, change: &Own) {
+    pub fn acknowledged(&mut self, change: &StateChange) {
         match change {
-            Own::Reset => {
+            StateChange::Reset => {
                 self.values.clear();
                 self.shapes.clear();
                 self.uncertain = false;
             }
-            Own::Set { name, value } => self.values.set(name, value),
-            Own::Prepare { number, shape } => {
-                self.last = *number;
+            StateChange::Set { name, value } => self.values.set(name, value),
+            StateChange::Prepare { number, shape } => {
+                self.last_number = *number;
                 self.shapes.push((shape.clone(), *number));
             }
         }
     }
 
     /// What it holds can't be told any more, as after a rolled back transaction that changed it.
-    pub fn doubt(&mut self) {
+    pub fn mark_uncertain(&mut self) {
         self.uncertain = true;
     }
 
--- a/crates/pooling/src/standing.rs
+++ b/crates/pooling/src/health.rs
@@ -1,36 +1,36 @@
-//! How a server stands, from what it answered: is it worth asking?
+//! A server's health, from its answers: whether it is worth asking.
 
 use badgerstream_wire::Position;
 
-/// The first pause after a failure, in seconds; it doubles up to `MAX_PAUSE_S`.
-pub const PAUSE_S: f64 = 0.05;
+/// The first pause after a failure, in seconds; it doubles up to `MAX_BACKOFF_S`.
+pub const MIN_BACKOFF_S: f64 = 0.05;
 /// The longest pause after failures, in seconds.
-pub const MAX_PAUSE_S: f64 = 1.0;
+pub const MAX_BACKOFF_S: f64 = 1.0;
 /// The pause of reads that a replica lags behind, in seconds.
-pub const LAG_PAUSE_S: f64 = 0.2;
+pub const LAG_BACKOFF_S: f64 = 0.2;
 
-/// What a server's answers told.
+/// The health of a server by its answers and failures.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Standing {
-    known: Option<Position>,
+pub struct Health {
+    confirmed: Option<Position>,
     lagging: Option<(Position, f64)>,
     down_until: f64,
-    pause: f64,
+    backoff: f64,
 }
 
-impl Standing {
+impl Health {
     /// It answered, with its log here.
     pub fn answered(&mut self, position: Option<Position>) {
-        self.pause = 0.0;
+        self.backoff = 0.0;
         self.down_until = 0.0;
-        if position > self.known {
-            self.known = position;
+        if position > self.confirmed {
+            self.confirmed = position;
         }
     }
 
     /// It lacks this position.
     pub fn lagged(&mut self, now: f64, position: Position) {
-        self.lagging = Some((position, now + LAG_PAUSE_S));
+        self.lagging = Some((position, now + LAG_BACKOFF_S));
     }
 
     /// It could not be reached, or refused a connection.
@@ -38,8 +38,8 @@
         if now < self.down_until {
             return;
         }
-        self.pause = (self.pause * 2.0).clamp(PAUSE_S, MAX_PAUSE_S);
-        self.down_until = now + self.pause;
+        self.backoff = (self.backoff * 2.0).clamp(MIN_BACKOFF_S, MAX_BACKOFF_S);
+        self.down_until = now + self.backoff;
     }
 
     /// It isn't in a pause after failures.
@@ -50,7 +50,7 @@
     /// It has this position for sure, or nothing speaks against it: `WAITPOS` tells for certain, so that a guess
     /// costs a way there and back and never a rule.
     pub fn may_have(&self, position: Position, now: f64) -> bool {
-        self.known.is_some_and(|k| k >= position)
+        self.confirmed.is_some_and(|k| k >= position)
             || !self.lagging.is_some_and(|(p, until)| now < until && p <= position)
     }
 }
--- a/crates/pooling/src/lib.rs
+++ b/crates/pooling/src/lib.rs
@@ -2,13 +2,13 @@
 //! the steady clock are handed in as f64.
 
 pub mod choice;
-pub mod conn;
+pub mod connection;
 pub mod freshness;
-pub mod pace;
+pub mod health;
+pub mod latency;
 pub mod queue;
 pub mod session;
 pub mod share;
-pub mod standing;
 
 #[cfg(test)]
 mod tests;
--- a/crates/pooling/src/queue.rs
+++ b/crates/pooling/src/queue.rs
@@ -1,23 +1,23 @@
-//! Those who wait for a share of a server: so many at once; of the others first those who can still make their aim,
-//! by rank and arrival.
+//! A priority queue for the places at a server: a bounded number is admitted at once; of the others first those that can
+//! still be in time, by rank and arrival.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The place of one who waits.
+/// The place of a waiter in the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Place {
     rank: u32,
     arrival: u64,
 }
 
-/// So many at once, the others by rank (0 first) and arrival; whoever can't make its aim any more comes after all who
-/// can, since what comes late is worth a fraction.
+/// Admits so many at once, the others by rank (0 first) and arrival; whoever has missed its latest start comes after all
+/// who have not, since what comes late is worth a fraction.
 #[derive(Debug)]
 pub struct Queue {
     limit: usize,
     busy: usize,
     arrivals: u64,
-    /// Those who may still make their aim, and until when. Who has missed it is found out when its turn comes.
+    /// Those who may still be in time, with their latest start. Who has missed it is found out when its turn comes.
     waiting: BTreeMap<Place, f64>,
     late: BTreeSet<Place>,
 }
@@ -38,15 +38,15 @@
         self.limit
     }
 
-    /// Goes in at once, or gets a place; who is let in by the second `aim` is in time.
-    pub fn enter(&mut self, rank: u32, aim: f64) -> Option<Place> {
+    /// Goes in at once, or gets a place; who is admitted by `latest_start` is in time.
+    pub fn enter(&mut self, rank: u32, latest_start: f64) -> Option<Place> {
         if self.busy < self.limit && self.waiting.is_empty() && self.late.is_empty() {
             self.busy += 1;
             return None;
         }
         self.arrivals += 1;
         let place = Place { rank, arrival: self.arrivals };
-        self.waiting.insert(place, aim);
+        self.waiting.insert(place, latest_start);
         Some(place)
     }
 
@@ -61,8 +61,8 @@
             return None;
         }
         // Each is found late once at most, so that this costs no more than the waiting itself.
-        while let Some((place, aim)) = self.waiting.pop_first() {
-            if aim >= now {
+        while let Some((place, latest_start)) = self.waiting.pop_first() {
+            if latest_start >= now {
                 self.busy += 1;
                 return Some(place);
             }
@@ -78,12 +78,12 @@
         self.waiting.remove(&place).is_some() || self.late.remove(&place)
     }
 
-    /// How many would be let in before one of this rank who came at this second with this aim. Who has missed its aim
-    /// is among those before only for others who have.
-    pub fn ahead(&self, rank: u32, aim: f64, now: f64) -> usize {
+    /// How many would be admitted before one of this rank who came at this second with this latest start. Who has missed
+    /// its own is among those before only for others who have.
+    pub fn ahead(&self, rank: u32, latest_start: f64, now: f64) -> usize {
         let in_time =
-            self.waiting.iter().filter(|(place, a)| **a >= now && (aim < now || place.rank <= rank));
-        if aim >= now {
+            self.waiting.iter().filter(|(place, a)| **a >= now && (latest_start < now || place.rank <= rank));
+        if latest_start >= now {
             return in_time.count();
         }
         let missed = self.waiting.iter().filter(|(_, a)| **a < now).map(|(place, _)| place);
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -12,7 +12,7 @@
 quick_error! {
     /// Why a session can't take a value or a prepared name.
     #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-    pub enum HoldError {
+    pub enum SessionError {
         /// It holds as much as it may.
         Full {
             display("the session holds too much")
@@ -126,24 +126,24 @@
 
 impl Session {
     /// Takes a value; to be acknowledged once taken.
-    pub fn set(&mut self, name: &str, value: &str) -> Result<(), HoldError> {
+    pub fn set(&mut self, name: &str, value: &str) -> Result<(), SessionError> {
         if self.values.len() >= MAX_NAMES || self.values.bytes() + name.len() + value.len() > MAX_BYTES {
-            return Err(HoldError::Full);
+            return Err(SessionError::Full);
         }
         self.values.set(name, value);
         Ok(())
     }
 
     /// Takes a prepared name, in the place of an older one of that name; to be acknowledged once taken.
-    pub fn prepare(&mut self, name: &str, kind: Kind, shape: &str) -> Result<(), HoldError> {
+    pub fn prepare(&mut self, name: &str, kind: Kind, shape: &str) -> Result<(), SessionError> {
         let bytes: usize = self.prepared.iter().map(|(n, s)| n.len() + s.text.len()).sum();
         if bytes + name.len() + shape.len() > MAX_BYTES {
-            return Err(HoldError::Full);
+            return Err(SessionError::Full);
         }
         let shape = Shape { kind, text: shape.into() };
         match self.prepared.iter().position(|(n, _)| **n == *name) {
             Some(at) => self.prepared[at].1 = shape,
-            None if self.prepared.len() >= MAX_NAMES => return Err(HoldError::Full),
+            None if self.prepared.len() >= MAX_NAMES => return Err(SessionError::Full),
             None => {
                 self.prepared.reserve_exact(1);
                 self.prepared.push((name.into(), shape));
@@ -158,8 +158,8 @@
     }
 
     /// Forgets a prepared name.
-    pub fn release(&mut self, name: &str) -> Result<(), HoldError> {
-        let at = self.prepared.iter().position(|(n, _)| **n == *name).ok_or(HoldError::Unknown)?;
+    pub fn release(&mut self, name: &str) -> Result<(), SessionError> {
+        let at = self.prepared.iter().position(|(n, _)| **n == *name).ok_or(SessionError::Unknown)?;
         self.prepared.swap_remove(at);
         Ok(())
     }
--- a/crates/pooling/src/tests/choices.rs
+++ b/crates/pooling/src/tests/choices.rs
@@ -1,7 +1,7 @@
-use crate::choice::{Ask, Choice, Class, Demand, choose};
+use crate::choice::{Access, Choice, ChoiceInput, Consistency, choose};
 use crate::freshness::History;
+use crate::health::{Health, LAG_BACKOFF_S, MIN_BACKOFF_S};
 use crate::session::Session;
-use crate::standing::{LAG_PAUSE_S, PAUSE_S, Standing};
 use badgerstream_routing::MARK_S;
 use badgerstream_routing::Rotation;
 use badgerstream_wire::Position;
@@ -10,8 +10,8 @@
     Position { term: 3, number }
 }
 
-fn ask(demand: Demand, class: Class, arrived: f64) -> Ask {
-    Ask { demand, class, arrived, primary_slow: false }
+fn ask(consistency: Consistency, access: Access, arrived: f64) -> ChoiceInput {
+    ChoiceInput { consistency, access, arrived, primary_slow: false }
 }
 
 fn history() -> History {
@@ -24,11 +24,11 @@
 #[test]
 fn writes_and_fresh_reads_go_to_the_primary() {
     let session = Session::default();
-    for demand in [Demand::Fresh, Demand::Bounded(1.5), Demand::Own(2.5)] {
-        let ask = ask(demand, Class::Write, 10.0);
+    for consistency in [Consistency::Strong, Consistency::Bounded(1.5), Consistency::ReadYourWrites(2.5)] {
+        let ask = ask(consistency, Access::Write, 10.0);
         assert_eq!(choose(&ask, &session, &history(), 10.0), Choice::Primary);
     }
-    let mut fresh = ask(Demand::Fresh, Class::Read, 10.0);
+    let mut fresh = ask(Consistency::Strong, Access::Read, 10.0);
     assert_eq!(choose(&fresh, &session, &history(), 10.0), Choice::Primary);
     // Also when it is slow: nobody else can prove that it has any commit.
     fresh.primary_slow = true;
@@ -38,8 +38,9 @@
 #[test]
 fn bounded_reads_take_the_smallest_proof_inside_their_bound() {
     let session = Session::default();
-    let read =
-        |s, arrived| choose(&ask(Demand::Bounded(s), Class::Read, arrived), &session, &history(), arrived);
+    let read = |s, arrived| {
+        choose(&ask(Consistency::Bounded(s), Access::Read, arrived), &session, &history(), arrived)
+    };
     assert_eq!(read(1.5, 10.0), Choice::Replica(at(50)));
     assert_eq!(read(0.7, 10.0), Choice::Replica(at(60)));
     // No proof is as young as this one needs.
@@ -50,7 +51,7 @@
 fn a_session_that_touched_the_primary_reads_there_for_a_while() {
     let mut session = Session::default();
     session.mark.touch(7.5);
-    let mut read = ask(Demand::Own(5.0), Class::Read, 10.0);
+    let mut read = ask(Consistency::ReadYourWrites(5.0), Access::Read, 10.0);
     assert_eq!(choose(&read, &session, &history(), 10.0), Choice::Primary);
     assert_eq!(choose(&read, &session, &history(), 7.5 + MARK_S), Choice::Replica(at(50)));
     // A full or slow primary is left for a replica that is known past the session's write.
@@ -65,8 +66,8 @@
     session.wrote(Some(at(70)));
     session.wrote(Some(at(65)));
     session.wrote(None);
-    let own = ask(Demand::Own(2.5), Class::Read, 10.0);
-    let bounded = ask(Demand::Bounded(2.5), Class::Read, 10.0);
+    let own = ask(Consistency::ReadYourWrites(2.5), Access::Read, 10.0);
+    let bounded = ask(Consistency::Bounded(2.5), Access::Read, 10.0);
     assert_eq!(choose(&own, &session, &history(), 10.0), Choice::Replica(at(70)));
     assert_eq!(choose(&bounded, &session, &history(), 10.0), Choice::Replica(at(50)));
 }
@@ -81,21 +82,21 @@
 
 #[test]
 fn a_replica_that_lags_or_fails_is_left_for_a_moment() {
-    let mut standing = Standing::default();
-    assert!(standing.may_have(at(5), 1.0) && standing.is_up(1.0));
-    standing.lagged(1.0, at(5));
-    assert!(!standing.may_have(at(6), 1.0));
-    assert!(standing.may_have(at(4), 1.0));
-    assert!(standing.may_have(at(6), 1.0 + LAG_PAUSE_S));
-    standing.answered(Some(at(6)));
-    assert!(standing.may_have(at(6), 1.0));
+    let mut health = Health::default();
+    assert!(health.may_have(at(5), 1.0) && health.is_up(1.0));
+    health.lagged(1.0, at(5));
+    assert!(!health.may_have(at(6), 1.0));
+    assert!(health.may_have(at(4), 1.0));
+    assert!(health.may_have(at(6), 1.0 + LAG_BACKOFF_S));
+    health.answered(Some(at(6)));
+    assert!(health.may_have(at(6), 1.0));
 
-    standing.failed(2.0);
-    standing.failed(2.0);
-    assert!(!standing.is_up(2.0));
-    assert!(standing.is_up(2.0 + PAUSE_S));
-    standing.failed(3.0);
-    assert!(!standing.is_up(3.0 + PAUSE_S));
-    standing.answered(None);
-    assert!(standing.is_up(3.0));
+    health.failed(2.0);
+    health.failed(2.0);
+    assert!(!health.is_up(2.0));
+    assert!(health.is_up(2.0 + MIN_BACKOFF_S));
+    health.failed(3.0);
+    assert!(!health.is_up(3.0 + MIN_BACKOFF_S));
+    health.answered(None);
+    assert!(health.is_up(3.0));
 }
--- a/crates/pooling/src/tests/conns.rs
+++ b/crates/pooling/src/tests/conns.rs
@@ -1,7 +1,7 @@
 //! Sessions of several clients on one pooled connection, played against a server that only does what it is told.
 
-use crate::conn::{Conn, Distance, Own};
-use crate::session::{HoldError, MAX_NAMES, Session};
+use crate::connection::{ConnectionState, Distance, StateChange};
+use crate::session::{MAX_NAMES, Session, SessionError};
 use arbtest::arbtest;
 use badgerstream_wire::{Kind, Text};
 use std::collections::BTreeMap;
@@ -33,7 +33,7 @@
 fn every_statement_meets_its_own_clients_values_and_shape() {
     arbtest(|u| {
         let mut sessions: Vec<Session> = (0..3).map(|_| Session::default()).collect();
-        let mut conns: Vec<(Conn, Held)> = (0..2).map(|_| Default::default()).collect();
+        let mut conns: Vec<(ConnectionState, Held)> = (0..2).map(|_| Default::default()).collect();
         for _ in 0..u.int_in_range(1..=40)? {
             let session = &mut sessions[u.choose_index(3)?];
             let name = *u.choose(&["a", "b", "c"])?;
@@ -52,7 +52,7 @@
                     let shape = session.shape(name).cloned();
                     let before = conn.distance(&session.values);
                     let changes = conn.changes(&session.values, shape.as_ref());
-                    assert_eq!(changes.contains(&Own::Reset), before == Distance::Reset);
+                    assert_eq!(changes.contains(&StateChange::Reset), before == Distance::Reset);
                     for change in &changes {
                         held.run(&change.text());
                         conn.acknowledged(change);
@@ -70,7 +70,7 @@
                         // A rolled back transaction may have taken anything back.
                         held.values.clear();
                         held.prepared.clear();
-                        conn.doubt();
+                        conn.mark_uncertain();
                     }
                 }
             }
@@ -84,7 +84,7 @@
     let mut session = Session::default();
     session.set("a", "1").unwrap();
     session.set("b", "2").unwrap();
-    let mut conn = Conn::default();
+    let mut conn = ConnectionState::default();
     let changes = conn.changes(&session.values, None);
     conn.acknowledged(&changes[0]);
     assert_eq!(conn.distance(&session.values), Distance::Sets);
@@ -93,13 +93,13 @@
 
 #[test]
 fn many_shapes_reset_the_connection_rather_than_fill_it() {
-    let mut conn = Conn::default();
+    let mut conn = ConnectionState::default();
     let mut resets = 0;
     for i in 0..400 {
         let mut session = Session::default();
         session.prepare("s", Kind::Fetch, &format!("q{i}")).unwrap();
         for change in conn.changes(&session.values, session.shape("s")) {
-            resets += usize::from(change == Own::Reset);
+            resets += usize::from(change == StateChange::Reset);
             conn.acknowledged(&change);
         }
         assert!(conn.number(session.shape("s").unwrap()).is_some());
@@ -114,8 +114,8 @@
         session.set(&format!("n{i}"), "v").unwrap();
         session.prepare(&format!("n{i}"), Kind::Put, "q").unwrap();
     }
-    assert_eq!(session.set("more", "v"), Err(HoldError::Full));
-    assert_eq!(session.prepare("more", Kind::Put, "q"), Err(HoldError::Full));
+    assert_eq!(session.set("more", "v"), Err(SessionError::Full));
+    assert_eq!(session.prepare("more", Kind::Put, "q"), Err(SessionError::Full));
     // An older name is replaced all the same.
     assert_eq!(session.prepare("n1", Kind::Fetch, "q2"), Ok(()));
     assert_eq!(session.shape("n1").unwrap().kind, Kind::Fetch);
--- a/crates/pooling/src/tests/queues.rs
+++ b/crates/pooling/src/tests/queues.rs
@@ -1,4 +1,4 @@
-use crate::pace::{Pace, Refusals};
+use crate::latency::{Latency, Refusals};
 use crate::queue::{Place, Queue};
 use crate::share::{Share, in_flight};
 use arbtest::arbtest;
@@ -28,14 +28,16 @@
         for _ in 0..u.int_in_range(0..=60)? {
             match u.int_in_range(0..=3)? {
                 0 => {
-                    let (rank, aim) = (u.int_in_range(0..=2)?, now + f64::from(u.int_in_range(-2..=4)?));
-                    let ahead = queue.ahead(rank, aim, now);
-                    match queue.enter(rank, aim) {
+                    let (rank, latest_start) =
+                        (u.int_in_range(0..=2)?, now + f64::from(u.int_in_range(-2..=4)?));
+                    let ahead = queue.ahead(rank, latest_start, now);
+                    match queue.enter(rank, latest_start) {
                         None => inside += 1,
                         Some(place) => {
-                            let before = |&&(p, a): &&(Place, f64)| (a < now, p) < (aim < now, place);
+                            let before =
+                                |&&(p, a): &&(Place, f64)| (a < now, p) < (latest_start < now, place);
                             assert_eq!(ahead, waiting.iter().filter(before).count());
-                            waiting.push((place, aim));
+                            waiting.push((place, latest_start));
                         }
                     }
                 }
@@ -51,8 +53,8 @@
                 _ => {}
             }
             while let Some(place) = queue.admit(now) {
-                // Whoever missed its aim comes after all who have not; then rank and arrival.
-                let next = waiting.iter().copied().min_by_key(|(p, aim)| (*aim < now, *p));
+                // Whoever missed its latest start comes after all who have not; then rank and arrival.
+                let next = waiting.iter().copied().min_by_key(|(p, latest_start)| (*latest_start < now, *p));
                 assert_eq!(next.map(|(p, _)| p), Some(place));
                 waiting.retain(|(p, _)| *p != place);
                 inside += 1;
@@ -88,7 +90,7 @@
     assert_eq!(queue.enter(0, 9.0), None);
     let missed = queue.enter(0, 1.0).unwrap();
     let low = queue.enter(2, 9.0).unwrap();
-    // Before its aim is past it is ahead of those of lower rank; afterwards it is behind them.
+    // Before its latest start is past it is ahead of those of lower rank; afterwards it is behind them.
     assert_eq!((queue.ahead(1, 9.0, 0.5), queue.ahead(1, 9.0, 2.0), queue.ahead(2, 9.0, 2.0)), (1, 0, 1));
     assert_eq!(queue.ahead(0, 1.0, 2.0), 2);
     queue.leave();
@@ -105,32 +107,32 @@
     assert_eq!(limits, [2, 3, 4, 2, 3, 4, 2, 2]);
     // Where the way is long, more are on it; never more than the server has slots.
     assert_eq!([1.0, 2.0, 3.0, 8.0].map(|stretch| in_flight(7, 9, stretch)), [2, 4, 5, 7]);
-    let mut pace = Pace::default();
-    assert_eq!(pace.stretch(), 1.0);
-    pace.answered(0.034);
-    pace.travelled(0.026);
-    assert!((pace.stretch() - 4.25).abs() < 1e-6);
+    let mut latency = Latency::default();
+    assert_eq!(latency.stretch(), 1.0);
+    latency.record_answer(0.034);
+    latency.record_round_trip(0.026);
+    assert!((latency.stretch() - 4.25).abs() < 1e-6);
     // The shortest way counts, and a longer one only slowly.
-    pace.travelled(0.017);
-    assert!((pace.stretch() - 2.0).abs() < 1e-6);
-    pace.travelled(0.033);
-    assert!(pace.stretch() < 2.2);
+    latency.record_round_trip(0.017);
+    assert!((latency.stretch() - 2.0).abs() < 1e-6);
+    latency.record_round_trip(0.033);
+    assert!(latency.stretch() < 2.2);
 }
 
 #[test]
 fn an_answer_is_overdue_by_the_pace_and_never_before_a_quarter_of_its_aim() {
-    let mut pace = Pace::default();
-    assert_eq!((pace.mean(), pace.patience(0.04), pace.patience(0.4)), (0.0, 0.025, 0.1));
+    let mut latency = Latency::default();
+    assert_eq!((latency.mean(), latency.overdue_after(0.04), latency.overdue_after(0.4)), (0.0, 0.025, 0.1));
     for _ in 0..100 {
-        pace.answered(0.02);
+        latency.record_answer(0.02);
     }
-    assert!((pace.mean() - 0.02).abs() < 1e-6 && (pace.patience(0.12) - 0.08).abs() < 1e-3);
-    assert!((pace.wait(9, 2) - 0.1).abs() < 1e-6);
+    assert!((latency.mean() - 0.02).abs() < 1e-6 && (latency.overdue_after(0.12) - 0.08).abs() < 1e-3);
+    assert!((latency.queue_wait(9, 2) - 0.1).abs() < 1e-6);
     // A server that turns slow is waited for.
     for _ in 0..12 {
-        pace.answered(0.12);
+        latency.record_answer(0.12);
     }
-    assert!(pace.patience(0.12) > 0.3);
+    assert!(latency.overdue_after(0.12) > 0.3);
 }
 
 #[test]
