Node: a client's session in short functions

No change of behaviour. A single statement is a run of attempts (placement, exchange, what it came to); beginning a transaction, its statements, the commit, the wait for input and the dispatch are split likewise. Numbers have names.

--- a/crates/node/src/edge/client.rs
+++ b/crates/node/src/edge/client.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod handshake;
 mod input;
+mod placing;
 mod response;
 mod single;
 mod statement;
@@ -30,8 +31,12 @@
 /// The part of its deadline after which a statement that no server was offered is given back to its client: what is
 /// held longer is as good as lost there.
 const HOLD_FRACTION: f64 = 0.45;
-/// The pause after a server's refusal, in seconds.
+/// The first pause after a primary's refusal, in seconds; it doubles with each attempt.
 const BACKOFF_S: f64 = 0.02;
+/// How often the pause doubles.
+const MAX_BACKOFF_DOUBLINGS: u32 = 4;
+/// The connections of a server while the configuration doesn't name its service.
+const DEFAULT_MAX_CONNS: u32 = 16;
 
 /// Serves a client until it ends.
 pub async fn serve(edge: &Rc<Edge>, stream: Async<TcpStream>, handle: Rc<SessionHandle>) {
@@ -52,8 +57,8 @@
     };
     session.run().await;
     session.handle.inside.set(false);
-    if let Some(held) = session.checkout.take() {
-        held.roll_back();
+    if let Some(checkout) = session.checkout.take() {
+        checkout.roll_back();
     }
 }
 
@@ -73,6 +78,7 @@
 }
 
 impl ClientSession {
+    /// Answers one statement after the other until the session ends.
     async fn run(&mut self) {
         loop {
             let Some(line) = self.next_request().await else { return };
@@ -89,19 +95,7 @@
             };
             drop(line);
             self.handle.inside.set(self.session.transaction != Transaction::None);
-            let sent = match response {
-                Response::Forward(raw) => self.client.write(&raw).await,
-                Response::Error(code, text, state) => {
-                    let blank = if text.is_empty() { "" } else { " " };
-                    let line = format!("ERROR {}{blank}{text}\r\nIDLE {} -\r\n", code.word(), state.letter());
-                    self.client.write(line.as_bytes()).await
-                }
-                Response::Done => {
-                    let state = self.session.transaction.state().letter();
-                    self.client.write(format!("COMPLETE -\r\nIDLE {state} -\r\n").as_bytes()).await
-                }
-                Response::ClientGone => false,
-            };
+            let sent = self.respond(response).await;
             drop(working);
             if !sent {
                 return;
@@ -109,11 +103,32 @@
         }
     }
 
+    /// Sends the answer to a statement; false if the session is over.
+    async fn respond(&self, response: Response) -> bool {
+        match response {
+            Response::Forward(raw) => self.client.write(&raw).await,
+            Response::Error(code, text, state) => {
+                let blank = if text.is_empty() { "" } else { " " };
+                let line = format!("ERROR {}{blank}{text}\r\nIDLE {} -\r\n", code.word(), state.letter());
+                self.client.write(line.as_bytes()).await
+            }
+            Response::Done => {
+                let state = self.session.transaction.state().letter();
+                self.client.write(format!("COMPLETE -\r\nIDLE {state} -\r\n").as_bytes()).await
+            }
+            Response::ClientGone => false,
+        }
+    }
+
     /// The terms of the session's database, as they stand now.
     fn route_terms(&self) -> Option<RouteTerms> {
         let config = self.edge.shared.view.borrow().config.clone()?;
         let route = config.route(&self.database)?;
-        let max_conns = config.services.iter().find(|s| s.name == route.service).map_or(16, |s| s.max_conns);
+        let max_conns = config
+            .services
+            .iter()
+            .find(|s| s.name == route.service)
+            .map_or(DEFAULT_MAX_CONNS, |s| s.max_conns);
         Some(RouteTerms::of(route, max_conns as usize))
     }
 }
--- a/crates/node/src/edge/client/dispatch.rs
+++ b/crates/node/src/edge/client/dispatch.rs
@@ -3,10 +3,11 @@
 use super::ClientSession;
 use super::response::{Response, error};
 use super::statement::Statement;
-use badgerstream_pooling::session::Transaction;
+use badgerstream_pooling::session::{SessionError, Transaction};
 use badgerstream_wire::{Code, Kind, State, Text};
 
 impl ClientSession {
+    /// Answers a statement.
     pub(super) async fn query(&mut self, id: &str, text: &str, arrived: f64) -> Response {
         let parsed = match Text::parse(text) {
             Ok(parsed) => parsed,
@@ -14,34 +15,16 @@
         };
         let transaction = self.session.transaction;
         if transaction == Transaction::Failed {
-            return match parsed {
-                Text::Commit => {
-                    self.roll_back();
-                    error(Code::Aborted, "the transaction had failed", State::Idle)
-                }
-                Text::Abort => {
-                    self.roll_back();
-                    Response::Done
-                }
-                _ if !self.failure_reported => {
-                    self.failure_reported = true;
-                    error(Code::Aborted, "the transaction was ended", State::Failed)
-                }
-                _ => error(Code::Malformed, "the transaction has failed", State::Failed),
-            };
+            return self.in_failed_transaction(&parsed);
         }
         let (kind, execute) = match parsed {
             Text::Set { name, value } => {
-                return match self.session.set(name, value) {
-                    Ok(()) => Response::Done,
-                    Err(e) => self.malformed(&e.to_string()),
-                };
+                let set = self.session.set(name, value);
+                return self.acknowledge(set);
             }
             Text::Prepare { name, kind, shape } => {
-                return match self.session.prepare(name, kind, shape) {
-                    Ok(()) => Response::Done,
-                    Err(e) => self.malformed(&e.to_string()),
-                };
+                let prepared = self.session.prepare(name, kind, shape);
+                return self.acknowledge(prepared);
             }
             Text::Release { name } => {
                 return match self.session.release(name) {
@@ -49,26 +32,21 @@
                     Err(_) => self.unknown_shape(name),
                 };
             }
+            Text::Begin { .. } if transaction != Transaction::None => {
+                return self.malformed("inside a transaction");
+            }
             Text::Begin { fetch } => {
-                if transaction != Transaction::None {
-                    return self.malformed("inside a transaction");
-                }
                 self.session.transaction = Transaction::Open { fetch, arrived, wrote: false };
                 return Response::Done;
             }
+            Text::Abort | Text::Commit if transaction == Transaction::None => {
+                return self.malformed("outside a transaction");
+            }
             Text::Abort => {
-                if transaction == Transaction::None {
-                    return self.malformed("outside a transaction");
-                }
                 self.roll_back();
                 return Response::Done;
             }
-            Text::Commit => {
-                if transaction == Transaction::None {
-                    return self.malformed("outside a transaction");
-                }
-                return self.commit(id, text, arrived).await;
-            }
+            Text::Commit => return self.commit(id, text, arrived).await,
             Text::Fetch => (Kind::Fetch, None),
             Text::Put => (Kind::Put, None),
             Text::Execute { name, rest } => {
@@ -85,6 +63,34 @@
         }
     }
 
+    /// A failed transaction takes nothing but its end.
+    fn in_failed_transaction(&mut self, parsed: &Text<'_>) -> Response {
+        match parsed {
+            Text::Commit => {
+                self.roll_back();
+                error(Code::Aborted, "the transaction had failed", State::Idle)
+            }
+            Text::Abort => {
+                self.roll_back();
+                Response::Done
+            }
+            _ if !self.failure_reported => {
+                self.failure_reported = true;
+                error(Code::Aborted, "the transaction was ended", State::Failed)
+            }
+            _ => error(Code::Malformed, "the transaction has failed", State::Failed),
+        }
+    }
+
+    /// Answers once the session has taken a value or a prepared name, or can't.
+    fn acknowledge(&mut self, taken: Result<(), SessionError>) -> Response {
+        match taken {
+            Ok(()) => Response::Done,
+            Err(e) => self.malformed(&e.to_string()),
+        }
+    }
+
+    /// The statement can't be understood here; an open transaction fails.
     pub(super) fn malformed(&mut self, why: &str) -> Response {
         if let Transaction::Open { .. } = self.session.transaction {
             self.fail_transaction();
@@ -92,7 +98,8 @@
         error(Code::Malformed, why, self.session.transaction.state())
     }
 
-    pub(super) fn unknown_shape(&mut self, name: &str) -> Response {
+    /// The prepared name isn't known; an open transaction fails.
+    fn unknown_shape(&mut self, name: &str) -> Response {
         if let Transaction::Open { .. } = self.session.transaction {
             self.fail_transaction();
         }
--- a/crates/node/src/edge/client/handshake.rs
+++ b/crates/node/src/edge/client/handshake.rs
@@ -45,9 +45,8 @@
             }
             None => {
                 if net::until(until, edge.shared.changed.notified_since(generation)).await.is_none() {
-                    client
-                        .write(format!("ERROR RETRY {}\r\n", retry_after_ms(RETRY_AFTER_S)).as_bytes())
-                        .await;
+                    let line = format!("ERROR RETRY {}\r\n", retry_after_ms(RETRY_AFTER_S));
+                    client.write(line.as_bytes()).await;
                     return None;
                 }
             }
--- a/crates/node/src/edge/client/input.rs
+++ b/crates/node/src/edge/client/input.rs
@@ -5,8 +5,21 @@
 use crate::edge::net;
 use badgerstream_pooling::session::Transaction;
 use futures_lite::future::or;
-use std::future::poll_fn;
-use std::task::Poll;
+
+/// How long a transaction may rest before there is a configuration that says so, in milliseconds.
+const DEFAULT_TRANSACTION_IDLE_MS: u64 = 3000;
+
+/// What ends the wait for a client.
+enum Input {
+    /// Bytes have arrived.
+    Bytes,
+    /// The client has closed its connection.
+    Closed,
+    /// The transaction has rested for too long.
+    TransactionIdle,
+    /// The router closes the session.
+    Closing,
+}
 
 impl ClientSession {
     /// The next line of the client; none when the session ends.
@@ -19,58 +32,57 @@
             if self.session.transaction == Transaction::None {
                 self.handle.idle_since.set(Some(clock::now()));
             }
-            let handle = self.handle.clone();
-            let read = or(async { Some(self.client.read(&self.edge).await) }, async {
-                poll_fn(|cx| {
-                    if handle.close.get() {
-                        return Poll::Ready(());
-                    }
-                    *handle.waker.borrow_mut() = Some(cx.waker().clone());
-                    Poll::Pending
-                })
-                .await;
-                None
-            });
-            let came = if self.checkout.is_some() {
-                let idle =
-                    self.edge.shared.view.borrow().config.as_ref().map_or(3000, |c| c.limits.txn_idle_ms);
-                net::until(clock::now() + idle as f64 / 1000.0, read).await
-            } else {
-                Some(read.await)
-            };
-            match came {
-                // A transaction that rests too long is ended; its client hears of it when it asks again.
-                None => {
-                    log::debug!("event=transaction_idle database={}", self.database);
-                    self.fail_transaction();
-                    self.failure_reported = false;
-                }
-                Some(Some(true)) => {
+            match self.next_input().await {
+                Input::Bytes => {
                     if let Some(line) = self.client.next_line().ok()? {
                         self.handle.idle_since.set(None);
                         return Some(line);
                     }
                 }
-                Some(Some(false)) => return None,
-                Some(None) => {
-                    // What has arrived meanwhile is still answered.
-                    let come = net::read_now(
-                        &self.client.stream,
-                        &self.edge.scratch,
-                        &mut self.client.lines.borrow_mut(),
-                    );
-                    if matches!(come, Ok(Some(n)) if n > 0)
-                        && let Some(line) = self.client.next_line().ok()?
-                    {
-                        self.handle.idle_since.set(None);
-                        return Some(line);
-                    }
-                    if self.session.transaction != Transaction::None {
-                        self.client.write(b"ERROR ABORTED the router ends\r\n").await;
-                    }
-                    return None;
+                Input::Closed => return None,
+                // Its client hears of it when it asks again.
+                Input::TransactionIdle => {
+                    log::debug!("event=transaction_idle database={}", self.database);
+                    self.fail_transaction();
+                    self.failure_reported = false;
                 }
+                Input::Closing => return self.last_request().await,
             }
         }
     }
+
+    async fn next_input(&self) -> Input {
+        let read = or(
+            async { if self.client.read(&self.edge).await { Input::Bytes } else { Input::Closed } },
+            async {
+                self.handle.close_requested().await;
+                Input::Closing
+            },
+        );
+        if self.checkout.is_none() {
+            return read.await;
+        }
+        let idle_ms = {
+            let view = self.edge.shared.view.borrow();
+            view.config.as_ref().map_or(DEFAULT_TRANSACTION_IDLE_MS, |c| c.limits.txn_idle_ms)
+        };
+        let limit = clock::now() + idle_ms as f64 / 1000.0;
+        net::until(limit, read).await.unwrap_or(Input::TransactionIdle)
+    }
+
+    /// The router closes the session: what has arrived meanwhile is still answered.
+    async fn last_request(&self) -> Option<Vec<u8>> {
+        let arrived =
+            net::read_now(&self.client.stream, &self.edge.scratch, &mut self.client.lines.borrow_mut());
+        if matches!(arrived, Ok(Some(n)) if n > 0)
+            && let Some(line) = self.client.next_line().ok()?
+        {
+            self.handle.idle_since.set(None);
+            return Some(line);
+        }
+        if self.session.transaction != Transaction::None {
+            self.client.write(b"ERROR ABORTED the router ends\r\n").await;
+        }
+        None
+    }
 }
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -21,9 +21,10 @@
 use pool::Pool;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::poll_fn;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::task::Waker;
+use std::task::{Poll, Waker};
 
 /// Between two looks at what rests, and at whether the end has come, in seconds.
 const LOOK_S: f64 = 0.25;
@@ -83,6 +84,18 @@
 }
 
 impl SessionHandle {
+    /// Waits until the session is to be closed.
+    async fn close_requested(&self) {
+        poll_fn(|cx| {
+            if self.close.get() {
+                return Poll::Ready(());
+            }
+            *self.waker.borrow_mut() = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+
     fn close(&self) {
         self.close.set(true);
         if let Some(waker) = self.waker.borrow_mut().take() {
@@ -170,6 +183,12 @@
         self.shared.view.borrow().primary(&server.service, now).is_some_and(|g| g.id == server.id)
     }
 
+    /// The grant of this service has gone to another server than this one, or is being taken back.
+    fn is_granted_elsewhere(&self, service: &str, server: &Server) -> bool {
+        let view = self.shared.view.borrow();
+        view.grants.get(service).is_some_and(|g| g.id != server.id || g.closing)
+    }
+
     /// The server answered this position, asked then under the lease.
     fn sample(&self, server: &Server, asked: f64, position: Option<Position>) {
         if let Some(position) = position {
--- a/crates/node/src/edge/place.rs
+++ b/crates/node/src/edge/place.rs
@@ -13,6 +13,12 @@
 
 /// When a client is told to come back if no server is to be had, in seconds.
 pub const RETRY_AFTER_S: f64 = 0.2;
+/// A route that allows fewer tries than this is given as many.
+const MIN_TRIES: u32 = 2;
+/// Tries beyond those that a route allows.
+const EXTRA_TRIES: u32 = 2;
+/// A primary that is in a pause is looked at again after this, in seconds.
+const LOOK_AGAIN_S: f64 = 0.05;
 
 /// What a route asks of its statements, as it stood when the statement or its transaction came.
 #[derive(Debug, Clone)]
@@ -52,6 +58,16 @@
             max_conns,
         }
     }
+
+    /// How often a statement is sent at most.
+    pub fn attempts(&self) -> u32 {
+        self.tries.max(MIN_TRIES) + EXTRA_TRIES
+    }
+
+    /// The retry delay of a client, which is no longer than a statement may take.
+    pub fn bound_retry_after(&self, wait: f64) -> f64 {
+        wait.min(self.deadline.max(RETRY_AFTER_S))
+    }
 }
 
 /// What needs a connection.
@@ -81,7 +97,7 @@
 /// A connection that the statement may be sent on now.
 pub struct Placement {
     /// The connection.
-    pub out: Checkout,
+    pub checkout: Checkout,
     /// What must be asked of the replica; none at the primary.
     pub proof: Option<Position>,
 }
@@ -144,10 +160,10 @@
             match net::until(give_up, or(take, overtaken)).await {
                 None => return Err(pool.wait(&admission, clock::now())),
                 Some(Some(Err(CheckoutError::Busy(wait)))) => return Err(wait),
-                Some(Some(Ok(out))) => {
+                Some(Some(Ok(checkout))) => {
                     // The lease is looked at once more: time has passed.
                     if proof.is_some() || self.is_leased(&pool.server, clock::now()) {
-                        return Ok(Placement { out, proof });
+                        return Ok(Placement { checkout, proof });
                     }
                 }
                 Some(None | Some(Err(CheckoutError::Unreachable))) => {}
@@ -200,7 +216,7 @@
         match primary {
             Some(primary) if primary.health().is_up(now) => Target::Primary(primary),
             // Short pauses are looked at again; a change of the view is heard at once.
-            _ => Target::Nobody(now + 0.05),
+            _ => Target::Nobody(now + LOOK_AGAIN_S),
         }
     }
 }
