Node: a server's pool in short functions

No change of behaviour. Acquiring a connection and draining an answer that nobody waits for stand in files of their own; what an answer tells is apart from waiting for it, the changes of a connection from deciding on them, binding the front from accepting.

--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -22,7 +22,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::poll_fn;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 
@@ -32,6 +32,10 @@
 const ACCEPT_S: f64 = 2.0;
 /// Descriptors kept for files and for connections that are no client's.
 const KEPT_DESCRIPTORS: usize = 500;
+/// Clients beyond the most at once that are let in while others are being closed for them.
+const CLIENTS_IN_EXCESS: usize = 64;
+/// Between two tries to bind the front, in seconds.
+const BIND_RETRY_S: f64 = 0.5;
 /// On how many routers a server's connections are divided until control tells.
 const ROUTERS: usize = 9;
 
@@ -226,15 +230,7 @@
     }
 
     async fn accept(self: Rc<Self>, front: SocketAddr, listener: std::io::Result<Async<TcpListener>>) {
-        let mut bound = listener;
-        let listener = loop {
-            match bound {
-                Ok(listener) => break listener,
-                Err(error) => log::error!("event=front_not_bound front={front} error={error}"),
-            }
-            net::sleep_until(clock::now() + 0.5).await;
-            bound = bind(front);
-        };
+        let listener = bind_until_bound(front, listener).await;
         log::info!("event=front_open front={front}");
         loop {
             // The listener lives until the end: the queue of connections that the platform still passes on is served.
@@ -253,23 +249,28 @@
             if self.sessions.borrow().len() >= self.max_clients() {
                 self.make_room();
             }
-            if self.sessions.borrow().len() >= self.max_clients() + 64 {
+            if self.sessions.borrow().len() >= self.max_clients() + CLIENTS_IN_EXCESS {
                 log::warn!("event=client_refused clients={}", self.clients());
                 continue;
             }
-            let id = self.next_session.get();
-            self.next_session.set(id + 1);
-            let handle = Rc::new(SessionHandle::default());
-            self.sessions.borrow_mut().insert(id, handle.clone());
-            let edge = self.clone();
-            let work = async move {
-                client::serve(&edge, stream, handle).await;
-                edge.sessions.borrow_mut().remove(&id);
-            };
-            self.tasks.spawn(work).detach();
+            self.start_session(stream);
         }
     }
 
+    /// Serves a client in a task of its own.
+    fn start_session(self: &Rc<Self>, stream: Async<TcpStream>) {
+        let id = self.next_session.get();
+        self.next_session.set(id + 1);
+        let handle = Rc::new(SessionHandle::default());
+        self.sessions.borrow_mut().insert(id, handle.clone());
+        let edge = self.clone();
+        let work = async move {
+            client::serve(&edge, stream, handle).await;
+            edge.sessions.borrow_mut().remove(&id);
+        };
+        self.tasks.spawn(work).detach();
+    }
+
     /// The session that has rested longest is closed: at rest, with nothing asked, that is no failure.
     fn make_room(&self) {
         let sessions = self.sessions.borrow();
@@ -322,6 +323,21 @@
     }
 }
 
+/// The listener, once the front can be bound.
+async fn bind_until_bound(
+    front: SocketAddr, first: std::io::Result<Async<TcpListener>>,
+) -> Async<TcpListener> {
+    let mut bound = first;
+    loop {
+        match bound {
+            Ok(listener) => return listener,
+            Err(error) => log::error!("event=front_not_bound front={front} error={error}"),
+        }
+        net::sleep_until(clock::now() + BIND_RETRY_S).await;
+        bound = bind(front);
+    }
+}
+
 fn bind(front: SocketAddr) -> std::io::Result<Async<TcpListener>> {
     Async::<TcpListener>::bind(front)
 }
--- a/crates/node/src/edge/place.rs
+++ b/crates/node/src/edge/place.rs
@@ -146,18 +146,11 @@
             let take = async {
                 Some(Checkout::take(self, &pool, &admission, values, shape, request.takes_slot).await)
             };
-            let overtaken = async {
-                // Its place in the queue is kept through news that doesn't concern it.
-                let mut generation = generation;
-                loop {
-                    self.shared.changed.notified_since(generation).await;
-                    generation = self.shared.changed.generation();
-                    if !self.is_still_valid(&pool, proof.is_none()) {
-                        return None;
-                    }
-                }
+            let invalid = async {
+                self.until_invalid(&pool, proof.is_none(), generation).await;
+                None
             };
-            match net::until(give_up, or(take, overtaken)).await {
+            match net::until(give_up, or(take, invalid)).await {
                 None => return Err(pool.wait(&admission, clock::now())),
                 Some(Some(Err(CheckoutError::Busy(wait)))) => return Err(wait),
                 Some(Some(Ok(checkout))) => {
@@ -171,6 +164,18 @@
         }
     }
 
+    /// Waits until this server is no longer the right one. The place in its queue is kept through news that doesn't
+    /// concern it.
+    async fn until_invalid(&self, pool: &Pool, primary: bool, mut generation: u64) {
+        loop {
+            self.shared.changed.notified_since(generation).await;
+            generation = self.shared.changed.generation();
+            if !self.is_still_valid(pool, primary) {
+                return;
+            }
+        }
+    }
+
     fn is_still_valid(&self, pool: &Pool, primary: bool) -> bool {
         let view = self.shared.view.borrow();
         if primary {
--- a/crates/node/src/edge/pool.rs
+++ b/crates/node/src/edge/pool.rs
@@ -1,6 +1,8 @@
 //! The connections to one server, and what its answers told of it.
 
+mod acquire;
 mod checkout;
+mod drain;
 mod exchange;
 mod health;
 mod idle;
--- a/crates/node/src/edge/pool/checkout.rs
+++ b/crates/node/src/edge/pool/checkout.rs
@@ -5,20 +5,14 @@
 use crate::clock;
 use crate::edge::Edge;
 use crate::edge::gate::Permit;
-use crate::edge::link::{Link, OpenError};
-use crate::edge::net::{self, sleep_until};
+use crate::edge::link::Link;
+use crate::edge::net;
 use badgerstream_pooling::session::{Shape, Values};
-use badgerstream_wire::{Answer, State};
+use badgerstream_wire::Answer;
 use std::rc::Rc;
 
-/// An answer that nobody waits for any more is awaited for so long, in seconds.
-const DRAIN_S: f64 = 3.0;
-/// An answer that is overdue and that nobody waits for any more is awaited for so long, in seconds.
-const OVERDUE_DRAIN_S: f64 = 0.5;
-/// How long our own statements may take, in seconds.
+/// How long the statements of the router itself may take, in seconds.
 pub(super) const OWN_S: f64 = 1.0;
-/// The pause after a server's refusal of a connection, in seconds.
-const FULL_PAUSE_S: f64 = 0.05;
 
 /// Whether the connection of a `Checkout` may be used by the next.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -41,8 +35,9 @@
     pub(super) conn: Option<Permit>,
     pub(super) slot: Option<Permit>,
     pub(super) reuse: Reuse,
-    /// Own changes were made inside the transaction that is open.
+    /// The router changed values or shapes inside the transaction that is open.
     pub(super) changed_inside: bool,
+    /// The changes inside the transaction last if what was asked last succeeds.
     pub(super) keeps: bool,
     pub(super) unanswered: Option<Unanswered>,
     /// What was asked last takes a slot of the server, so that its answer tells the latency.
@@ -57,39 +52,7 @@
         takes_slot: bool,
     ) -> Result<Self, CheckoutError> {
         let conn = pool.enter(&pool.conns, admission).await?;
-        let mut pause = FULL_PAUSE_S;
-        let link = loop {
-            if let Some(link) = pool.take_idle(values, &edge.scratch) {
-                break link;
-            }
-            let server = &pool.server;
-            let who = &edge.limits.name;
-            let opening = Unanswered::new(pool, clock::now(), false);
-            let opened = Link::open(server.endpoint, &server.service, who, &server.id, &edge.scratch).await;
-            drop(opening);
-            match opened {
-                Ok((link, position)) => {
-                    pool.mark_answered(position);
-                    log::debug!("event=server_connection server={}", server.id);
-                    break link;
-                }
-                Err(OpenError::Full) => {
-                    let now = clock::now();
-                    let mut share = pool.share.get();
-                    share.refused(now);
-                    pool.share.set(share);
-                    pool.conns.set_limit(share.limit(now));
-                    log::debug!("event=connection_limit server={}", server.id);
-                    sleep_until(now + pause).await;
-                    pause = (pause * 2.0).min(8.0 * FULL_PAUSE_S);
-                }
-                Err(error) => {
-                    pool.mark_unreachable();
-                    log::debug!("event=no_connection server={} error={error:?}", server.id);
-                    return Err(CheckoutError::Unreachable);
-                }
-            }
-        };
+        let link = pool.acquire(edge, values).await?;
         let mut checkout = Self {
             edge: edge.clone(),
             pool: pool.clone(),
@@ -157,45 +120,11 @@
 
 impl Drop for Checkout {
     fn drop(&mut self) {
-        let Some(mut link) = self.link.take() else { return };
+        let Some(link) = self.link.take() else { return };
         match self.reuse {
             Reuse::Clean => self.pool.put_idle(link),
             Reuse::Closed => {}
-            Reuse::Pending => {
-                // The server works on it still: its place is taken until it answers, and breaking it off would waste
-                // what it did. If the answer is overdue it has most likely been given, and the place is free.
-                let overdue = self.is_overtaken();
-                let drain = if overdue { OVERDUE_DRAIN_S } else { DRAIN_S };
-                let (edge, pool) = (self.edge.clone(), self.pool.clone());
-                let slot = self.slot.take().filter(|_| !overdue);
-                let unanswered = self.unanswered.take();
-                let sent = unanswered.as_ref().filter(|_| self.takes_slot).map(|u| u.sent);
-                let permits = (self.conn.take(), slot, unanswered);
-                let tasks = edge.tasks.clone();
-                let work = async move {
-                    let now = clock::now();
-                    let drained = net::until(now + drain, async {
-                        loop {
-                            let mut answer = Answer::default();
-                            if let Some(outcome) = link.answer(&mut answer, &edge.scratch).await? {
-                                return Ok::<_, ()>(outcome);
-                            }
-                        }
-                    });
-                    if let Some(Ok(outcome)) = drained.await {
-                        pool.mark_answered(outcome.position);
-                        if let Some(sent) = sent {
-                            // It was not lost but slow, as others are then.
-                            pool.record_answer(sent);
-                        }
-                        if outcome.state == State::Idle && outcome.error.is_none() && link.is_clean() {
-                            pool.put_idle(link);
-                        }
-                    }
-                    drop(permits);
-                };
-                tasks.spawn(work).detach();
-            }
+            Reuse::Pending => self.drain(link),
         }
     }
 }
--- a/crates/node/src/edge/pool/exchange.rs
+++ b/crates/node/src/edge/pool/exchange.rs
@@ -102,31 +102,37 @@
                     answer.raw.clear();
                 }
                 Some(Ok(Some(outcome))) => {
-                    self.pool.mark_answered(outcome.position);
-                    let idle = outcome.state == State::Idle;
-                    if let Some(asked) = self.unanswered.take() {
-                        if self.takes_slot {
-                            self.pool.record_answer(asked.sent);
-                        } else {
-                            self.pool.record_round_trip(asked.sent);
-                        }
-                        if asked.leased && idle {
-                            self.edge.sample(&self.pool.server, asked.sent, outcome.position);
-                        }
-                    }
-                    let clean = idle && link.is_clean() && outcome.error != Some(Code::Unknown);
-                    self.reuse = if clean { Reuse::Clean } else { Reuse::Closed };
-                    let kept = self.keeps && outcome.error.is_none();
-                    if idle && std::mem::take(&mut self.changed_inside) && !kept {
-                        // Nobody has said whether an end that rolls back takes values back, too.
-                        link.held.mark_uncertain();
-                    }
+                    self.conclude(&outcome);
                     return Ok(outcome);
                 }
             }
         }
     }
 
+    /// The answer is in: what it tells of the server, and whether the connection may be used by the next.
+    fn conclude(&mut self, outcome: &Outcome) {
+        self.pool.mark_answered(outcome.position);
+        let idle = outcome.state == State::Idle;
+        if let Some(asked) = self.unanswered.take() {
+            if self.takes_slot {
+                self.pool.record_answer(asked.sent);
+            } else {
+                self.pool.record_round_trip(asked.sent);
+            }
+            if asked.leased && idle {
+                self.edge.sample(&self.pool.server, asked.sent, outcome.position);
+            }
+        }
+        let Some(link) = &mut self.link else { return };
+        let clean = idle && link.is_clean() && outcome.error != Some(Code::Unknown);
+        self.reuse = if clean { Reuse::Clean } else { Reuse::Closed };
+        let kept = self.keeps && outcome.error.is_none();
+        if idle && std::mem::take(&mut self.changed_inside) && !kept {
+            // Nobody has said whether an end that rolls back takes values back, too.
+            link.held.mark_uncertain();
+        }
+    }
+
     /// The server has answered what was sent after this statement, so that its answer may be lost.
     pub fn is_overtaken(&self) -> bool {
         self.unanswered.as_ref().is_some_and(|u| !u.partly && self.pool.last_answered.get() > u.sent)
--- a/crates/node/src/edge/pool/prepare.rs
+++ b/crates/node/src/edge/pool/prepare.rs
@@ -1,8 +1,11 @@
 //! Bringing a connection to the values and prepared shapes that its next statement needs.
 
+use super::Pool;
 use super::checkout::{Checkout, OWN_S, Reuse};
 use crate::clock;
-use crate::edge::net::{self, sleep_until};
+use crate::edge::link::Link;
+use crate::edge::net::{self, Scratch, sleep_until};
+use badgerstream_pooling::connection::StateChange;
 use badgerstream_pooling::session::{Shape, Values};
 use badgerstream_wire::{Answer, State};
 use futures_lite::future::or;
@@ -19,35 +22,13 @@
         let state = if inside { State::Open } else { State::Idle };
         // Until all are acknowledged nobody knows what it holds.
         self.reuse = Reuse::Closed;
-        let mut bytes = Vec::new();
-        for change in &changes {
-            bytes.extend_from_slice(format!("QUERY - {}\r\n", change.text()).as_bytes());
-        }
-        let edge = &self.edge;
-        let (sent, pool) = (clock::now(), &self.pool);
+        let (sent, pool, scratch) = (clock::now(), &self.pool, &self.edge.scratch);
         let made = async {
-            link.send(&bytes).await.map_err(drop)?;
-            for change in &changes {
-                let mut answer = Answer::default();
-                let outcome = link.answer(&mut answer, &edge.scratch).await?.ok_or(())?;
-                if outcome.error.is_some() || outcome.state != state {
-                    return Err(());
-                }
-                link.held.acknowledged(change);
-            }
+            apply(link, &changes, state, scratch).await?;
             pool.record_round_trip(sent);
             Ok(())
         };
-        // Another connection does as well: an answer that most likely is lost isn't waited for.
-        let lost = async {
-            loop {
-                sleep_until(clock::now() + pool.latency().overdue_after(0.0)).await;
-                if pool.last_answered.get() > sent {
-                    return Err(());
-                }
-            }
-        };
-        match net::until(sent + OWN_S, or(made, lost)).await {
+        match net::until(sent + OWN_S, or(made, overtaken(pool, sent))).await {
             Some(Ok(())) => {
                 self.reuse = if inside { Reuse::Closed } else { Reuse::Clean };
                 self.changed_inside |= inside;
@@ -61,3 +42,28 @@
         }
     }
 }
+
+/// Sends the changes and waits until the server has acknowledged all of them, in this state.
+async fn apply(link: &mut Link, changes: &[StateChange], state: State, scratch: &Scratch) -> Result<(), ()> {
+    let lines: String = changes.iter().map(|change| format!("QUERY - {}\r\n", change.text())).collect();
+    link.send(lines.as_bytes()).await.map_err(drop)?;
+    for change in changes {
+        let mut answer = Answer::default();
+        let outcome = link.answer(&mut answer, scratch).await?.ok_or(())?;
+        if outcome.error.is_some() || outcome.state != state {
+            return Err(());
+        }
+        link.held.acknowledged(change);
+    }
+    Ok(())
+}
+
+/// Waits until the answer to what was sent then most likely is lost: another connection does as well.
+async fn overtaken(pool: &Pool, sent: f64) -> Result<(), ()> {
+    loop {
+        sleep_until(clock::now() + pool.latency().overdue_after(0.0)).await;
+        if pool.last_answered.get() > sent {
+            return Err(());
+        }
+    }
+}
