Control: failover in short functions with typed states

No change of behaviour. A primary, a choice, a promotion, a hand-over and a revocation of the grant are types in place of tuples and a sentinel number; watching, handing over, closing and promoting are split into their steps, choosing has a file of its own; numbers have names. The count of posts, which nothing read, is gone.

--- a/crates/control/src/failover.rs
+++ b/crates/control/src/failover.rs
@@ -6,6 +6,7 @@
 //!
 //! A primary that is to leave is replaced while it goes on: all copies but the coming primary are paused, so that whatever
 //! is acknowledged from then on is there; only once it leads do the routers let go of the old one.
+mod choosing;
 mod closing;
 mod finding;
 mod grant;
@@ -16,58 +17,76 @@
 mod types;
 mod watching;
 
-use observation::Seen;
+use grant::Revocation;
+use observation::Observation;
 use std::collections::BTreeMap;
 pub(crate) use types::{Act, Around, Candidate};
 pub use types::{Asked, Position, Row, Statement, Timing};
 
+/// A server that leads a term.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Primary {
+    id: String,
+    term: u64,
+}
+
+/// The server that is to be the next primary.
+#[derive(Clone, Debug, PartialEq)]
+struct Choice {
+    to: String,
+    /// It must lead a term above this one.
+    above: u64,
+    /// The primary is replaced while it serves.
+    planned: bool,
+}
+
+/// A call to the platform that promotes a server.
+#[derive(Clone, Debug, PartialEq)]
+struct Promotion {
+    choice: Choice,
+    /// When the platform was asked last; a second later it is asked again.
+    posted: f64,
+    /// When it was asked first.
+    since: f64,
+}
+
+/// A primary that is being replaced while it serves.
+#[derive(Clone, Debug, PartialEq)]
+struct HandingOver {
+    to: String,
+    /// The term at which the other copies are paused.
+    term: u64,
+    since: f64,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 enum Phase {
     /// Who leads isn't known.
     Finding,
+    /// A primary is in use.
     Steady,
-    /// The primary is given up: routers let go, and the others are paused.
-    Closing {
-        term: u64,
-    },
+    /// The primary is given up: routers let go, and the others are paused at this term.
+    Closing { term: u64 },
     /// The primary leaves: all but the coming one are paused.
-    Handing {
-        to: String,
-        term: u64,
-        since: f64,
-    },
+    HandingOver(HandingOver),
     /// What is to be promoted is being agreed on.
-    Agreeing {
-        to: String,
-        above: u64,
-        planned: bool,
-    },
+    Agreeing(Choice),
     /// The platform is asked.
-    Promoting {
-        to: String,
-        above: u64,
-        planned: bool,
-        posted: f64,
-        tries: u32,
-        since: f64,
-    },
+    Promoting(Promotion),
     /// The new one leads; routers let go of the old one.
-    Switching {
-        to: String,
-        term: u64,
-    },
+    Switching(Primary),
 }
 
-/// One service.
+/// The failover of one service.
 #[derive(Clone, Debug)]
 pub(crate) struct Failover {
     timing: Timing,
     phase: Phase,
-    seen: BTreeMap<String, Seen>,
-    /// The primary in use or last in use, and its term.
-    primary: Option<(String, u64)>,
-    /// The grant was taken back with news of this number; none while it stands.
-    closed: Option<u64>,
+    seen: BTreeMap<String, Observation>,
+    /// The primary in use or last in use.
+    primary: Option<Primary>,
+    /// Whether its grant was taken back.
+    revocation: Revocation,
     /// The last answer of the primary that any router told of.
     evidence: f64,
     /// Positions of the primary, with when it was asked.
@@ -79,13 +98,14 @@
 }
 
 impl Failover {
+    /// A service of which nothing is known yet.
     pub fn new(timing: Timing) -> Failover {
         Failover {
             timing,
             phase: Phase::Finding,
             seen: BTreeMap::new(),
             primary: None,
-            closed: None,
+            revocation: Revocation::None,
             evidence: f64::NEG_INFINITY,
             trail: Vec::new(),
             retry: 0.0,
@@ -93,39 +113,37 @@
         }
     }
 
-    /// The name of the phase, for logs.
+    /// The name of the phase, for logs and operators.
     pub fn phase(&self) -> &'static str {
         match self.phase {
             Phase::Finding => "finding",
             Phase::Steady => "steady",
             Phase::Closing { .. } => "closing",
-            Phase::Handing { .. } => "handing",
-            Phase::Agreeing { .. } => "agreeing",
-            Phase::Promoting { .. } => "promoting",
-            Phase::Switching { .. } => "switching",
+            Phase::HandingOver(_) => "handing",
+            Phase::Agreeing(_) => "agreeing",
+            Phase::Promoting(_) => "promoting",
+            Phase::Switching(_) => "switching",
         }
     }
 
     /// Whether just this primary is in use, in steady order.
     pub fn is_steady(&self, id: &str, term: u64) -> bool {
-        self.phase == Phase::Steady && self.primary.as_ref().is_some_and(|p| p.0 == id && p.1 == term)
+        self.phase == Phase::Steady && self.primary.as_ref().is_some_and(|p| p.id == id && p.term == term)
     }
 
     /// Lets time pass.
     pub fn tick(&mut self, around: &Around<'_>) -> Vec<Act> {
         let mut acts = Vec::new();
-        let known: Vec<String> = around.members.iter().map(|m| m.id.clone()).collect();
-        self.seen.retain(|id, _| known.contains(id) || self.primary.as_ref().is_some_and(|p| p.0 == *id));
+        let primary = &self.primary;
+        self.seen.retain(|id, _| around.is_member(id) || primary.as_ref().is_some_and(|p| p.id == *id));
         match self.phase.clone() {
             Phase::Finding => self.find(around, &mut acts),
             Phase::Steady => self.watch(around, &mut acts),
             Phase::Closing { term } => self.close(around, term, &mut acts),
-            Phase::Handing { to, term, since } => self.hand(around, &to, term, since, &mut acts),
-            Phase::Agreeing { .. } => {}
-            Phase::Promoting { to, above, planned, posted, tries, since } => {
-                self.promote(around, &to, above, planned, (posted, tries, since), &mut acts);
-            }
-            Phase::Switching { to, term } => self.switch(around, &to, term, &mut acts),
+            Phase::HandingOver(handing) => self.hand_over(around, &handing, &mut acts),
+            Phase::Agreeing(_) => {}
+            Phase::Promoting(promotion) => self.promote(around, promotion, &mut acts),
+            Phase::Switching(to) => self.switch(around, to, &mut acts),
         }
         acts
     }
--- /dev/null
+++ b/crates/control/src/failover/choosing.rs
@@ -0,0 +1,61 @@
+//! Which copy is promoted: the furthest one, once it is known to have every commit.
+
+use super::*;
+
+/// A copy that can't be asked may still have received for so long after it was missed, in seconds.
+const FAILING_GRACE_S: f64 = 0.5;
+/// A copy that went so long before this machine led was followed by others since, in seconds.
+const LONG_GONE_S: f64 = 5.0;
+
+impl Failover {
+    /// Who is furthest of those that could lead.
+    pub(super) fn best<'a>(
+        &self, around: &'a Around<'_>, fit: impl Fn(&Candidate) -> bool,
+    ) -> Option<(&'a str, Position)> {
+        let fit = around.members.iter().filter(|m| fit(m));
+        let with = fit.filter_map(|m| {
+            let seen = self.seen.get(&m.id)?;
+            let row = seen.row.filter(|_| seen.failing.is_none())?;
+            Some((m, seen.paused.map_or(row.received, |p| p.1)))
+        });
+        let best = with.max_by(|(a, x), (b, y)| {
+            (x, a.draining_since.is_none(), &b.id).cmp(&(y, b.draining_since.is_none(), &a.id))
+        });
+        best.map(|(m, at)| (m.id.as_str(), at))
+    }
+
+    /// Chooses among the paused copies, if one of them is known to have all commits.
+    pub(super) fn choose(&mut self, around: &Around<'_>, old: Option<&str>, term: u64, acts: &mut Vec<Act>) {
+        let best = self.best(around, |m| Some(m.id.as_str()) != old && self.observed(&m.id).paused.is_some());
+        let Some((to, at)) = best else { return };
+        if around.sync > 0 && self.spare_copies(around, old, at) < 0 {
+            return;
+        }
+        let (to, above) = (to.to_owned(), self.highest_led().min(term.saturating_sub(1)));
+        log::info!("event=primary_chosen to={to} position={}.{} above={above}", at.0, at.1);
+        self.phase = Phase::Agreeing(Choice { to: to.clone(), above, planned: false });
+        acts.push(Act::Agree { to, above });
+    }
+
+    /// How many more copies could be out of reach without a commit being lost, if the copy at this position is chosen;
+    /// below zero a commit may be lost.
+    ///
+    /// A commit is acknowledged once it is at so many replicas besides the primary: if no more than these can't be
+    /// asked, whoever else is furthest has all. Of the others it must be known that they had nothing that this one
+    /// lacks, as the primary had no more when they were gone already.
+    fn spare_copies(&self, around: &Around<'_>, old: Option<&str>, at: Position) -> i64 {
+        let mut spare = i64::from(around.sync) - i64::from(old.is_some());
+        for member in around.members.iter().filter(|m| Some(m.id.as_str()) != old) {
+            let seen = self.observed(&member.id);
+            if seen.paused.is_none() {
+                let since = seen.failing.unwrap_or(around.now);
+                spare -= i64::from(!self.covered(since + FAILING_GRACE_S, at));
+            }
+        }
+        for (_, since) in around.lost.iter().filter(|(id, _)| Some(id.as_str()) != old) {
+            let long_gone = self.trail.is_empty() && *since < around.since - LONG_GONE_S;
+            spare -= i64::from(!self.covered(*since, at) && !long_gone);
+        }
+        spare
+    }
+}
--- a/crates/control/src/failover/closing.rs
+++ b/crates/control/src/failover/closing.rs
@@ -1,128 +1,109 @@
-//! The primary is given up: its grant ends, the other copies are paused, and the furthest of them is chosen.
+//! The primary is given up: its grant ends, and the other copies are paused and asked how far they got.
 
 use super::*;
 
-impl Failover {
-    /// Who is furthest of those that could lead.
-    pub(super) fn best<'a>(
-        &self, around: &'a Around<'_>, fit: impl Fn(&Candidate) -> bool,
-    ) -> Option<(&'a str, Position)> {
-        let fit = around.members.iter().filter(|m| fit(m));
-        let with = fit.filter_map(|m| {
-            let seen = self.seen.get(&m.id)?;
-            let row = seen.row.filter(|_| seen.failing.is_none())?;
-            Some((m, seen.paused.map_or(row.received, |p| p.1)))
-        });
-        let best = with.max_by(|(a, x), (b, y)| {
-            (x, a.draining_since.is_none(), &b.id).cmp(&(y, b.draining_since.is_none(), &a.id))
-        });
-        best.map(|(m, at)| (m.id.as_str(), at))
-    }
+/// Between two questions to the primary that was given up, in seconds.
+const ASK_PRIMARY_S: f64 = 0.1;
+/// Between two pauses of a copy, in seconds.
+const PAUSE_AGAIN_S: f64 = 0.05;
+/// A primary is back if it answered no longer ago than this, in seconds.
+const BACK_ANSWERED_S: f64 = 0.3;
+/// The same, from when it was asked.
+const BACK_ASKED_S: f64 = 0.5;
+/// How old the row of a copy that was the primary may be, in seconds.
+const FRESH_ROW_S: f64 = 1.0;
+/// A copy that has not answered for so long may be left out, in seconds.
+const EXCUSED_S: f64 = 0.5;
 
+/// How far the pausing of the copies has come.
+struct Pausing {
+    /// All are paused that can be asked.
+    complete: bool,
+    /// Another term has come up meanwhile, and below it nobody pauses.
+    outrun: bool,
+}
+
+impl Failover {
     pub(super) fn close(&mut self, around: &Around<'_>, term: u64, acts: &mut Vec<Act>) {
-        let now = around.now;
-        let primary = self.primary.clone();
-        let of = primary.as_ref().map(|p| p.0.as_str());
-        let draining = around
-            .members
-            .iter()
-            .find(|m| Some(m.id.as_str()) == of)
-            .is_some_and(|m| m.draining_since.is_some());
-        if let Some((id, led)) = &primary {
-            // It may be back with all that it had.
-            if around.members.iter().any(|m| m.id == *id) {
-                self.ask(now, id, 0.1, Statement::Status, acts);
-            }
-            let seen = self.seen.get(id).cloned().unwrap_or_default();
-            let back = seen.failing.is_none() && now - seen.answered < 0.3 && seen.row_asked > now - 0.5;
-            let leads = seen.row.is_some_and(|r| r.leader && r.term == *led);
-            let of_record = around.record.is_none_or(|(r, above)| r == id && *led >= above);
-            if back && leads && of_record && !draining && self.highest_led() <= *led {
-                log::info!("event=primary_back id={id}");
-                let (id, led) = (id.clone(), *led);
-                self.steady(now, &id, led, acts);
-                return;
-            }
+        if self.take_back(around, acts) {
+            return;
         }
+        let primary = self.primary.as_ref().map(|p| p.id.clone());
         // Once it has given up the lead it is a copy like the others.
-        let replica = |id: &&str| {
-            let seen = self.seen.get(*id);
-            seen.is_some_and(|s| {
-                s.failing.is_none() && s.row_asked > now - 1.0 && s.row.is_some_and(|r| !r.leader)
-            })
-        };
-        let of = of.filter(|id| !replica(id));
+        let old = primary.filter(|id| !self.is_replica(id, around.now));
         // Whoever was promoted before may lead by now.
-        if let Some((id, led)) = self.found(around).filter(|(id, _)| Some(id.as_str()) != of)
-            && self.given_back(around)
+        let found = self.found(around).filter(|found| Some(&found.id) != old.as_ref());
+        let given_back = self.given_back(around);
+        if let Some(found) = found
+            && given_back
         {
-            log::info!("event=primary_found id={id} term={led}");
-            self.steady(now, &id, led, acts);
+            log::info!("event=primary_found id={} term={}", found.id, found.term);
+            self.use_primary(around.now, found, acts);
             return;
         }
-        let given = self.given_back(around);
-        let mut ready = given;
-        let mut low = false;
-        for member in around.members.iter().filter(|m| Some(m.id.as_str()) != of) {
-            let seen = self.seen.get(&member.id).cloned().unwrap_or_default();
+        let pausing = self.pause_copies(around, old.as_deref(), term, given_back, acts);
+        if pausing.outrun {
+            self.phase = Phase::Closing { term: self.highest_term() + 1 };
+        } else if pausing.complete && given_back {
+            self.choose(around, old.as_deref(), term, acts);
+        }
+    }
+
+    /// The primary may be back with all that it had: it is used again then.
+    fn take_back(&mut self, around: &Around<'_>, acts: &mut Vec<Act>) -> bool {
+        let now = around.now;
+        let Some(primary) = self.primary.clone() else { return false };
+        if around.is_member(&primary.id) {
+            self.ask(now, &primary.id, ASK_PRIMARY_S, Statement::Status, acts);
+        }
+        let seen = self.observed(&primary.id);
+        let answers = seen.failing.is_none() && now - seen.answered < BACK_ANSWERED_S;
+        let back = answers && seen.row_asked > now - BACK_ASKED_S;
+        let leads = seen.row.is_some_and(|r| r.leader && r.term == primary.term);
+        let of_record = around.record.is_none_or(|(id, above)| id == primary.id && primary.term >= above);
+        let draining = around.draining_since(&primary.id).is_some();
+        if !back || !leads || !of_record || draining || self.highest_led() > primary.term {
+            return false;
+        }
+        log::info!("event=primary_back id={}", primary.id);
+        self.use_primary(now, primary, acts);
+        true
+    }
+
+    fn is_replica(&self, id: &str, now: f64) -> bool {
+        let seen = self.observed(id);
+        seen.failing.is_none() && seen.row_asked > now - FRESH_ROW_S && seen.row.is_some_and(|r| !r.leader)
+    }
+
+    /// Pauses all copies but the old primary.
+    fn pause_copies(
+        &mut self, around: &Around<'_>, old: Option<&str>, term: u64, given_back: bool, acts: &mut Vec<Act>,
+    ) -> Pausing {
+        let now = around.now;
+        let mut pausing = Pausing { complete: true, outrun: false };
+        for member in around.members.iter().filter(|m| Some(m.id.as_str()) != old) {
+            let seen = self.observed(&member.id);
             if seen.paused.is_some_and(|(at, _)| at >= term) {
                 self.ask(now, &member.id, self.timing.ask, Statement::Status, acts);
                 continue;
             }
-            ready &= self.excused(around, member, &seen);
-            low |= seen.failing.is_none() && seen.row.is_some_and(|r| r.term.max(r.held) >= term);
-            let leads = seen.failing.is_none() && seen.row.is_some_and(|r| r.leader);
-            let statement = match leads {
+            pausing.complete &= is_excused(around, member, &seen);
+            pausing.outrun |= seen.failing.is_none() && seen.row.is_some_and(|r| r.term.max(r.held) >= term);
+            let statement = match seen.leads() {
                 // A primary can't be paused: once nobody uses it, it becomes a replica.
-                true if given => Statement::StepDown(term),
+                true if given_back => Statement::StepDown(term),
                 true => Statement::Status,
                 false if seen.busy => Statement::Status,
                 false => Statement::Pause(term),
             };
-            self.ask(now, &member.id, 0.05, statement, acts);
-        }
-        if low {
-            // Another term has come up meanwhile, and below it nobody pauses.
-            self.phase = Phase::Closing { term: self.highest_term() + 1 };
-            return;
-        }
-        if !ready {
-            return;
-        }
-        let best = self.best(around, |m| {
-            Some(m.id.as_str()) != of && self.seen.get(&m.id).is_some_and(|s| s.paused.is_some())
-        });
-        let Some((to, at)) = best else { return };
-        // A commit is acknowledged once it is at so many replicas besides the primary: if no more than these can't be
-        // asked, whoever else is furthest has all. Of the others it must be known that they had nothing that this one
-        // lacks, as the primary had no more when they were gone already.
-        let mut spare = i64::from(around.sync) - i64::from(of.is_some());
-        let covered =
-            |since: f64| self.trail.iter().any(|(asked, position)| *asked > since && *position <= at);
-        for member in around.members.iter().filter(|m| Some(m.id.as_str()) != of) {
-            let seen = self.seen.get(&member.id);
-            if seen.is_none_or(|s| s.paused.is_none()) {
-                let since = seen.and_then(|s| s.failing).unwrap_or(now);
-                spare -= i64::from(!covered(since + 0.5));
-            }
-        }
-        for (_, since) in around.lost.iter().filter(|(id, _)| Some(id.as_str()) != of) {
-            // Whoever went long before this machine led was followed by others since.
-            let long = self.trail.is_empty() && *since < around.since - 5.0;
-            spare -= i64::from(!covered(*since) && !long);
+            self.ask(now, &member.id, PAUSE_AGAIN_S, statement, acts);
         }
-        if spare < 0 && around.sync > 0 {
-            return;
-        }
-        let (to, above) = (to.to_owned(), self.highest_led().min(term.saturating_sub(1)));
-        log::info!("event=primary_chosen to={to} position={}.{} above={above}", at.0, at.1);
-        self.phase = Phase::Agreeing { to: to.clone(), above, planned: false };
-        acts.push(Act::Agree { to, above });
+        pausing
     }
+}
 
-    /// A replica that can't be asked may be left out once it has been gone for a while and the primary went on without it.
-    pub(super) fn excused(&self, around: &Around<'_>, member: &Candidate, seen: &Seen) -> bool {
-        let Some(since) = seen.failing else { return false };
-        member.heard < since + 0.5 && around.now - since > 0.5
-    }
+/// A replica that can't be asked may be left out once it has been gone for a while and the primary went on without it.
+fn is_excused(around: &Around<'_>, member: &Candidate, seen: &Observation) -> bool {
+    let Some(since) = seen.failing else { return false };
+    member.heard < since + EXCUSED_S && around.now - since > EXCUSED_S
 }
--- a/crates/control/src/failover/finding.rs
+++ b/crates/control/src/failover/finding.rs
@@ -2,6 +2,13 @@
 
 use super::*;
 
+/// How many heartbeats are waited for before a primary counts as missing.
+const HEARTBEATS: f64 = 2.5;
+/// How old the answer of a server that leads may be, in seconds.
+const FRESH_S: f64 = 1.0;
+/// Servers that don't answer are waited for so long, in seconds.
+const UNKNOWN_S: f64 = 1.0;
+
 impl Failover {
     pub(super) fn find(&mut self, around: &Around<'_>, acts: &mut Vec<Act>) {
         let now = around.now;
@@ -11,52 +18,60 @@
         if around.members.is_empty() {
             return;
         }
-        if let Some((id, term)) = self.found(around) {
-            match (&self.primary, self.closed) {
-                (Some((old, led)), None) if *old != id || *led != term => {
-                    // Routers may still use the one before.
-                    let (id, term) = (old.clone(), *led);
-                    self.closed = Some(u64::MAX);
-                    acts.push(Act::Grant { id, term, closing: true });
-                    return;
-                }
-                // Under the leader before us routers may have used another until a moment ago.
-                (None, None) if around.record.is_some_and(|r| r.1 != term) && !(around.all_know)(0) => return,
-                (_, Some(_)) if !self.given_back(around) => return,
-                _ => {}
-            }
-            self.steady(now, &id, term, acts);
+        if let Some(found) = self.found(around) {
+            self.use_found(around, found, acts);
             return;
         }
         // Nobody leads whom we may use: after a while somebody is to be promoted. Beats of all must have had their time.
-        let waited = now - around.since > self.timing.silence.max(2.5 * self.timing.heartbeat);
+        let patience = self.timing.silence.max(HEARTBEATS * self.timing.heartbeat);
+        let waited = now - around.since > patience;
         if waited && now > around.not_before && now > self.retry {
-            if self.primary.is_none() && self.closed.is_none() {
+            if self.primary.is_none() && self.revocation == Revocation::None {
                 // Nothing is granted by us, and the grants of those before us have ended.
-                self.closed = Some(0);
+                self.revocation = Revocation::Announced(0);
             }
             log::info!("event=primary_missing top={}", self.highest_led());
             self.give_up(acts);
         }
     }
 
-    /// The server that leads and may be used, with its term.
-    pub(super) fn found(&self, around: &Around<'_>) -> Option<(String, u64)> {
+    /// Uses the primary that was found, once routers use no other.
+    fn use_found(&mut self, around: &Around<'_>, found: Primary, acts: &mut Vec<Act>) {
+        match (&self.primary, self.revocation) {
+            (Some(old), Revocation::None) if *old != found => {
+                // Routers may still use the one before.
+                self.revoke(acts);
+                return;
+            }
+            // Under the leader before us routers may have used another until a moment ago.
+            (None, Revocation::None)
+                if around.record.is_some_and(|r| r.1 != found.term) && !(around.all_know)(0) =>
+            {
+                return;
+            }
+            (_, Revocation::Unannounced | Revocation::Announced(_)) if !self.given_back(around) => return,
+            _ => {}
+        }
+        self.use_primary(around.now, found, acts);
+    }
+
+    /// The server that leads and may be used.
+    pub(super) fn found(&self, around: &Around<'_>) -> Option<Primary> {
         let top = self.highest_led();
-        let leads = |id: &str| {
-            let seen = self.seen.get(id)?;
-            let fresh = seen.failing.is_none() && around.now - seen.answered < 1.0;
-            seen.row.filter(|r| r.leader && fresh && r.term >= top)
-        };
-        let (id, term) = around.members.iter().find_map(|m| leads(&m.id).map(|r| (m.id.clone(), r.term)))?;
+        let found = around.members.iter().find_map(|m| {
+            let seen = self.observed(&m.id);
+            let fresh = around.now - seen.answered < FRESH_S;
+            let row = seen.row.filter(|r| seen.leads() && fresh && r.term >= top)?;
+            Some(Primary { id: m.id.clone(), term: row.term })
+        })?;
         let of_record = match around.record {
-            Some((of, above)) => of == id && term >= above,
+            Some((id, above)) => id == found.id && found.term >= above,
             // Nobody was promoted by us: whoever leads is the primary, once all that are known were asked.
             None => {
-                let told = |m: &Candidate| self.seen.get(&m.id).is_some_and(|s| s.row.is_some());
-                around.members.iter().all(told) || around.now - around.since > 1.0
+                let known = around.members.iter().all(|m| self.observed(&m.id).row.is_some());
+                known || around.now - around.since > UNKNOWN_S
             }
         };
-        of_record.then_some((id, term))
+        of_record.then_some(found)
     }
 }
--- a/crates/control/src/failover/grant.rs
+++ b/crates/control/src/failover/grant.rs
@@ -2,48 +2,67 @@
 
 use super::*;
 
+/// Whether the grant of the primary was taken back.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Revocation {
+    /// It stands, or there is none yet.
+    None,
+    /// It was taken back just now; the number of the news isn't known yet.
+    Unannounced,
+    /// It was taken back with news of this number.
+    Announced(u64),
+}
+
 impl Failover {
     /// The grant was told to the routers under this number.
     pub fn told(&mut self, number: u64) {
-        if self.closed == Some(u64::MAX) {
-            self.closed = Some(number);
+        if self.revocation == Revocation::Unannounced {
+            self.revocation = Revocation::Announced(number);
         }
     }
 
-    pub(super) fn steady(&mut self, now: f64, id: &str, term: u64, acts: &mut Vec<Act>) {
-        let other = self.primary.as_ref().is_none_or(|p| p.0 != id || p.1 != term);
-        if other {
+    /// Grants this primary to the routers.
+    pub(super) fn use_primary(&mut self, now: f64, primary: Primary, acts: &mut Vec<Act>) {
+        if self.primary.as_ref() != Some(&primary) {
             self.trail.clear();
         }
         for seen in self.seen.values_mut() {
             seen.paused = None;
         }
-        if let Some(seen) = self.seen.get_mut(id) {
+        if let Some(seen) = self.seen.get_mut(&primary.id) {
             seen.pausing = None;
         }
-        self.primary = Some((id.to_owned(), term));
-        self.closed = None;
+        acts.push(Act::Grant { id: primary.id.clone(), term: primary.term, closing: false });
+        self.primary = Some(primary);
+        self.revocation = Revocation::None;
         self.evidence = now;
         self.phase = Phase::Steady;
-        acts.push(Act::Grant { id: id.to_owned(), term, closing: false });
     }
 
+    /// Takes the grant back, unless that was done.
+    pub(super) fn revoke(&mut self, acts: &mut Vec<Act>) {
+        if self.revocation != Revocation::None {
+            return;
+        }
+        self.revocation = Revocation::Unannounced;
+        let Primary { id, term } = self.primary.clone().unwrap_or_default();
+        acts.push(Act::Grant { id, term, closing: true });
+    }
+
+    /// Gives the primary up: another is to be promoted.
     pub(super) fn give_up(&mut self, acts: &mut Vec<Act>) {
         let term = self.highest_term() + 1;
-        let (id, of) = self.primary.clone().unwrap_or_default();
-        if self.closed.is_none() {
-            self.closed = Some(u64::MAX);
-            acts.push(Act::Grant { id, term: of, closing: true });
-        }
+        self.revoke(acts);
         self.phase = Phase::Closing { term };
     }
 
     /// Whether the grant, if there was one, is given back by all.
     pub(super) fn given_back(&self, around: &Around<'_>) -> bool {
-        match self.closed {
-            None => self.primary.is_none() && around.now >= around.not_before,
-            Some(u64::MAX) => false,
-            Some(number) => (around.all_know)(number) && around.now >= around.not_before,
-        }
+        let known = match self.revocation {
+            Revocation::None => self.primary.is_none(),
+            Revocation::Unannounced => false,
+            Revocation::Announced(number) => (around.all_know)(number),
+        };
+        known && around.now >= around.not_before
     }
 }
--- a/crates/control/src/failover/handing_over.rs
+++ b/crates/control/src/failover/handing_over.rs
@@ -2,68 +2,96 @@
 
 use super::*;
 
+/// Between two pauses of a copy, in seconds.
+const PAUSE_AGAIN_S: f64 = 0.05;
+/// Between two questions to the coming primary, in seconds.
+const ASK_COMING_S: f64 = 0.04;
+/// The coming primary must be ready within this, in seconds.
+const LONGEST_S: f64 = 1.5;
+/// The pause until the next try, in seconds.
+const RETRY_S: f64 = 0.5;
+
+/// How far the pausing of the other copies has come.
+struct Pausing {
+    complete: bool,
+    /// The furthest position among them.
+    furthest: Position,
+    /// When the last of them answered.
+    answered: f64,
+}
+
 impl Failover {
+    /// Begins to hand over, if there is anybody to hand over to.
     pub(super) fn begin_handing(&mut self, around: &Around<'_>, acts: &mut Vec<Act>) {
-        let Some((primary, _)) = self.primary.clone() else { return };
+        let Some(primary) = self.primary.clone() else { return };
         if around.sync == 0 {
             // Nothing but its own end keeps the old one from acknowledging: routers let go of it first.
             self.give_up(acts);
             return;
         }
-        let best = self.best(around, |m| m.id != primary && m.draining_since.is_none());
+        let best = self.best(around, |m| m.id != primary.id && m.draining_since.is_none());
         if let Some((to, _)) = best {
             let (to, term) = (to.to_owned(), self.highest_term() + 1);
-            log::info!("event=primary_leaves id={primary} to={to}");
-            self.phase = Phase::Handing { to, term, since: around.now };
+            log::info!("event=primary_leaves id={} to={to}", primary.id);
+            self.phase = Phase::HandingOver(HandingOver { to, term, since: around.now });
         }
     }
 
-    pub(super) fn hand(&mut self, around: &Around<'_>, to: &str, term: u64, since: f64, acts: &mut Vec<Act>) {
+    pub(super) fn hand_over(&mut self, around: &Around<'_>, handing: &HandingOver, acts: &mut Vec<Act>) {
         let now = around.now;
-        let Some((primary, of)) = self.primary.clone() else { return };
-        let seen = self.seen.get(&primary).cloned().unwrap_or_default();
-        let heard = seen.answered.max(self.evidence);
-        if now - heard > self.timing.silence
-            || (seen.refused && seen.failing.is_some_and(|f| f > self.evidence))
-        {
+        let Some(primary) = self.primary.clone() else { return };
+        if self.primary_death(now).is_some() {
             self.give_up(acts);
             return;
         }
-        self.ask(now, &primary, self.timing.ask, Statement::Status, acts);
-        let mut furthest = (0, 0);
-        let mut ready = true;
-        let mut paused_at = f64::NEG_INFINITY;
-        for member in around.members.iter().filter(|m| m.id != primary && m.id != to) {
-            let seen = self.seen.get(&member.id).cloned().unwrap_or_default();
+        let to = &handing.to;
+        self.ask(now, &primary.id, self.timing.ask, Statement::Status, acts);
+        let pausing = self.pause_others(around, &primary.id, handing, acts);
+        self.ask(now, to, ASK_COMING_S, Statement::Status, acts);
+        if pausing.complete && self.has_caught_up(to, &pausing) && self.covers_lost(around, &primary.id, to) {
+            let above = self.highest_led().max(primary.term);
+            self.phase = Phase::Agreeing(Choice { to: to.clone(), above, planned: true });
+            acts.push(Act::Agree { to: to.clone(), above });
+        } else if now - handing.since > LONGEST_S {
+            log::info!("event=handing_given_up to={to}");
+            self.retry = now + RETRY_S;
+            self.phase = Phase::Steady;
+        }
+    }
+
+    /// Pauses all copies but the primary and the coming one.
+    fn pause_others(
+        &mut self, around: &Around<'_>, primary: &str, handing: &HandingOver, acts: &mut Vec<Act>,
+    ) -> Pausing {
+        let mut pausing = Pausing { complete: true, furthest: (0, 0), answered: f64::NEG_INFINITY };
+        for member in around.members.iter().filter(|m| m.id != primary && m.id != handing.to) {
+            let seen = self.observed(&member.id);
             match seen.paused {
-                Some((at, position)) if at == term => {
-                    furthest = furthest.max(position);
-                    paused_at = paused_at.max(seen.answered);
+                Some((at, position)) if at == handing.term => {
+                    pausing.furthest = pausing.furthest.max(position);
+                    pausing.answered = pausing.answered.max(seen.answered);
                 }
                 _ => {
-                    ready = false;
-                    self.ask(now, &member.id, 0.05, Statement::Pause(term), acts);
+                    pausing.complete = false;
+                    self.ask(around.now, &member.id, PAUSE_AGAIN_S, Statement::Pause(handing.term), acts);
                 }
             }
         }
-        self.ask(now, to, 0.04, Statement::Status, acts);
-        let it = self.seen.get(to).cloned().unwrap_or_default();
-        let caught_up = it.failing.is_none()
-            && it.row.is_some_and(|r| !r.leader && r.received >= furthest)
-            && (it.row_asked > paused_at || furthest == (0, 0));
-        // Whoever is gone may have had commits that only the primary has as well.
-        let has = it.row.map_or((0, 0), |r| r.received);
-        let gone = around.lost.iter().filter(|(id, _)| *id != primary);
-        let covered =
-            |since: f64| self.trail.iter().any(|(asked, position)| *asked > since && *position <= has);
-        if ready && caught_up && gone.into_iter().all(|(_, since)| covered(*since)) {
-            let above = self.highest_led().max(of);
-            self.phase = Phase::Agreeing { to: to.to_owned(), above, planned: true };
-            acts.push(Act::Agree { to: to.to_owned(), above });
-        } else if now - since > 1.5 {
-            log::info!("event=handing_given_up to={to}");
-            self.retry = now + 0.5;
-            self.phase = Phase::Steady;
-        }
+        pausing
+    }
+
+    /// The coming primary has all that the paused ones have, by a row that was asked for after they were paused.
+    fn has_caught_up(&self, to: &str, pausing: &Pausing) -> bool {
+        let seen = self.observed(to);
+        seen.failing.is_none()
+            && seen.row.is_some_and(|r| !r.leader && r.received >= pausing.furthest)
+            && (seen.row_asked > pausing.answered || pausing.furthest == (0, 0))
+    }
+
+    /// Whoever is gone may have had commits that only the primary has as well: the coming one must have them.
+    fn covers_lost(&self, around: &Around<'_>, primary: &str, to: &str) -> bool {
+        let received = self.observed(to).row.map_or((0, 0), |r| r.received);
+        let mut lost = around.lost.iter().filter(|(id, _)| *id != primary);
+        lost.all(|(_, since)| self.covered(*since, received))
     }
 }
--- a/crates/control/src/failover/observation.rs
+++ b/crates/control/src/failover/observation.rs
@@ -2,16 +2,25 @@
 
 use super::*;
 
-/// What is known of one server.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Seen {
+/// How many positions of the primary are kept.
+const MAX_TRAIL: usize = 32;
+
+/// What was observed of one server.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Observation {
+    /// The last status that it answered.
     pub(super) row: Option<Row>,
     /// When the question to that row was sent.
     pub(super) row_asked: f64,
+    /// When it last answered anything.
     pub(super) answered: f64,
+    /// Since when it doesn't answer.
     pub(super) failing: Option<f64>,
+    /// Its address refused the last question.
     pub(super) refused: bool,
+    /// When it was last asked.
     pub(super) asked: f64,
+    /// Its answer is awaited.
     pub(super) waiting: bool,
     /// Paused at this term, with its log as it was then.
     pub(super) paused: Option<(u64, Position)>,
@@ -25,10 +34,69 @@
     pub(super) resumed: bool,
 }
 
+impl Observation {
+    /// It answers, and sees itself as the primary.
+    pub(super) fn leads(&self) -> bool {
+        self.failing.is_none() && self.row.is_some_and(|r| r.leader)
+    }
+
+    /// It answered a question that was sent at that second with a status.
+    fn record_row(&mut self, now: f64, statement: Statement, row: Row, asked: f64) {
+        self.record_answer(now);
+        self.row = Some(row);
+        self.row_asked = asked;
+        self.busy = false;
+        match statement {
+            Statement::Pause(term) => {
+                self.paused = Some((term, row.received));
+                self.shows = row.held >= term;
+            }
+            Statement::Resume => {
+                (self.paused, self.pausing) = (None, None);
+                self.resumed = true;
+            }
+            Statement::Status | Statement::StepDown(_) => self.record_status(row),
+        }
+    }
+
+    /// Whether it is paused, by a status that says the term it holds.
+    fn record_status(&mut self, row: Row) {
+        match (self.pausing, self.paused) {
+            // The answer to the pause was lost, or it came from another try.
+            (Some(term), None) if !row.leader && row.held >= term => {
+                self.paused = Some((term, row.received));
+            }
+            // It restarted, or was resumed by somebody else.
+            (_, Some((term, _))) if self.shows && row.held < term => {
+                (self.paused, self.pausing) = (None, None);
+            }
+            (Some(term), None) if self.shows && row.held < term => self.pausing = None,
+            _ => {}
+        }
+    }
+
+    fn record_answer(&mut self, now: f64) {
+        self.answered = now;
+        self.failing = None;
+        self.refused = false;
+    }
+
+    /// It didn't answer. Whoever restarted receives again; of whoever is silent it isn't known.
+    fn record_failure(&mut self, now: f64, refused: bool) {
+        self.paused = None;
+        self.busy = false;
+        if refused {
+            self.pausing = None;
+        }
+        self.failing.get_or_insert(now);
+        self.refused = refused;
+    }
+}
+
 impl Failover {
     /// A router had an answer of this server at that second.
     pub fn evidence(&mut self, id: &str, at: f64) {
-        if self.primary.as_ref().is_some_and(|(p, _)| p == id) {
+        if self.primary.as_ref().is_some_and(|p| p.id == id) {
             self.evidence = self.evidence.max(at);
         }
     }
@@ -39,60 +107,30 @@
         seen.waiting = false;
         match asked {
             Asked::Row { statement, row, asked } => {
-                seen.answered = now;
-                seen.failing = None;
-                seen.refused = false;
-                seen.row = Some(row);
-                seen.row_asked = asked;
-                seen.busy = false;
-                match statement {
-                    Statement::Pause(term) => {
-                        seen.paused = Some((term, row.received));
-                        seen.shows = row.held >= term;
-                    }
-                    Statement::Resume => {
-                        (seen.paused, seen.pausing) = (None, None);
-                        seen.resumed = true;
-                    }
-                    _ => match (seen.pausing, seen.paused) {
-                        // The answer to the pause was lost, or it came from another try.
-                        (Some(term), None) if !row.leader && row.held >= term => {
-                            seen.paused = Some((term, row.received));
-                        }
-                        // It restarted, or was resumed by somebody else.
-                        (_, Some((term, _))) if seen.shows && row.held < term => {
-                            (seen.paused, seen.pausing) = (None, None);
-                        }
-                        (Some(term), None) if seen.shows && row.held < term => seen.pausing = None,
-                        _ => {}
-                    },
-                }
-                if row.leader && self.primary.as_ref().is_some_and(|(p, t)| p == id && *t == row.term) {
-                    self.trail.push((asked, row.received));
-                    if self.trail.len() > 32 {
-                        self.trail.remove(0);
-                    }
-                }
+                seen.record_row(now, statement, row, asked);
+                self.record_position(id, row, asked);
             }
             Asked::Busy => {
+                seen.record_answer(now);
                 seen.busy = true;
-                seen.answered = now;
-                seen.failing = None;
-                seen.refused = false;
-            }
-            Asked::Silent | Asked::Refused => {
-                // Whoever restarted receives again; of whoever is silent it isn't known.
-                seen.paused = None;
-                seen.busy = false;
-                if asked == Asked::Refused {
-                    seen.pausing = None;
-                }
-                seen.failing.get_or_insert(now);
-                seen.refused = asked == Asked::Refused;
             }
+            Asked::Silent => seen.record_failure(now, false),
+            Asked::Refused => seen.record_failure(now, true),
         }
     }
 
+    /// Keeps the position of the primary, if the row is its.
+    fn record_position(&mut self, id: &str, row: Row, asked: f64) {
+        if !row.leader || self.primary.as_ref().is_none_or(|p| p.id != id || p.term != row.term) {
+            return;
+        }
+        self.trail.push((asked, row.received));
+        if self.trail.len() > MAX_TRAIL {
+            self.trail.remove(0);
+        }
+    }
+
+    /// Asks a server, unless its answer is awaited or it was asked less than `every` seconds ago.
     pub(super) fn ask(&mut self, now: f64, id: &str, every: f64, statement: Statement, acts: &mut Vec<Act>) {
         let seen = self.seen.entry(id.to_owned()).or_default();
         if seen.waiting || now - seen.asked < every {
@@ -107,19 +145,27 @@
         acts.push(Act::Ask(id.to_owned(), statement));
     }
 
-    pub(super) fn row(&self, id: &str) -> Option<Row> {
-        self.seen.get(id).and_then(|s| s.row)
+    /// What was observed of this server.
+    pub(super) fn observed(&self, id: &str) -> Observation {
+        self.seen.get(id).copied().unwrap_or_default()
     }
 
+    /// The highest term that anybody holds.
     pub(super) fn highest_term(&self) -> u64 {
         let rows = self.seen.values().filter_map(|s| s.row);
-        let told = rows.map(|r| r.term.max(r.held)).max().unwrap_or(0);
-        told.max(self.primary.as_ref().map_or(0, |p| p.1))
+        let held = rows.map(|r| r.term.max(r.held)).max().unwrap_or(0);
+        held.max(self.primary.as_ref().map_or(0, |p| p.term))
     }
 
     /// The highest term that anybody led. Pauses raise the term that a server holds, not the one of its log.
     pub(super) fn highest_led(&self) -> u64 {
         let rows = self.seen.values().filter_map(|s| s.row).map(|r| r.term);
-        rows.max().unwrap_or(0).max(self.primary.as_ref().map_or(0, |p| p.1))
+        rows.max().unwrap_or(0).max(self.primary.as_ref().map_or(0, |p| p.term))
+    }
+
+    /// Whether the primary is known to have had no more than this when it was asked after that second: whoever was gone
+    /// by then has nothing that a copy with this position lacks.
+    pub(super) fn covered(&self, since: f64, position: Position) -> bool {
+        self.trail.iter().any(|(asked, at)| *asked > since && *at <= position)
     }
 }
--- a/crates/control/src/failover/promoting.rs
+++ b/crates/control/src/failover/promoting.rs
@@ -1,97 +1,127 @@
 //! The choice is agreed on, and the platform is asked to promote it.
 
+use super::watching::DRAIN_MARGIN_S;
 use super::*;
 
+/// Between two questions to the server that is promoted, in seconds.
+const ASK_PROMOTED_S: f64 = 0.025;
+/// Between two questions or orders to the others, in seconds.
+const ASK_OTHERS_S: f64 = 0.1;
+/// The platform is asked again after this, in seconds.
+const POST_AGAIN_S: f64 = 1.0;
+/// So much later, where it said that it will do it.
+const ACCEPTED_DELAY_S: f64 = 1.0;
+/// So much sooner, where it had too much to do or failed.
+const FAILED_ADVANCE_S: f64 = 0.8;
+/// A planned change that the platform refused is tried again after this, in seconds.
+const RETRY_S: f64 = 1.0;
+
+/// The platform's status where the server is not running.
+const CONFLICT: u16 = 409;
+/// Below this, a status says that the platform will promote the server.
+const SUCCESS_END: u16 = 300;
+
 impl Failover {
     /// What was to be agreed on holds, or doesn't.
     pub fn agreed(&mut self, now: f64, holds: bool) -> Option<Act> {
-        let Phase::Agreeing { to, above, planned } = &self.phase else { return None };
-        let (to, above, planned) = (to.clone(), *above, *planned);
+        let Phase::Agreeing(choice) = &self.phase else { return None };
         if !holds {
             self.phase = Phase::Finding;
             return None;
         }
-        let act = Act::Promote { to: to.clone() };
-        self.phase = Phase::Promoting { to, above, planned, posted: now, tries: 1, since: now };
+        let choice = choice.clone();
+        let act = Act::Promote { to: choice.to.clone() };
+        self.phase = Phase::Promoting(Promotion { choice, posted: now, since: now });
         Some(act)
     }
 
     /// The platform's answer; none if there was none in time.
     pub fn promoted(&mut self, now: f64, status: Option<u16>) {
-        let Phase::Promoting { posted, above, planned, .. } = &mut self.phase else { return };
+        let Phase::Promoting(Promotion { choice, posted, .. }) = &mut self.phase else { return };
         match status {
-            Some(409) => {
+            Some(CONFLICT) => {
                 // It is not running, says the platform: choose again.
-                let (above, planned) = (*above, *planned);
-                self.retry = now + 1.0;
-                if planned {
-                    self.phase = Phase::Finding;
-                } else {
-                    self.phase = Phase::Closing { term: above + 1 };
-                }
+                self.retry = now + RETRY_S;
+                self.phase = match choice.planned {
+                    true => Phase::Finding,
+                    false => Phase::Closing { term: choice.above + 1 },
+                };
             }
-            Some(status) if status < 300 => *posted = now + 1.0,
+            Some(status) if status < SUCCESS_END => *posted = now + ACCEPTED_DELAY_S,
             // Too many calls, or the platform is in trouble: again soon.
-            _ => *posted = now - 0.8,
+            _ => *posted = now - FAILED_ADVANCE_S,
         }
     }
 
-    pub(super) fn promote(
-        &mut self, around: &Around<'_>, to: &str, above: u64, planned: bool, post: (f64, u32, f64),
-        acts: &mut Vec<Act>,
-    ) {
-        let (now, (posted, tries, since)) = (around.now, post);
-        self.ask(now, to, 0.025, Statement::Status, acts);
-        let it = self.seen.get(to).cloned().unwrap_or_default();
-        if let Some(row) = it.row.filter(|r| r.leader && r.term > above && it.failing.is_none()) {
-            log::info!("event=promoted id={to} term={} after_s={:.3}", row.term, now - since);
-            if planned {
-                let (id, of) = self.primary.clone().unwrap_or_default();
-                if self.closed.is_none() {
-                    self.closed = Some(u64::MAX);
-                    acts.push(Act::Grant { id: id.clone(), term: of, closing: true });
-                }
-                self.ask(now, &id, 0.0, Statement::StepDown(row.term), acts);
-                self.phase = Phase::Switching { to: to.to_owned(), term: row.term };
-            } else if self.given_back(around) {
-                self.steady(now, to, row.term, acts);
-            }
+    pub(super) fn promote(&mut self, around: &Around<'_>, promotion: Promotion, acts: &mut Vec<Act>) {
+        let now = around.now;
+        let choice = &promotion.choice;
+        let to = &choice.to;
+        self.ask(now, to, ASK_PROMOTED_S, Statement::Status, acts);
+        let seen = self.observed(to);
+        if let Some(row) = seen.row.filter(|r| seen.leads() && r.term > choice.above) {
+            log::info!("event=promoted id={to} term={} after_s={:.3}", row.term, now - promotion.since);
+            self.conclude_promotion(around, choice, row.term, acts);
+            return;
+        }
+        if choice.planned {
+            self.revoke_at_drain_end(around, acts);
+        }
+        self.hold_others(around, choice, acts);
+        let silent = seen.failing.is_some() && now - seen.answered > self.timing.silence;
+        if silent || !around.is_member(to) {
+            log::info!("event=promoted_is_silent id={to}");
+            self.give_up(acts);
+        } else if now - promotion.posted > POST_AGAIN_S {
+            acts.push(Act::Promote { to: to.clone() });
+            self.phase = Phase::Promoting(Promotion { posted: now, ..promotion });
+        }
+    }
+
+    /// The choice leads this term.
+    fn conclude_promotion(&mut self, around: &Around<'_>, choice: &Choice, term: u64, acts: &mut Vec<Act>) {
+        let promoted = Primary { id: choice.to.clone(), term };
+        if choice.planned {
+            self.revoke(acts);
+            let old = self.primary.clone().unwrap_or_default();
+            self.ask(around.now, &old.id, 0.0, Statement::StepDown(term), acts);
+            self.phase = Phase::Switching(promoted);
+        } else if self.given_back(around) {
+            self.use_primary(around.now, promoted, acts);
+        }
+    }
+
+    /// If the platform has not done it by the end of the drain, nothing new may reach the old primary any more.
+    fn revoke_at_drain_end(&mut self, around: &Around<'_>, acts: &mut Vec<Act>) {
+        if self.revocation != Revocation::None {
             return;
         }
-        let of = self.primary.clone().unwrap_or_default();
-        let leaves = around.members.iter().find(|m| m.id == of.0).and_then(|m| m.draining_since);
-        if planned
-            && self.closed.is_none()
-            && leaves.is_some_and(|since| now - since > self.timing.drain - 0.7)
-        {
-            // The platform has not done it in time, and nothing new may reach the old one any more.
-            log::info!("event=primary_leaves_unreplaced id={}", of.0);
-            self.closed = Some(u64::MAX);
-            acts.push(Act::Grant { id: of.0, term: of.1, closing: true });
+        let Some(Primary { id, .. }) = self.primary.clone() else { return };
+        let limit = self.timing.drain - DRAIN_MARGIN_S;
+        if around.draining_since(&id).is_some_and(|since| around.now - since > limit) {
+            log::info!("event=primary_leaves_unreplaced id={id}");
+            self.revoke(acts);
         }
-        // Nobody else may acknowledge anything now that the new one would lack: not the old primary if it is back, nor
-        // those that come back or are new.
-        let (of, term) = (self.primary.clone().map(|p| p.0), self.highest_term());
-        for member in around.members.iter().filter(|m| m.id != to) {
-            let seen = self.seen.get(&member.id).cloned().unwrap_or_default();
-            let leads = seen.failing.is_none() && seen.row.is_some_and(|r| r.leader);
-            let statement = if Some(&member.id) == of.as_ref() {
-                if leads && !planned { Statement::StepDown(above + 1) } else { Statement::Status }
-            } else if seen.paused.is_none() && !leads && !seen.busy {
+    }
+
+    /// Nobody else may acknowledge anything now that the new one would lack: not the old primary if it is back, nor those
+    /// that come back or are new.
+    fn hold_others(&mut self, around: &Around<'_>, choice: &Choice, acts: &mut Vec<Act>) {
+        let old = self.primary.clone().map(|p| p.id);
+        let term = self.highest_term();
+        for member in around.members.iter().filter(|m| m.id != choice.to) {
+            let seen = self.observed(&member.id);
+            let statement = if Some(&member.id) == old.as_ref() {
+                match seen.leads() && !choice.planned {
+                    true => Statement::StepDown(choice.above + 1),
+                    false => Statement::Status,
+                }
+            } else if seen.paused.is_none() && !seen.leads() && !seen.busy {
                 Statement::Pause(term + 1)
             } else {
                 Statement::Status
             };
-            self.ask(now, &member.id, 0.1, statement, acts);
-        }
-        let silent = it.failing.is_some() && now - it.answered > self.timing.silence;
-        if silent || !around.members.iter().any(|m| m.id == to) {
-            log::info!("event=promoted_is_silent id={to}");
-            self.give_up(acts);
-        } else if now - posted > 1.0 {
-            self.phase =
-                Phase::Promoting { to: to.to_owned(), above, planned, posted: now, tries: tries + 1, since };
-            acts.push(Act::Promote { to: to.to_owned() });
+            self.ask(around.now, &member.id, ASK_OTHERS_S, statement, acts);
         }
     }
 }
--- a/crates/control/src/failover/switching.rs
+++ b/crates/control/src/failover/switching.rs
@@ -3,10 +3,10 @@
 use super::*;
 
 impl Failover {
-    pub(super) fn switch(&mut self, around: &Around<'_>, to: &str, term: u64, acts: &mut Vec<Act>) {
-        self.ask(around.now, to, self.timing.ask, Statement::Status, acts);
+    pub(super) fn switch(&mut self, around: &Around<'_>, to: Primary, acts: &mut Vec<Act>) {
+        self.ask(around.now, &to.id, self.timing.ask, Statement::Status, acts);
         if self.given_back(around) {
-            self.steady(around.now, to, term, acts);
+            self.use_primary(around.now, to, acts);
         }
     }
 }
--- a/crates/control/src/failover/types.rs
+++ b/crates/control/src/failover/types.rs
@@ -87,6 +87,18 @@
     pub sync: u32,
 }
 
+impl Around<'_> {
+    /// Whether this server is a member of the service.
+    pub(super) fn is_member(&self, id: &str) -> bool {
+        self.members.iter().any(|m| m.id == id)
+    }
+
+    /// Since when this member drains.
+    pub(super) fn draining_since(&self, id: &str) -> Option<f64> {
+        self.members.iter().find(|m| m.id == id).and_then(|m| m.draining_since)
+    }
+}
+
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Act {
