Node: a process's start, settings and end in functions of their own

No change of behaviour: starting the router, following the settings file, draining; numbers have names.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,8 +22,20 @@
 /// The variable that names the settings file.
 pub const BOOT: &str = "BADGERSTREAM_BOOT";
 
-/// The settings file is looked at this often, in seconds, as it may change without a signal.
-const LOOK: f64 = 5.0;
+/// The settings file is read again this often, in seconds, as it may change without a signal.
+const RELOAD_S: f64 = 5.0;
+/// What control is told of a primary that never answered, in seconds.
+const NEVER_ANSWERED_S: f64 = 1e9;
+/// The part of the grace period for which a router stays at least.
+const MIN_DRAIN_OF_GRACE: f64 = 0.4;
+/// A machine without a router stays so long at least, in seconds.
+const MIN_CONTROL_DRAIN_S: f64 = 0.3;
+/// The process ends so long before its grace period does, in seconds.
+const GRACE_MARGIN_S: f64 = 0.4;
+/// Between two looks at what is still in work.
+const DRAIN_LOOK: Duration = Duration::from_millis(25);
+/// The most bytes that the body of a readiness request may have.
+const READINESS_BODY_BYTES: usize = 4096;
 
 /// Whether this router can serve: it knows a configuration and servers and holds a lease, and is not asked to end.
 struct Readiness {
@@ -56,7 +68,7 @@
     Settings::read(&text).map_err(|e| format!("{}: {e}", path.display()))
 }
 
-/// Runs this machine's parts until SIGTERM.
+/// Runs the parts of this machine until SIGTERM.
 pub fn run(path: PathBuf) -> Result<(), String> {
     clock::now();
     let settings = read(&path)?;
@@ -64,6 +76,12 @@
     future::block_on(tasks.run(serve(tasks.clone(), path, settings)))
 }
 
+/// The router's part of a machine.
+struct Router {
+    edge: Rc<Edge>,
+    session: Rc<Session>,
+}
+
 async fn serve(tasks: Rc<LocalExecutor<'static>>, path: PathBuf, settings: Settings) -> Result<(), String> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
         .map_err(|e| format!("signals can't be heard: {e}"))?;
@@ -73,42 +91,7 @@
         Some(_) => Some(Control::start(&tasks, &settings, seed)?),
         None => None,
     };
-    let mut router = None;
-    if let Some(front) = settings.front {
-        let limits = EdgeLimits {
-            file_limit: settings.limits.file_limit as usize,
-            name: settings.node_name.clone(),
-            zone: settings.zone.clone(),
-            seed,
-            grace_s: settings.bounds.grace_s,
-        };
-        let edge = Edge::start(&tasks, shared.clone(), front, limits);
-        let seen = edge.clone();
-        let evidence = move |now: f64| {
-            let tell = |e: crate::edge::Evidence| Evidence {
-                service: e.service,
-                id: e.id,
-                answered: if e.last_answer > 0.0 { now - e.last_answer } else { 1e9 },
-            };
-            seen.evidence(now).into_iter().map(tell).collect()
-        };
-        // A machine that leads no longer is left while the lease still has time to be had from the next one.
-        let spans = Spans {
-            renew: settings.own.renew_ms as f64 / 1000.0,
-            suspect: settings.own.suspect_ms as f64 / 1500.0,
-        };
-        let session = Session::new(
-            settings.node_name.clone(),
-            seed,
-            settings.port_range.0,
-            spans,
-            shared.clone(),
-            evidence,
-        );
-        session.seeds(&settings.seeds);
-        tasks.spawn(session.clone().run()).detach();
-        router = Some((edge, session));
-    }
+    let router = settings.front.map(|front| start_router(&tasks, &settings, front, &shared, seed));
     if let Some(at) = settings.readiness {
         readiness(&tasks, at, &shared)?;
     }
@@ -118,30 +101,7 @@
         router.is_some(),
         control.is_some()
     );
-    let mut told = settings;
-    loop {
-        let signal = future::or(async { signals.next().await }, async {
-            Timer::after(Duration::from_secs_f64(LOOK)).await;
-            None
-        });
-        match signal.await {
-            Some(Ok(Signal::Term | Signal::Int)) => break,
-            heard => match read(&path) {
-                Ok(now) if now != told => {
-                    log::info!("event=settings_changed signal={}", heard.is_some());
-                    if let Some(control) = &control {
-                        control.changed(&now);
-                    }
-                    if let Some((_, session)) = &router {
-                        session.seeds(&now.seeds);
-                    }
-                    told = now;
-                }
-                Ok(_) => {}
-                Err(e) => log::error!("event=settings_refused error={e:?}"),
-            },
-        }
-    }
+    let settings = follow_settings(&mut signals, &path, settings, control.as_ref(), router.as_ref()).await;
     let asked = clock::now();
     log::info!("event=ending");
     shared.ending.set(Some(asked));
@@ -149,24 +109,102 @@
     if let Some(control) = &control {
         control.end();
     }
-    let grace = told.bounds.grace_s;
+    drain(asked, settings.bounds.grace_s, control.as_ref(), router.as_ref()).await;
+    Ok(())
+}
+
+/// Starts the data plane and its session with control.
+fn start_router(
+    tasks: &Rc<LocalExecutor<'static>>, settings: &Settings, front: SocketAddr, shared: &Shared, seed: u64,
+) -> Router {
+    let limits = EdgeLimits {
+        file_limit: settings.limits.file_limit as usize,
+        name: settings.node_name.clone(),
+        zone: settings.zone.clone(),
+        seed,
+        grace_s: settings.bounds.grace_s,
+    };
+    let edge = Edge::start(tasks, shared.clone(), front, limits);
+    let observed = edge.clone();
+    let evidence = move |now: f64| observed.evidence(now).into_iter().map(|e| to_control(e, now)).collect();
+    // A machine that leads no longer is left while the lease still has time to be had from the next one.
+    let spans = Spans {
+        renew: settings.own.renew_ms as f64 / 1000.0,
+        suspect: settings.own.suspect_ms as f64 / 1500.0,
+    };
+    let session = Session::new(
+        settings.node_name.clone(),
+        seed,
+        settings.port_range.0,
+        spans,
+        shared.clone(),
+        evidence,
+    );
+    session.seeds(&settings.seeds);
+    tasks.spawn(session.clone().run()).detach();
+    Router { edge, session }
+}
+
+/// The evidence of the data plane as control is told.
+fn to_control(evidence: crate::edge::Evidence, now: f64) -> Evidence {
+    let answered = if evidence.last_answer > 0.0 { now - evidence.last_answer } else { NEVER_ANSWERED_S };
+    Evidence { service: evidence.service, id: evidence.id, answered }
+}
+
+/// Reads the settings file again at each SIGHUP, and from time to time, until SIGTERM; returns the settings in force.
+async fn follow_settings(
+    signals: &mut Signals, path: &Path, settings: Settings, control: Option<&Rc<Control>>,
+    router: Option<&Router>,
+) -> Settings {
+    let mut in_force = settings;
+    loop {
+        let signal = future::or(async { signals.next().await }, async {
+            Timer::after(Duration::from_secs_f64(RELOAD_S)).await;
+            None
+        });
+        let signal = signal.await;
+        if let Some(Ok(Signal::Term | Signal::Int)) = signal {
+            return in_force;
+        }
+        match read(path) {
+            Ok(settings) if settings != in_force => {
+                log::info!("event=settings_changed signal={}", signal.is_some());
+                if let Some(control) = control {
+                    control.changed(&settings);
+                }
+                if let Some(router) = router {
+                    router.session.seeds(&settings.seeds);
+                }
+                in_force = settings;
+            }
+            Ok(_) => {}
+            Err(e) => log::error!("event=settings_refused error={e:?}"),
+        }
+    }
+}
+
+/// Waits until nothing is in work, within the grace period that began when the process was asked to end.
+async fn drain(asked: f64, grace: f64, control: Option<&Rc<Control>>, router: Option<&Router>) {
     // The platform passes connections on for a moment longer, and callers of control are answered.
-    let least = if router.is_some() { 0.4 * grace } else { 0.3 };
+    let least = if router.is_some() { MIN_DRAIN_OF_GRACE * grace } else { MIN_CONTROL_DRAIN_S };
     loop {
-        Timer::after(Duration::from_millis(25)).await;
+        Timer::after(DRAIN_LOOK).await;
         let past = clock::now() - asked;
-        let clients = router.as_ref().map_or(0, |(edge, _)| edge.open());
-        let calls = control.as_ref().map_or(0, |c| c.open.get());
-        if (past > least && clients + calls == 0) || past > grace - 0.4 {
-            log::info!("event=ended open={} after_s={past:.2}", clients + calls);
-            return Ok(());
+        let statements = router.map_or(0, |r| r.edge.open());
+        let calls = control.map_or(0, |c| c.open.get());
+        if (past > least && statements + calls == 0) || past > grace - GRACE_MARGIN_S {
+            log::info!("event=ended open={} after_s={past:.2}", statements + calls);
+            return;
         }
     }
 }
 
+/// Answers readiness probes at this address.
 fn readiness(tasks: &Rc<LocalExecutor<'static>>, at: SocketAddr, shared: &Shared) -> Result<(), String> {
     let listener = http::listen(at).map_err(|e| format!("{at}: {e}"))?;
     let handler = Rc::new(Readiness { shared: shared.clone() });
-    tasks.spawn(http::serve(tasks.clone(), listener, handler, 4096, Rc::new(Cell::new(0)))).detach();
+    tasks
+        .spawn(http::serve(tasks.clone(), listener, handler, READINESS_BODY_BYTES, Rc::new(Cell::new(0))))
+        .detach();
     Ok(())
 }
--- a/crates/pooling/src/share.rs
+++ b/crates/pooling/src/share.rs
@@ -4,7 +4,7 @@
 /// behind there is dropped within that time.
 pub const CAUTION_S: f64 = 3.0;
 /// Connections of a server that are not divided: control asks it, and a router that has just come isn't counted yet.
-const KEPT: usize = 6;
+const RESERVED_CONNS: usize = 6;
 
 /// How many statements one of so many routers has in work at a server of so many slots at once. Twice its plain share,
 /// since clients don't spread evenly over routers, and two at least; what is more only waits at the server, where it
@@ -43,7 +43,7 @@
 
     /// The plain share, of what is left besides control's connections.
     pub fn plain(&self) -> usize {
-        (self.max_conns.saturating_sub(KEPT) / self.routers).clamp(2, self.max_conns.max(2))
+        (self.max_conns.saturating_sub(RESERVED_CONNS) / self.routers).clamp(2, self.max_conns.max(2))
     }
 
     /// How many may be open now.
