--- /dev/null
+++ b/crates/control/src/failover/closing.rs
@@ -0,0 +1,109 @@
+//! The primary is given up: its grant ends, and the other copies are paused and asked how far they got.
+
+use super::*;
+
+/// Between two questions to the primary that was given up, in seconds.
+const ASK_PRIMARY_S: f64 = 0.1;
+/// Between two pauses of a copy, in seconds.
+const PAUSE_AGAIN_S: f64 = 0.05;
+/// A primary is back if it answered no longer ago than this, in seconds.
+const BACK_ANSWERED_S: f64 = 0.3;
+/// The same, from when it was asked.
+const BACK_ASKED_S: f64 = 0.5;
+/// How old the row of a copy that was the primary may be, in seconds.
+const FRESH_ROW_S: f64 = 1.0;
+/// A copy that has not answered for so long may be left out, in seconds.
+const EXCUSED_S: f64 = 0.5;
+
+/// How far the pausing of the copies has come.
+struct Pausing {
+    /// All are paused that can be asked.
+    complete: bool,
+    /// Another term has come up meanwhile, and below it nobody pauses.
+    outrun: bool,
+}
+
+impl Failover {
+    pub(super) fn close(&mut self, around: &Around<'_>, term: u64, acts: &mut Vec<Act>) {
+        if self.take_back(around, acts) {
+            return;
+        }
+        let primary = self.primary.as_ref().map(|p| p.id.clone());
+        // Once it has given up the lead it is a copy like the others.
+        let old = primary.filter(|id| !self.is_replica(id, around.now));
+        // Whoever was promoted before may lead by now.
+        let found = self.found(around).filter(|found| Some(&found.id) != old.as_ref());
+        let given_back = self.given_back(around);
+        if let Some(found) = found
+            && given_back
+        {
+            log::info!("event=primary_found id={} term={}", found.id, found.term);
+            self.use_primary(around.now, found, acts);
+            return;
+        }
+        let pausing = self.pause_copies(around, old.as_deref(), term, given_back, acts);
+        if pausing.outrun {
+            self.phase = Phase::Closing { term: self.highest_term() + 1 };
+        } else if pausing.complete && given_back {
+            self.choose(around, old.as_deref(), term, acts);
+        }
+    }
+
+    /// The primary may be back with all that it had: it is used again then.
+    fn take_back(&mut self, around: &Around<'_>, acts: &mut Vec<Act>) -> bool {
+        let now = around.now;
+        let Some(primary) = self.primary.clone() else { return false };
+        if around.is_member(&primary.id) {
+            self.ask(now, &primary.id, ASK_PRIMARY_S, Statement::Status, acts);
+        }
+        let seen = self.observed(&primary.id);
+        let answers = seen.failing.is_none() && now - seen.answered < BACK_ANSWERED_S;
+        let back = answers && seen.row_asked > now - BACK_ASKED_S;
+        let leads = seen.row.is_some_and(|r| r.leader && r.term == primary.term);
+        let of_record = around.record.is_none_or(|(id, above)| id == primary.id && primary.term >= above);
+        let draining = around.draining_since(&primary.id).is_some();
+        if !back || !leads || !of_record || draining || self.highest_led() > primary.term {
+            return false;
+        }
+        log::info!("event=primary_back id={}", primary.id);
+        self.use_primary(now, primary, acts);
+        true
+    }
+
+    fn is_replica(&self, id: &str, now: f64) -> bool {
+        let seen = self.observed(id);
+        seen.failing.is_none() && seen.row_asked > now - FRESH_ROW_S && seen.row.is_some_and(|r| !r.leader)
+    }
+
+    /// Pauses all copies but the old primary.
+    fn pause_copies(
+        &mut self, around: &Around<'_>, old: Option<&str>, term: u64, given_back: bool, acts: &mut Vec<Act>,
+    ) -> Pausing {
+        let now = around.now;
+        let mut pausing = Pausing { complete: true, outrun: false };
+        for member in around.members.iter().filter(|m| Some(m.id.as_str()) != old) {
+            let seen = self.observed(&member.id);
+            if seen.paused.is_some_and(|(at, _)| at >= term) {
+                self.ask(now, &member.id, self.timing.ask, Statement::Status, acts);
+                continue;
+            }
+            pausing.complete &= is_excused(around, member, &seen);
+            pausing.outrun |= seen.failing.is_none() && seen.row.is_some_and(|r| r.term.max(r.held) >= term);
+            let statement = match seen.leads() {
+                // A primary can't be paused: once nobody uses it, it becomes a replica.
+                true if given_back => Statement::StepDown(term),
+                true => Statement::Status,
+                false if seen.busy => Statement::Status,
+                false => Statement::Pause(term),
+            };
+            self.ask(now, &member.id, PAUSE_AGAIN_S, statement, acts);
+        }
+        pausing
+    }
+}
+
+/// A replica that can't be asked may be left out once it has been gone for a while and the primary went on without it.
+fn is_excused(around: &Around<'_>, member: &Candidate, seen: &Observation) -> bool {
+    let Some(since) = seen.failing else { return false };
+    member.heard < since + EXCUSED_S && around.now - since > EXCUSED_S
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -7,8 +7,8 @@
 mod status;
 
 use crate::asker::{self, Whom};
-use crate::bell::Bell;
 use crate::frames::{self, Frame};
+use crate::notify::Notify;
 use crate::servers::Servers;
 use crate::{clock, http};
 use async_channel::{Receiver, Sender};
@@ -55,7 +55,7 @@
     links: RefCell<HashMap<Node, Sender<Frame>>>,
     /// The newest connection that each other control machine has opened to here.
     connections: RefCell<HashMap<Node, u64>>,
-    heard: RefCell<HashMap<Node, Rc<Bell>>>,
+    heard: RefCell<HashMap<Node, Rc<Notify>>>,
     sessions: RefCell<HashMap<u64, Sender<ToRouter>>>,
     askers: RefCell<HashMap<String, Sender<Statement>>>,
     calls: RefCell<HashMap<u64, Sender<Answer>>>,
--- a/crates/node/src/control/links.rs
+++ b/crates/node/src/control/links.rs
@@ -4,7 +4,7 @@
 
 impl Control {
     /// Rung whenever this control machine has opened a connection to here.
-    pub(super) fn heard_of(&self, node: Node) -> Rc<Bell> {
+    pub(super) fn heard_of(&self, node: Node) -> Rc<Notify> {
         self.heard.borrow_mut().entry(node).or_default().clone()
     }
 
@@ -33,10 +33,10 @@
         loop {
             let Ok(first) = messages.recv().await else { return };
             let heard = self.heard_of(node);
-            let rings = heard.rings();
+            let generation = heard.generation();
             let Ok(mut stream) = future::or(frames::connect(to, frames::CONNECT, 1.0), async {
                 // It has just called: an attempt from before it was up would only be waited for.
-                heard.after(rings).await;
+                heard.notified_since(generation).await;
                 Err(io::ErrorKind::Interrupted.into())
             })
             .await
@@ -44,7 +44,7 @@
                 let pause = async {
                     Timer::after(Duration::from_millis(60)).await;
                 };
-                future::or(pause, heard.after(rings)).await;
+                future::or(pause, heard.notified_since(generation)).await;
                 // What waited is old by now; beats and values are sent again.
                 while messages.len() > 4 {
                     let _ = messages.try_recv();
@@ -105,7 +105,7 @@
                     log::debug!("event=peer_connected from={from} life={life:x}");
                     peer = Some((from, self.newest_connection(from.node)));
                     self.controller.borrow_mut().contact(from.node);
-                    self.heard_of(from.node).ring();
+                    self.heard_of(from.node).notify_waiters();
                 }
                 Frame::Peer { to, message } => {
                     let Some((from, connection)) = peer else { break };
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -2,28 +2,29 @@
 //!
 //! A task serves each client; what it may do is decided in `badgerstream_pooling`, under the lease of the view.
 
+mod client;
 mod gate;
 mod link;
 mod net;
 mod place;
 mod pool;
-mod talk;
 
 use crate::clock;
 use crate::view::{Server, Shared};
 use async_executor::LocalExecutor;
 use async_io::Async;
 use badgerstream_pooling::freshness::History;
-use badgerstream_pooling::pace::Refusals;
+use badgerstream_pooling::latency::Refusals;
 use badgerstream_routing::Rotation;
 use badgerstream_wire::Position;
 use net::Scratch;
 use pool::Pool;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::{SocketAddr, TcpListener};
+use std::future::poll_fn;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::task::Waker;
+use std::task::{Poll, Waker};
 
 /// Between two looks at what rests, and at whether the end has come, in seconds.
 const LOOK_S: f64 = 0.25;
@@ -31,6 +32,10 @@
 const ACCEPT_S: f64 = 2.0;
 /// Descriptors kept for files and for connections that are no client's.
 const KEPT_DESCRIPTORS: usize = 500;
+/// Clients beyond the most at once that are let in while others are being closed for them.
+const CLIENTS_IN_EXCESS: usize = 64;
+/// Between two tries to bind the front, in seconds.
+const BIND_RETRY_S: f64 = 0.5;
 /// On how many routers a server's connections are divided until control tells.
 const ROUTERS: usize = 9;
 
@@ -72,7 +77,7 @@
 
 /// How a client's session is seen from outside its task.
 #[derive(Default)]
-struct Handle {
+struct SessionHandle {
     /// Since when it rests outside a transaction; none while it works.
     idle_since: Cell<Option<f64>>,
     /// It is inside a transaction.
@@ -82,7 +87,19 @@
     waker: RefCell<Option<Waker>>,
 }
 
-impl Handle {
+impl SessionHandle {
+    /// Waits until the session is to be closed.
+    async fn close_requested(&self) {
+        poll_fn(|cx| {
+            if self.close.get() {
+                return Poll::Ready(());
+            }
+            *self.waker.borrow_mut() = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+
     fn close(&self) {
         self.close.set(true);
         if let Some(waker) = self.waker.borrow_mut().take() {
@@ -99,7 +116,7 @@
     scratch: Scratch,
     pools: RefCell<HashMap<String, Rc<Pool>>>,
     freshness: RefCell<HashMap<String, Freshness>>,
-    sessions: RefCell<HashMap<u64, Rc<Handle>>>,
+    sessions: RefCell<HashMap<u64, Rc<SessionHandle>>>,
     next_session: Cell<u64>,
     working: Cell<usize>,
     routers: Cell<usize>,
@@ -170,6 +187,12 @@
         self.shared.view.borrow().primary(&server.service, now).is_some_and(|g| g.id == server.id)
     }
 
+    /// The grant of this service has gone to another server than this one, or is being taken back.
+    fn is_granted_elsewhere(&self, service: &str, server: &Server) -> bool {
+        let view = self.shared.view.borrow();
+        view.grants.get(service).is_some_and(|g| g.id != server.id || g.closing)
+    }
+
     /// The server answered this position, asked then under the lease.
     fn sample(&self, server: &Server, asked: f64, position: Option<Position>) {
         if let Some(position) = position {
@@ -207,15 +230,7 @@
     }
 
     async fn accept(self: Rc<Self>, front: SocketAddr, listener: std::io::Result<Async<TcpListener>>) {
-        let mut bound = listener;
-        let listener = loop {
-            match bound {
-                Ok(listener) => break listener,
-                Err(error) => log::error!("event=front_not_bound front={front} error={error}"),
-            }
-            net::sleep_until(clock::now() + 0.5).await;
-            bound = bind(front);
-        };
+        let listener = bind_until_bound(front, listener).await;
         log::info!("event=front_open front={front}");
         loop {
             // The listener lives until the end: the queue of connections that the platform still passes on is served.
@@ -234,23 +249,28 @@
             if self.sessions.borrow().len() >= self.max_clients() {
                 self.make_room();
             }
-            if self.sessions.borrow().len() >= self.max_clients() + 64 {
+            if self.sessions.borrow().len() >= self.max_clients() + CLIENTS_IN_EXCESS {
                 log::warn!("event=client_refused clients={}", self.clients());
                 continue;
             }
-            let id = self.next_session.get();
-            self.next_session.set(id + 1);
-            let handle = Rc::new(Handle::default());
-            self.sessions.borrow_mut().insert(id, handle.clone());
-            let edge = self.clone();
-            let work = async move {
-                talk::serve(&edge, stream, handle).await;
-                edge.sessions.borrow_mut().remove(&id);
-            };
-            self.tasks.spawn(work).detach();
+            self.start_session(stream);
         }
     }
 
+    /// Serves a client in a task of its own.
+    fn start_session(self: &Rc<Self>, stream: Async<TcpStream>) {
+        let id = self.next_session.get();
+        self.next_session.set(id + 1);
+        let handle = Rc::new(SessionHandle::default());
+        self.sessions.borrow_mut().insert(id, handle.clone());
+        let edge = self.clone();
+        let work = async move {
+            client::serve(&edge, stream, handle).await;
+            edge.sessions.borrow_mut().remove(&id);
+        };
+        self.tasks.spawn(work).detach();
+    }
+
     /// The session that has rested longest is closed: at rest, with nothing asked, that is no failure.
     fn make_room(&self) {
         let sessions = self.sessions.borrow();
@@ -303,6 +323,21 @@
     }
 }
 
+/// The listener, once the front can be bound.
+async fn bind_until_bound(
+    front: SocketAddr, first: std::io::Result<Async<TcpListener>>,
+) -> Async<TcpListener> {
+    let mut bound = first;
+    loop {
+        match bound {
+            Ok(listener) => return listener,
+            Err(error) => log::error!("event=front_not_bound front={front} error={error}"),
+        }
+        net::sleep_until(clock::now() + BIND_RETRY_S).await;
+        bound = bind(front);
+    }
+}
+
 fn bind(front: SocketAddr) -> std::io::Result<Async<TcpListener>> {
     Async::<TcpListener>::bind(front)
 }
--- a/crates/store/src/tests.rs
+++ b/crates/store/src/tests.rs
@@ -474,6 +474,7 @@
     let mut row = vec![0; format::length(&ballots)];
     format::encode(&ballots, &mut row);
     assert_eq!(row[5..], [2, 1, 0, 0, 0, 0, 0, 0, 3, 0, 0, 0, 0, 0, 0, 0], "the page says so");
+    assert_eq!(row[1..5], 0xAD07_9812_u32.to_le_bytes(), "a CRC-32 as any other program computes it");
     assert_eq!(row[0], format::VERSION);
     let read = format::decode::<format::Ballots>(&row).unwrap();
     assert_eq!((read.promised, read.accepted), (0x0102, 0x03));
