Queries to servers: only a STATUS is sent again; the verdict says what may be repeated

Cause: a query that met a reset was sent once more on a new connection whatever it was, PAUSE, RESUME and STEPDOWN too, and nothing stopped one that a former leader had decided on from leaving late. Change: one verdict (NotRun, Ran, MayHaveRun) for codes, queries and promotions; an exchange tracks it from its first byte on. What changes a server leaves only while this machine may act under the ballot that decided on it, its connection is reset when no answer comes, and answers of an earlier lead count no more. Outcomes of promotions are typed and name their server; a promotion of another server, and RESUME, wait while one without a clear answer may still take effect; a pause counts once a STATUS after it, and after the grant was given back, has shown it; a RESUME that is overtaken by a late PAUSE is seen; STEPDOWN carries the lowest term that does.

--- a/crates/calls/src/tests/call.rs
+++ b/crates/calls/src/tests/call.rs
@@ -1,7 +1,7 @@
 use crate::call::{Done, Operation, Reply, Stored, dispatch, reply};
 use crate::http::{Request, Requests, Response, Responses, request};
 use crate::members::{DbRole, Heartbeat, HeartbeatAnswer, Phase};
-use crate::promotion::{Outcome, outcome, promotion};
+use crate::promotion::promotion;
 use nanoserde::SerJson;
 
 /// The beat on the users' page.
@@ -136,18 +136,3 @@
     assert_eq!(request.header("Host"), Some("10.200.0.160:8783"));
     assert_eq!(request.body, br#"{"backend":"huvo11a","id":"i-\"7"}"#);
 }
-
-#[test]
-fn an_answer_of_the_platform_proves_no_more_than_it_says() {
-    for (status, proof) in [
-        (Some(200), Outcome::Done),
-        (Some(409), Outcome::Refused),
-        (Some(429), Outcome::Busy),
-        (Some(400), Outcome::Wrong),
-        (Some(408), Outcome::Unknown),
-        (Some(503), Outcome::Unknown),
-        (None, Outcome::Unknown),
-    ] {
-        assert_eq!(outcome(status), proof, "{status:?}");
-    }
-}
--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -5,6 +5,7 @@
 use crate::leases::Leases;
 use crate::members::{Beat, Members};
 use crate::message::{GrantNews, MemberNews, Node, PeerMessage, ToControl, ToRouter};
+use crate::promotion::PromotionOutcome;
 use crate::state::{Primary, State, Taken};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -61,8 +62,8 @@
     Peer(Node, PeerMessage),
     /// To the router on this session.
     Router(u64, ToRouter),
-    /// To a database server.
-    Ask { id: String, endpoint: String, service: String, statement: Statement },
+    /// To a database server. What changes it must be sent only while this machine may act under the ballot `fence`.
+    Ask { id: String, endpoint: String, service: String, statement: Statement, fence: u64 },
     /// To the platform, if it can be sent before this second; `fence` rises with every holder of the duty.
     Promote { service: String, id: String, fence: u64, before: f64 },
     /// To whoever made the call of this number.
--- a/crates/control/src/controller/services.rs
+++ b/crates/control/src/controller/services.rs
@@ -58,7 +58,8 @@
                         continue;
                     };
                     let endpoint = member.news.endpoint.clone();
-                    out.push(Output::Ask { id, endpoint, service: service.to_owned(), statement });
+                    let fence = self.lead.as_ref().map_or(0, |l| l.fence);
+                    out.push(Output::Ask { id, endpoint, service: service.to_owned(), statement, fence });
                 }
                 Act::Agree { to, above } => {
                     let what = Wanted::Primary { service: service.to_owned(), to, above, settled: false };
@@ -97,6 +98,17 @@
         }
     }
 
+    /// Whether this machine leads under this ballot: nothing that was asked under another one counts any more.
+    pub fn leads_under(&self, fence: u64) -> bool {
+        self.lead.as_ref().is_some_and(|l| l.fence == fence)
+    }
+
+    /// Whether this machine leads under this ballot and knows that nobody else does: to be looked at just before a call
+    /// leaves that a former leader must not make.
+    pub fn may_act_under(&self, now: f64, fence: u64) -> bool {
+        self.leads_under(fence) && self.acts(now)
+    }
+
     /// What a question to a server came to.
     pub fn asked(&mut self, now: f64, service: &str, id: &str, asked: Asked) {
         if matches!(asked, Asked::Row { .. } | Asked::Busy) {
@@ -107,11 +119,10 @@
         }
     }
 
-    /// What a call to the platform came to; none if nothing came in time.
-    pub fn promoted(&mut self, now: f64, service: &str, status: Option<u16>) {
-        log::info!("event=promotion_answered service={service} status={}", status.unwrap_or(0));
+    /// How a call to the platform that names this server has ended.
+    pub fn promoted(&mut self, now: f64, service: &str, id: &str, outcome: PromotionOutcome) {
         if let Some(failover) = self.lead.as_mut().and_then(|l| l.services.get_mut(service)) {
-            failover.promoted(now, status);
+            failover.promoted(now, id, outcome);
         }
     }
 }
--- a/crates/control/src/failover.rs
+++ b/crates/control/src/failover.rs
@@ -7,6 +7,7 @@
 //! A primary that is to leave is replaced while it goes on: all copies but the coming primary are paused, so that whatever
 //! is acknowledged from then on is there; only once it leads do the routers let go of the old one.
 
+use crate::promotion::{PendingPromotion, PromotionOutcome};
 use std::collections::BTreeMap;
 
 /// A position in a service's log: term and number.
@@ -49,6 +50,8 @@
     Silent,
     /// Nobody listens at its address, or somebody else does.
     Refused,
+    /// It was not sent: this machine may no longer act.
+    NotSent,
 }
 
 /// Spans, in seconds.
@@ -87,8 +90,10 @@
     shows: bool,
     /// It answered last without a row.
     busy: bool,
-    /// It was asked to receive again, and answered.
-    resumed: bool,
+    /// A status that was asked for at that second, after the answer to the pause, showed it paused still.
+    pause_confirmed: Option<f64>,
+    /// It was asked to receive again, and its answer showed that it holds this term.
+    resumed: Option<u64>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -198,6 +203,10 @@
     retry: f64,
     /// That a change is complete is told again after this.
     settle: f64,
+    /// The calls to the platform that may still take effect.
+    pending: PendingPromotion,
+    /// Since when the grant is given back by all.
+    given_since: Option<f64>,
 }
 
 impl Failover {
@@ -212,6 +221,8 @@
             trail: Vec::new(),
             retry: 0.0,
             settle: f64::NEG_INFINITY,
+            pending: PendingPromotion::default(),
+            given_since: None,
         }
     }
 
@@ -257,22 +268,29 @@
                 match statement {
                     Statement::Pause(term) => {
                         seen.paused = Some((term, row.received));
+                        seen.pause_confirmed = None;
                         seen.shows = row.held >= term;
                     }
                     Statement::Resume => {
                         (seen.paused, seen.pausing) = (None, None);
-                        seen.resumed = true;
+                        seen.resumed = Some(row.held);
                     }
                     _ => match (seen.pausing, seen.paused) {
                         // The answer to the pause was lost, or it came from another try.
                         (Some(term), None) if !row.leader && row.held >= term => {
                             seen.paused = Some((term, row.received));
+                            seen.pause_confirmed = None;
                         }
                         // It restarted, or was resumed by somebody else.
                         (_, Some((term, _))) if seen.shows && row.held < term => {
                             (seen.paused, seen.pausing) = (None, None);
                         }
                         (Some(term), None) if seen.shows && row.held < term => seen.pausing = None,
+                        // Where its log stands now is what counts: a late `RESUME` may have let it go on for a moment.
+                        (_, Some((term, _))) if !row.leader => {
+                            seen.paused = Some((term, row.received));
+                            seen.pause_confirmed = Some(asked);
+                        }
                         _ => {}
                     },
                 }
@@ -299,6 +317,7 @@
                 seen.failing.get_or_insert(now);
                 seen.refused = asked == Asked::Refused;
             }
+            Asked::NotSent => {}
         }
     }
 
@@ -311,15 +330,22 @@
             return None;
         }
         let act = Act::Promote { to: to.clone() };
+        self.pending.sent(now, &to);
         self.phase = Phase::Promoting { to, above, planned, posted: now, tries: 1, since: now };
         Some(act)
     }
 
-    /// The platform's answer; none if there was none in time.
-    pub fn promoted(&mut self, now: f64, status: Option<u16>) {
-        let Phase::Promoting { posted, above, planned, .. } = &mut self.phase else { return };
-        match status {
-            Some(409) => {
+    /// How a call to promote this server has ended.
+    pub fn promoted(&mut self, now: f64, id: &str, outcome: PromotionOutcome) {
+        if !self.pending.ended(now, id, outcome) {
+            return;
+        }
+        let Phase::Promoting { to, posted, above, planned, .. } = &mut self.phase else { return };
+        if to != id {
+            return;
+        }
+        match outcome {
+            PromotionOutcome::Refused => {
                 // It is not running, says the platform: choose again.
                 let (above, planned) = (*above, *planned);
                 self.retry = now + 1.0;
@@ -329,9 +355,12 @@
                     self.phase = Phase::Closing { term: above + 1 };
                 }
             }
-            Some(status) if status < 300 => *posted = now + 1.0,
+            PromotionOutcome::Accepted => *posted = now + 1.0,
+            PromotionOutcome::Rejected => *posted = now,
             // Too many calls, or the platform is in trouble: again soon.
-            _ => *posted = now - 0.8,
+            PromotionOutcome::Busy | PromotionOutcome::NotSent | PromotionOutcome::Unknown => {
+                *posted = now - 0.8;
+            }
         }
     }
 
@@ -344,7 +373,7 @@
         seen.asked = now;
         if let Statement::Pause(term) = statement {
             seen.pausing = Some(term);
-            seen.resumed = false;
+            seen.resumed = None;
         }
         acts.push(Act::Ask(id.to_owned(), statement));
     }
@@ -414,6 +443,7 @@
             self.closed = Some(u64::MAX);
             acts.push(Act::Grant { id, term: of, closing: true });
         }
+        self.given_since = None;
         self.phase = Phase::Closing { term };
     }
 
@@ -494,12 +524,13 @@
             let deposed = self.row(&member.id).is_some_and(|r| r.leader && r.term < term);
             // Who holds a term above the primary's was paused, by us or by a leader before us.
             let paused = self.seen.get(&member.id).is_some_and(|s| {
-                s.pausing.is_some() || !s.resumed && s.row.is_some_and(|r| !r.leader && r.held > term)
+                let known = s.resumed.map_or(term, |held| held.max(term));
+                s.pausing.is_some() || s.row.is_some_and(|r| !r.leader && r.held > known)
             });
             let busy = self.seen.get(&member.id).is_some_and(|s| s.busy);
             if deposed {
                 self.ask(now, &member.id, 0.1, Statement::StepDown(term), acts);
-            } else if paused {
+            } else if paused && self.pending.permits(now, &primary) {
                 let statement = if busy { Statement::Status } else { Statement::Resume };
                 self.ask(now, &member.id, 0.1, statement, acts);
             } else {
@@ -551,7 +582,10 @@
             Some((m, seen.paused.map_or(row.received, |p| p.1)))
         });
         let best = with.max_by(|(a, x), (b, y)| {
-            (x, a.draining_since.is_none(), &b.id).cmp(&(y, b.draining_since.is_none(), &a.id))
+            // A leader before may have asked the platform for the one of record: a second call for the same does no harm.
+            let rank =
+                |m: &Candidate| (around.record.is_some_and(|r| r.0 == m.id), m.draining_since.is_none());
+            (x, rank(a), &b.id).cmp(&(y, rank(b), &a.id))
         });
         best.map(|(m, at)| (m.id.as_str(), at))
     }
@@ -592,6 +626,10 @@
                 Some((at, position)) if at == term => {
                     furthest = furthest.max(position);
                     paused_at = paused_at.max(seen.answered);
+                    if seen.pause_confirmed.is_none() {
+                        ready = false;
+                        self.ask(now, &member.id, 0.02, Statement::Status, acts);
+                    }
                 }
                 _ => {
                     ready = false;
@@ -609,7 +647,11 @@
         let gone = around.lost.iter().filter(|(id, _)| *id != primary);
         let covered =
             |since: f64| self.trail.iter().any(|(asked, position)| *asked > since && *position <= has);
-        if ready && caught_up && gone.into_iter().all(|(_, since)| covered(*since)) {
+        if ready
+            && caught_up
+            && self.pending.permits(now, to)
+            && gone.into_iter().all(|(_, since)| covered(*since))
+        {
             let above = self.highest_led().max(of);
             self.phase = Phase::Agreeing { to: to.to_owned(), above, planned: true };
             acts.push(Act::Agree { to: to.to_owned(), above });
@@ -662,12 +704,17 @@
             return;
         }
         let given = self.given_back(around);
+        self.given_since = if given { self.given_since.or(Some(now)) } else { None };
         let mut ready = given;
         let mut low = false;
         for member in around.members.iter().filter(|m| Some(m.id.as_str()) != of) {
             let seen = self.seen.get(&member.id).cloned().unwrap_or_default();
             if seen.paused.is_some_and(|(at, _)| at >= term) {
-                self.ask(now, &member.id, self.timing.ask, Statement::Status, acts);
+                // What the old primary acknowledged to any router before it let go must be at those who are asked.
+                let confirmed = seen.pause_confirmed > self.given_since && given;
+                ready &= confirmed;
+                let every = if given && !confirmed { 0.02 } else { self.timing.ask };
+                self.ask(now, &member.id, every, Statement::Status, acts);
                 continue;
             }
             ready &= self.excused(around, member, &seen);
@@ -675,7 +722,7 @@
             let leads = seen.failing.is_none() && seen.row.is_some_and(|r| r.leader);
             let statement = match leads {
                 // A primary can't be paused: once nobody uses it, it becomes a replica.
-                true if given => Statement::StepDown(term),
+                true if given => Statement::StepDown(seen.row.map_or(term, |r| r.term + 1)),
                 true => Statement::Status,
                 false if seen.busy => Statement::Status,
                 false => Statement::Pause(term),
@@ -715,6 +762,9 @@
         if spare < 0 && around.sync > 0 {
             return;
         }
+        if !self.pending.permits(now, to) {
+            return;
+        }
         let (to, above) = (to.to_owned(), self.highest_led().min(term.saturating_sub(1)));
         log::info!("event=primary_chosen to={to} position={}.{} above={above}", at.0, at.1);
         self.phase = Phase::Agreeing { to: to.clone(), above, planned: false };
@@ -767,7 +817,8 @@
             let seen = self.seen.get(&member.id).cloned().unwrap_or_default();
             let leads = seen.failing.is_none() && seen.row.is_some_and(|r| r.leader);
             let statement = if Some(&member.id) == of.as_ref() {
-                if leads && !planned { Statement::StepDown(above + 1) } else { Statement::Status }
+                let term = seen.row.map_or(above, |r| r.term) + 1;
+                if leads && !planned { Statement::StepDown(term) } else { Statement::Status }
             } else if seen.paused.is_none() && !leads && !seen.busy {
                 Statement::Pause(term + 1)
             } else {
@@ -782,6 +833,7 @@
         } else if now - posted > 1.0 {
             self.phase =
                 Phase::Promoting { to: to.to_owned(), above, planned, posted: now, tries: tries + 1, since };
+            self.pending.sent(now, to);
             acts.push(Act::Promote { to: to.to_owned() });
         }
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 mod leases;
 mod members;
 mod message;
+mod promotion;
 mod state;
 
 pub use consensus::{Ballot, Consensus, ConsensusOutput, Record};
@@ -17,6 +18,7 @@
 pub use leases::Leases;
 pub use members::{Beat, Member, Members, Phase};
 pub use message::{Evidence, GrantNews, MemberNews, Node, PeerMessage, ToControl, ToRouter};
+pub use promotion::PromotionOutcome;
 pub use state::{Primary, State, Taken};
 
 #[cfg(test)]
--- a/crates/control/src/tests/world.rs
+++ b/crates/control/src/tests/world.rs
@@ -4,7 +4,8 @@
 
 use crate::controller::{Call, ControlTiming, Controller, Output};
 use crate::{
-    Asked, Ballot, Beat, Evidence, GrantNews, Node, PeerMessage, Record, Row, State, Statement, Timing,
+    Asked, Ballot, Beat, Evidence, GrantNews, Node, PeerMessage, PromotionOutcome, Record, Row, State,
+    Statement, Timing,
 };
 use crate::{ToControl, ToRouter};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -129,7 +130,7 @@
     Post { node: Node, life: u64, id: String, fence: u64, before: f64 },
     PostAt { node: Node, life: u64, id: String, fence: u64 },
     Promote(String),
-    PostAnswer { node: Node, life: u64, status: Option<u16> },
+    PostAnswer { node: Node, life: u64, id: String, outcome: PromotionOutcome },
     Depose(String, u64),
 }
 
@@ -769,7 +770,8 @@
                 let control = &self.controls[node];
                 let promised = control.controller.as_ref().unwrap().record().promised.0;
                 if self.now + control.offset >= *before || promised != *fence {
-                    let answer = Event::PostAnswer { node: *node, life: *life, status: None };
+                    let outcome = PromotionOutcome::NotSent;
+                    let answer = Event::PostAnswer { node: *node, life: *life, id: id.clone(), outcome };
                     self.put(0.0, answer);
                     return;
                 }
@@ -778,11 +780,11 @@
             }
             Event::PostAt { node, life, id, fence } => self.post_at(*node, *life, id, *fence),
             Event::Promote(id) => self.promote(id),
-            Event::PostAnswer { node, life, status } => {
+            Event::PostAnswer { node, life, id, outcome } => {
                 if self.reaches(*node, Some(*life), &event) {
                     let control = self.controls.get_mut(node).unwrap();
                     let now = self.now + control.offset;
-                    control.controller.as_mut().unwrap().promoted(now, SERVICE, *status);
+                    control.controller.as_mut().unwrap().promoted(now, SERVICE, id, *outcome);
                 }
             }
             Event::Depose(id, term) => {
@@ -816,8 +818,9 @@
             self.put(after, Event::Promote(id.to_owned()));
         }
         let lost = self.draw(1000) < self.lost_posts;
-        let (after, status) = if lost { (1.0, None) } else { (way, Some(status)) };
-        self.put(after, Event::PostAnswer { node, life, status });
+        let answer = PromotionOutcome::of_status(status);
+        let (after, outcome) = if lost { (1.0, PromotionOutcome::Unknown) } else { (way, answer) };
+        self.put(after, Event::PostAnswer { node, life, id: id.to_owned(), outcome });
     }
 
     fn beat(&mut self, id: &str) {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -6,9 +6,9 @@
 mod links;
 mod status;
 
-use crate::asker::{self, Whom};
 use crate::bell::Bell;
 use crate::frames::{self, Frame};
+use crate::server_queries::{Query, Target};
 use crate::servers::Servers;
 use crate::{clock, http};
 use async_channel::{Receiver, Sender};
@@ -23,11 +23,10 @@
 use badgerstream_calls::status::{MemberStatus, PrimaryStatus, ReadStatus, Status};
 use badgerstream_control::{
     Answer, Ballot, Beat, Call, Controller, GrantNews, MemberNews, Node, Output, PeerMessage, Phase, State,
-    Statement,
 };
 use badgerstream_control::{ControlTiming, Timing, ToRouter};
 use badgerstream_store::{Fresh, Store};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future, io};
+use futures_lite::{AsyncReadExt, future, io};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -55,7 +54,8 @@
     links: RefCell<HashMap<Node, Sender<PeerMessage>>>,
     heard: RefCell<HashMap<Node, Rc<Bell>>>,
     sessions: RefCell<HashMap<u64, Sender<ToRouter>>>,
-    askers: RefCell<HashMap<String, Sender<Statement>>>,
+    /// What waits for the connection to each server.
+    queries: RefCell<HashMap<String, Sender<Query>>>,
     calls: RefCell<HashMap<u64, Sender<Answer>>>,
     next: Cell<u64>,
     /// The configuration whose services were last told to the controller, and whether it led then.
@@ -152,7 +152,7 @@
             links: RefCell::default(),
             heard: RefCell::default(),
             sessions: RefCell::default(),
-            askers: RefCell::default(),
+            queries: RefCell::default(),
             calls: RefCell::default(),
             next: Cell::new(0),
             read: Cell::new((0, false)),
@@ -217,10 +217,14 @@
                         self.sessions.borrow_mut().remove(&session);
                     }
                 }
-                Output::Ask { id, endpoint, service, statement } => {
-                    self.ask(id, &endpoint, service, statement)
+                Output::Ask { id, endpoint, service, statement, fence } => {
+                    if let Ok(endpoint) = endpoint.parse() {
+                        self.ask(Target { id, service, endpoint }, Query { statement, fence });
+                    }
+                }
+                Output::Promote { service, id, fence, before } => {
+                    self.promote(duties::Promotion { service, id, fence, before });
                 }
-                Output::Promote { service, id, fence, before } => self.promote(service, id, fence, before),
                 Output::Reply(call, answer) => {
                     if let Some(waits) = self.calls.borrow_mut().remove(&call) {
                         let _ = waits.try_send(answer);
--- a/crates/node/src/control/duties.rs
+++ b/crates/node/src/control/duties.rs
@@ -1,74 +1,127 @@
-//! What the leader asks of servers and of the platform.
+//! What the leader asks of servers and of the platform. `docs/design/calls.md` says which of these calls may be repeated.
 
 use super::*;
+use crate::exchange::{self, ExchangeError};
+use crate::server_queries::{self, Query, Target};
+use badgerstream_control::{Asked, PromotionOutcome};
+use badgerstream_wire::Verdict;
+
+/// A call to the platform is given up after so many seconds.
+const PLATFORM_S: f64 = 1.0;
+/// The most bytes of its answer.
+const PLATFORM_ANSWER_BYTES: usize = 64 << 10;
+
+/// A call that makes a server the primary.
+pub(super) struct Promotion {
+    pub service: String,
+    pub id: String,
+    /// The ballot under which it was decided on.
+    pub fence: u64,
+    /// It must not leave later than this.
+    pub before: f64,
+}
 
 impl Control {
-    pub(super) fn ask(self: &Rc<Self>, id: String, endpoint: &str, service: String, statement: Statement) {
-        let Ok(endpoint) = endpoint.parse::<SocketAddr>() else { return };
-        let key = format!("{id}@{endpoint}");
-        let mut askers = self.askers.borrow_mut();
-        let fits = askers.get(&key).is_some_and(|a| a.try_send(statement).is_ok());
-        if fits {
-            return;
+    pub(super) fn ask(self: &Rc<Self>, target: Target, query: Query) {
+        let key = format!("{}@{}", target.id, target.endpoint);
+        let mut queries = self.queries.borrow_mut();
+        match queries.get(&key).map(|to_server| to_server.try_send(query)) {
+            Some(Ok(())) => return,
+            // A second connection beside this one could overtake what waits for it.
+            Some(Err(e)) if e.is_full() => return self.answered(&target, query, Asked::NotSent),
+            _ => {}
         }
-        let (sender, receiver) = async_channel::bounded(4);
-        let _ = sender.try_send(statement);
-        askers.insert(key.clone(), sender);
+        let (to_server, receiver) = async_channel::bounded(4);
+        let _ = to_server.try_send(query);
+        queries.insert(key.clone(), to_server);
         let this = self.clone();
-        let whom = Whom { id: id.clone(), service: service.clone(), endpoint };
-        let answer = timing(&self.settings).service.answer;
-        let ask = async move {
-            let told = |asked| this.controller.borrow_mut().asked(clock::now(), &service, &id, asked);
-            asker::ask(whom, receiver, answer, told).await;
-            let mut askers = this.askers.borrow_mut();
-            if askers.get(&key).is_some_and(Sender::is_closed) {
-                askers.remove(&key);
+        let answer_s = timing(&self.settings).service.answer;
+        let run = async move {
+            let may_act = |query: Query| this.controller.borrow().may_act_under(clock::now(), query.fence);
+            let tell = |query: Query, asked| this.answered(&target, query, asked);
+            server_queries::run(target.clone(), receiver, answer_s, may_act, tell).await;
+            let mut queries = this.queries.borrow_mut();
+            if queries.get(&key).is_some_and(Sender::is_closed) {
+                queries.remove(&key);
             }
         };
-        self.tasks.spawn(ask).detach();
+        self.tasks.spawn(run).detach();
     }
 
-    pub(super) fn promote(self: &Rc<Self>, service: String, id: String, fence: u64, before: f64) {
+    /// What a query came to. What was asked under another ballot, in an earlier lead of this machine, counts no more.
+    fn answered(&self, target: &Target, query: Query, asked: Asked) {
+        let mut controller = self.controller.borrow_mut();
+        if controller.leads_under(query.fence) {
+            controller.asked(clock::now(), &target.service, &target.id, asked);
+        }
+    }
+
+    pub(super) fn promote(self: &Rc<Self>, promotion: Promotion) {
         let Some(provider) = self.settings.provider.as_ref().map(|p| p.endpoint) else {
-            log::error!("event=no_provider service={service}");
+            log::error!("event=no_provider service={}", promotion.service);
             return;
         };
         let this = self.clone();
         let task = async move {
+            let Promotion { service, id, fence, .. } = &promotion;
             log::info!("event=promote service={service} id={id} fence={fence}");
-            let status = this.call_platform(provider, &service, &id, fence, before).await;
-            if let Err(e) = &status {
-                log::info!("event=promote_unanswered service={service} id={id} error={e}");
+            let ended = this.call_platform(provider, &promotion).await;
+            let outcome = match &ended {
+                Ok(status) => PromotionOutcome::of_status(*status),
+                Err(failed) if failed.verdict == Verdict::NotRun => PromotionOutcome::NotSent,
+                Err(_) => PromotionOutcome::Unknown,
+            };
+            match ended {
+                Ok(status) => {
+                    log::info!("event=promotion_answered service={service} id={id} status={status}")
+                }
+                Err(ExchangeError { verdict, error }) => {
+                    log::info!(
+                        "event=promote_unanswered service={service} id={id} verdict={verdict:?} error={error}"
+                    );
+                }
+            }
+            let mut controller = this.controller.borrow_mut();
+            if controller.leads_under(*fence) {
+                controller.promoted(clock::now(), service, id, outcome);
             }
-            this.controller.borrow_mut().promoted(clock::now(), &service, status.ok());
         };
         self.tasks.spawn(task).detach();
     }
 
-    pub(super) async fn call_platform(
-        &self, provider: SocketAddr, service: &str, id: &str, fence: u64, before: f64,
-    ) -> io::Result<u16> {
-        frames::within(1.0, async {
+    /// The status of the platform's answer. Without one the connection is reset, so that what a cut holds up of the call is
+    /// lost.
+    async fn call_platform(&self, provider: SocketAddr, promotion: &Promotion) -> Result<u16, ExchangeError> {
+        exchange::run(PLATFORM_S, async |progress| {
             let mut stream = Async::<TcpStream>::connect(provider).await?;
-            frames::prepare(&stream, 1.0);
-            let bytes = promotion::promotion(service, id, &self.name, fence, &provider.to_string());
+            frames::prepare(&stream, PLATFORM_S);
+            frames::reset_on_close(&stream, true);
+            let Promotion { service, id, fence, before } = promotion;
+            let request = promotion::promotion(service, id, &self.name, *fence, &provider.to_string());
             // Whoever was frozen since this was decided must not call: another one may hold the duty.
-            if clock::now() >= before || self.controller.borrow().record().promised.0 != fence {
+            let now = clock::now();
+            if now >= *before || !self.controller.borrow().may_act_under(now, *fence) {
                 return Err(io::Error::other("the duty may have gone to another"));
             }
-            stream.write_all(&bytes).await?;
-            let mut responses = Responses::new(64 << 10);
-            let mut bytes = [0; 1024];
-            loop {
-                if let Some(answer) = responses.next().map_err(|e| io::Error::other(e.to_string()))? {
-                    return Ok(answer.status);
-                }
-                match stream.read(&mut bytes).await? {
-                    0 => return Err(io::ErrorKind::UnexpectedEof.into()),
-                    count => responses.feed(&bytes[..count]),
-                }
-            }
+            progress.send(&stream, &request).await?;
+            let status = read_status_code(&mut stream).await?;
+            frames::reset_on_close(&stream, false);
+            Ok(status)
         })
         .await
     }
 }
+
+async fn read_status_code(stream: &mut Async<TcpStream>) -> io::Result<u16> {
+    let mut responses = Responses::new(PLATFORM_ANSWER_BYTES);
+    let mut bytes = [0; 1024];
+    loop {
+        if let Some(answer) = responses.next().map_err(|e| io::Error::other(e.to_string()))? {
+            return Ok(answer.status);
+        }
+        match stream.read(&mut bytes).await? {
+            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            count => responses.feed(&bytes[..count]),
+        }
+    }
+}
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -4,7 +4,7 @@
 
 mod gate;
 mod link;
-mod net;
+pub(crate) mod net;
 mod place;
 mod pool;
 mod talk;
--- a/crates/node/src/frames.rs
+++ b/crates/node/src/frames.rs
@@ -74,6 +74,13 @@
     Ok(stream)
 }
 
+/// Whether closing a connection resets it: what was sent on it and has not arrived is lost then. Holds for a process that is
+/// killed as well.
+pub fn reset_on_close(stream: &Async<TcpStream>, resets: bool) {
+    let linger = resets.then_some(Duration::ZERO);
+    let _ = rustix::net::sockopt::set_socket_linger(stream.get_ref(), linger);
+}
+
 /// What every connection of ours is set to.
 pub fn prepare(stream: &Async<TcpStream>, dead_s: f64) {
     let _ = stream.get_ref().set_nodelay(true);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,14 +1,15 @@
 //! The program of every machine: sockets, clock and disk around the decisions.
 
-pub mod asker;
 pub mod bell;
 pub mod cli;
 pub mod clock;
 pub mod control;
 pub mod edge;
+pub mod exchange;
 pub mod frames;
 pub mod http;
 pub mod node;
+pub mod server_queries;
 pub mod servers;
 pub mod session;
 pub mod view;
--- a/crates/node/src/tests/mod.rs
+++ b/crates/node/src/tests/mod.rs
@@ -1,1 +1,2 @@
 mod cli;
+mod server_queries;
--- a/crates/scale/src/decisions.rs
+++ b/crates/scale/src/decisions.rs
@@ -7,8 +7,8 @@
     Asked, Beat, Call, ControlTiming, Controller, Evidence, Node, Output, PeerMessage, Phase, Record, State,
     Timing, ToControl, ToRouter,
 };
-use badgerstream_node::asker::read_row;
 use badgerstream_node::frames::{self, Frame};
+use badgerstream_node::server_queries::read_row;
 use rustix::time::{ClockId, clock_gettime};
 use std::collections::{HashMap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
--- a/crates/scale/src/tests/servers.rs
+++ b/crates/scale/src/tests/servers.rs
@@ -2,7 +2,7 @@
 
 use crate::plan::{Net, Plan};
 use crate::servers::World;
-use badgerstream_node::asker::read_row;
+use badgerstream_node::server_queries::read_row;
 
 fn world() -> (World, Vec<String>) {
     let servers = Plan::new(Net([127, 9]), 1, 2, Vec::new()).unwrap().servers();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,12 +6,14 @@
 mod reply;
 mod request;
 mod text;
+mod verdict;
 
 pub use line::{LineBuffer, LineError, MAX_LINE};
 pub use position::Position;
-pub use reply::{Answer, AnswerError, Code, Outcome, Reply, State, Verdict};
+pub use reply::{Answer, AnswerError, Code, Outcome, Reply, State};
 pub use request::{Request, RequestError};
 pub use text::{Kind, Text, TextError};
+pub use verdict::Verdict;
 
 #[cfg(test)]
 mod tests;
--- a/crates/wire/src/reply.rs
+++ b/crates/wire/src/reply.rs
@@ -1,6 +1,6 @@
 //! What a database answers, line by line and as a whole.
 
-use crate::{LineBuffer, LineError, Position};
+use crate::{LineBuffer, LineError, Position, Verdict};
 use quick_error::quick_error;
 
 /// Where a session stands towards transactions.
@@ -26,17 +26,6 @@
     }
 }
 
-/// Whether a statement may have run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// It has not: it may be sent again anywhere.
-    NotRun,
-    /// It has, and failed.
-    Run,
-    /// Nobody can tell.
-    Unknown,
-}
-
 /// The code of an `ERROR`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[allow(missing_docs, reason = "the words of the wire, explained there")]
@@ -96,7 +85,7 @@
         }
     }
 
-    /// What it says of the statement when a database answers it.
+    /// What it proves of the statement when a database answers it.
     pub fn verdict(self) -> Verdict {
         match self {
             Self::Retry
@@ -105,8 +94,8 @@
             | Self::ReadOnly
             | Self::WrongNode
             | Self::ConnLimit => Verdict::NotRun,
-            Self::Failed | Self::Malformed => Verdict::Run,
-            _ => Verdict::Unknown,
+            Self::Failed | Self::Malformed => Verdict::Ran,
+            _ => Verdict::MayHaveRun,
         }
     }
 }
--- a/crates/wire/src/tests/answers.rs
+++ b/crates/wire/src/tests/answers.rs
@@ -53,7 +53,7 @@
         assert_eq!(Code::parse(word).word(), word);
     }
     for word in ["TIMEOUT", "INDOUBT", "whatever"] {
-        assert_eq!(Code::parse(word).verdict(), Verdict::Unknown);
+        assert_eq!(Code::parse(word).verdict(), Verdict::MayHaveRun);
     }
-    assert_eq!(Code::parse("FAILED").verdict(), Verdict::Run);
+    assert_eq!(Code::parse("FAILED").verdict(), Verdict::Ran);
 }
--- a/crates/wire/src/tests/mod.rs
+++ b/crates/wire/src/tests/mod.rs
@@ -1,3 +1,4 @@
 mod answers;
 mod lines;
 mod requests;
+mod verdicts;
