Promotions and late statements: what may follow a call without a clear answer, with tests

Cause: a promotion of another server could be sent while one without a clear answer might still take effect after it; a pause counted by its answer alone, so that a RESUME that came late went unnoticed; a refused promotion was repeated each 20 ms. Change: tests of each in the small world, and of one service alone; a server that the platform refused is named again after a second at the earliest, and one of record is preferred among equals.

--- a/crates/control/src/failover.rs
+++ b/crates/control/src/failover.rs
@@ -340,10 +340,7 @@
         if !self.pending.ended(now, id, outcome) {
             return;
         }
-        let Phase::Promoting { to, posted, above, planned, .. } = &mut self.phase else { return };
-        if to != id {
-            return;
-        }
+        let Phase::Promoting { posted, above, planned, .. } = &mut self.phase else { return };
         match outcome {
             PromotionOutcome::Refused => {
                 // It is not running, says the platform: choose again.
@@ -530,7 +527,7 @@
             let busy = self.seen.get(&member.id).is_some_and(|s| s.busy);
             if deposed {
                 self.ask(now, &member.id, 0.1, Statement::StepDown(term), acts);
-            } else if paused && self.pending.permits(now, &primary) {
+            } else if paused {
                 let statement = if busy { Statement::Status } else { Statement::Resume };
                 self.ask(now, &member.id, 0.1, statement, acts);
             } else {
@@ -583,8 +580,10 @@
         });
         let best = with.max_by(|(a, x), (b, y)| {
             // A leader before may have asked the platform for the one of record: a second call for the same does no harm.
-            let rank =
-                |m: &Candidate| (around.record.is_some_and(|r| r.0 == m.id), m.draining_since.is_none());
+            let rank = |m: &Candidate| {
+                let of_record = around.record.is_some_and(|r| r.0 == m.id);
+                (!self.pending.is_refused(around.now, &m.id), of_record, m.draining_since.is_none())
+            };
             (x, rank(a), &b.id).cmp(&(y, rank(b), &a.id))
         });
         best.map(|(m, at)| (m.id.as_str(), at))
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -2,10 +2,13 @@
 //! effect.
 
 use badgerstream_wire::Verdict;
+use std::collections::BTreeMap;
 
 /// A call without a clear answer may take effect for so long after it was given up, in seconds. Its connection is reset
 /// when it is given up, so only a platform that has read it whole and is slow can still run it.
 const SETTLING_S: f64 = 1.0;
+/// A server that the platform has just refused to promote is named again after so many seconds at the earliest.
+const REFUSED_S: f64 = 1.0;
 /// A call is given up after so many seconds.
 const CALL_S: f64 = 1.0;
 
@@ -66,6 +69,8 @@
     in_flight: u32,
     /// When the newest call was decided on.
     sent_at: f64,
+    /// The servers that the platform has refused to promote, and when.
+    refused: BTreeMap<String, f64>,
     /// Calls that ended without a clear answer may take effect until this second.
     unclear_until: f64,
 }
@@ -74,7 +79,8 @@
     /// A call for this server is sent.
     pub fn sent(&mut self, now: f64, server: &str) {
         if self.server != server {
-            *self = PendingPromotion { server: server.to_owned(), ..PendingPromotion::default() };
+            let refused = std::mem::take(&mut self.refused);
+            *self = PendingPromotion { server: server.to_owned(), refused, ..PendingPromotion::default() };
         }
         self.in_flight += 1;
         self.sent_at = now;
@@ -86,6 +92,9 @@
             return false;
         }
         self.in_flight -= 1;
+        if outcome == PromotionOutcome::Refused {
+            self.refused.insert(server.to_owned(), now);
+        }
         if outcome.verdict() == Verdict::MayHaveRun {
             self.unclear_until = now + SETTLING_S;
         }
@@ -98,8 +107,13 @@
         in_flight || now < self.unclear_until
     }
 
-    /// Whether this server may be promoted now: none other may be made the primary after it.
+    /// Whether the platform has refused a moment ago to promote this server.
+    pub fn is_refused(&self, now: f64, server: &str) -> bool {
+        self.refused.get(server).is_some_and(|at| now < at + REFUSED_S)
+    }
+
+    /// Whether this server may be promoted now: no other one may be made the primary after it.
     pub fn permits(&self, now: f64, server: &str) -> bool {
-        self.server == server || !self.may_take_effect(now)
+        !self.is_refused(now, server) && (self.server == server || !self.may_take_effect(now))
     }
 }
--- a/crates/control/src/tests/mod.rs
+++ b/crates/control/src/tests/mod.rs
@@ -2,6 +2,7 @@
 mod calls;
 mod failover;
 mod members;
+mod promotions;
 mod voters;
 mod world;
 
--- /dev/null
+++ b/crates/control/src/tests/promotions.rs
@@ -0,0 +1,360 @@
+//! Calls that change servers, and what becomes of them when they come late: `POST /promotions`, `PAUSE`, `RESUME` and
+//! `STEPDOWN`. The table that these tests hold to is in `docs/design/calls.md`.
+
+use super::world::{World, timing};
+use crate::failover::{Act, Around, Candidate, Failover};
+use crate::promotion::{PendingPromotion, PromotionOutcome};
+use crate::{Asked, Row, Statement};
+use badgerstream_wire::Verdict;
+
+fn steady(seed: u64) -> World {
+    let mut world = World::new(seed);
+    world.run_until(6.0, "a primary in use at the start", |w| w.in_use().as_deref() == Some("a"));
+    world.run(4.0);
+    assert!(world.writes());
+    world
+}
+
+fn held(world: &World, id: &str) -> Option<u64> {
+    world.servers[id].held
+}
+
+fn set_held(world: &mut World, id: &str, term: Option<u64>) {
+    world.servers.get_mut(id).unwrap().held = term;
+}
+
+fn set_deaf(world: &mut World, id: &str, deaf: bool) {
+    world.servers.get_mut(id).unwrap().deaf = deaf;
+}
+
+// ---- what the end of a call to the platform proves
+
+#[test]
+fn a_status_of_the_platform_proves_no_more_than_it_says() {
+    use PromotionOutcome::*;
+    for (status, outcome, verdict) in [
+        (200, Accepted, Verdict::Ran),
+        (409, Refused, Verdict::NotRun),
+        (429, Busy, Verdict::NotRun),
+        (400, Rejected, Verdict::NotRun),
+        (408, Unknown, Verdict::MayHaveRun),
+        (500, Unknown, Verdict::MayHaveRun),
+        (503, Unknown, Verdict::MayHaveRun),
+    ] {
+        assert_eq!(PromotionOutcome::of_status(status), outcome, "{status}");
+        assert_eq!(outcome.verdict(), verdict, "{status}");
+    }
+    assert_eq!(NotSent.verdict(), Verdict::NotRun);
+}
+
+#[test]
+fn another_server_waits_for_a_call_without_a_clear_answer() {
+    let mut pending = PendingPromotion::default();
+    assert!(pending.permits(0.0, "b"));
+    pending.sent(0.0, "b");
+    assert!(pending.permits(0.5, "b") && !pending.permits(1.9, "c"));
+    assert!(pending.ended(1.0, "b", PromotionOutcome::Unknown));
+    assert!(pending.permits(1.0, "b") && !pending.permits(1.9, "c") && pending.permits(2.1, "c"));
+    // A second copy that was refused proves nothing of the first one.
+    pending.sent(1.2, "b");
+    assert!(pending.ended(1.3, "b", PromotionOutcome::Refused));
+    assert!(!pending.permits(1.9, "c") && pending.permits(2.1, "c"));
+    // The platform is not asked again and again for one that it says isn't running.
+    assert!(!pending.permits(2.2, "b") && pending.permits(2.4, "b"));
+}
+
+#[test]
+fn a_call_that_has_not_run_is_waited_for_by_nobody() {
+    for outcome in [
+        PromotionOutcome::Refused,
+        PromotionOutcome::Busy,
+        PromotionOutcome::Rejected,
+        PromotionOutcome::NotSent,
+    ] {
+        let mut pending = PendingPromotion::default();
+        pending.sent(0.0, "b");
+        assert!(pending.ended(0.1, "b", outcome));
+        assert!(pending.permits(0.1, "c"), "{outcome:?}");
+    }
+}
+
+#[test]
+fn an_answer_counts_only_for_the_server_that_is_waited_for() {
+    let mut pending = PendingPromotion::default();
+    pending.sent(0.0, "b");
+    pending.sent(3.0, "c");
+    assert!(!pending.ended(3.1, "b", PromotionOutcome::Refused));
+    assert!(pending.ended(3.1, "c", PromotionOutcome::Accepted));
+    assert!(!pending.ended(3.2, "c", PromotionOutcome::Accepted), "nothing is under way");
+}
+
+// ---- repeated promotions
+
+#[test]
+fn a_repeat_of_the_same_promotion_changes_nothing() {
+    for (seed, fencing) in [(1, true), (2, false), (3, true), (4, false)] {
+        let mut world = steady(seed);
+        world.fencing = fencing;
+        world.lost_posts = 1000;
+        world.crash("a");
+        world.run(0.4);
+        world.run_until(2.5, "writes at another", World::writes);
+        world.run(2.0);
+        assert_eq!(world.promoted.len(), 1);
+    }
+}
+
+/// The first call is lost in a slow platform, its server goes silent, and the call takes effect after all: no other server may
+/// have been promoted before, as its commits would be lost then.
+#[test]
+fn a_late_promotion_takes_the_lead_from_nobody() {
+    for fencing in [true, false] {
+        for late in [0.6, 0.75, 0.9] {
+            let mut world = steady(5);
+            world.promote_s = 0.3;
+            world.add_server("d", "10.0.0.200:1", false);
+            world.run(2.0);
+            world.fencing = fencing;
+            world.statuses = vec![503];
+            world.crash("a");
+            world.run_until(3.0, "a call", |w| !w.posts.is_empty());
+            let first = world.posts[0].0.clone();
+            world.darken(&first);
+            world.run(late - 0.1);
+            // It is back, without what another one may have acknowledged meanwhile.
+            set_deaf(&mut world, &first, true);
+            world.recover(&first);
+            world.run(0.1);
+            world.promote(&first);
+            set_deaf(&mut world, &first, false);
+            world.run_until(5.0, "a primary in use", |w| w.in_use().is_some());
+            world.run_until(2.0, "writes", World::writes);
+        }
+    }
+}
+
+/// A server that goes dark is refused by the platform before its silence is seen here: it isn't named again and again.
+#[test]
+fn a_refusal_is_not_met_with_a_storm_of_calls() {
+    let mut world = steady(5);
+    world.statuses = vec![409; 1000];
+    world.crash("a");
+    world.run(3.0);
+    assert!(world.posts.len() < 8, "{} calls", world.posts.len());
+}
+
+/// A second copy is refused while the first one may still take effect: the old primary, which is not the one of record any
+/// more, goes on with the replicas paused, as what it acknowledged by them would be missing at the new one.
+#[test]
+fn a_refused_copy_does_not_let_the_old_primary_go_on_at_once() {
+    for late in [0.15, 0.3, 0.6, 0.8] {
+        let mut world = steady(6);
+        world.statuses = vec![503, 409];
+        world.drain("a");
+        world.run_until(3.0, "the refusal of the second call", |w| w.posts.len() == 2);
+        let to = world.posts[0].0.clone();
+        set_deaf(&mut world, &to, true);
+        world.run(late);
+        world.promote(&to);
+        set_deaf(&mut world, &to, false);
+        world.run_until(4.0, "the new primary in use", |w| w.in_use().as_ref() == Some(&to));
+    }
+}
+
+/// The server that a former leader asked the platform for is taken again, if it is as far as any other.
+#[test]
+fn the_next_leader_asks_for_the_same_server() {
+    let mut world = steady(7);
+    world.traffic = false;
+    world.run(0.2);
+    world.crash("b");
+    world.run(2.5);
+    world.statuses = vec![503; 1000];
+    world.crash("a");
+    world.run_until(4.0, "a call", |w| !w.posts.is_empty());
+    assert_eq!(world.posts[0].0, "c");
+    let leader = world.leader().unwrap();
+    world.kill(leader);
+    world.recover("b");
+    let before = world.posts.len();
+    world.run_until(9.0, "a call of the next leader", |w| w.posts.len() > before);
+    assert!(world.posts[before].1 > world.posts[0].1);
+    assert_eq!(world.posts[before].0, "c");
+}
+
+// ---- statements that come late
+
+/// A `RESUME` comes late, while the old primary still acknowledges what a frozen router sent: whoever went on because of it is
+/// further than the others, and takes over.
+#[test]
+fn a_late_resume_before_the_grant_is_given_back_loses_nothing() {
+    let mut start = steady(8);
+    for id in ["b", "c"] {
+        set_deaf(&mut start, id, true);
+    }
+    start.run(0.2);
+    // From here on commits wait at the primary, which answers nobody but its replicas.
+    start.traffic = false;
+    start.mute.insert("a".to_owned());
+    start.freeze_router(0);
+    start.run_until(2.0, "the replicas are paused", |w| held(w, "b").is_some() && held(w, "c").is_some());
+    for id in ["b", "c"] {
+        set_deaf(&mut start, id, false);
+    }
+    let lease_ends = start.routers[0].lease_until - 7777.0;
+    for step in 1..60 {
+        let mut world = start.clone();
+        world.run((lease_ends - 0.005 * f64::from(step / 2) - world.now).max(0.0));
+        let before = world.acked.len();
+        set_held(&mut world, "c", None);
+        if step % 2 == 0 {
+            // A late `PAUSE` follows, so that it looks as if nothing had been.
+            world.run(0.008);
+            set_held(&mut world, "c", Some(50));
+        }
+        world.run_until(5.0, "a promotion", |w| !w.promoted.is_empty());
+        assert!(world.acked.len() > before, "step {step}: the commits that waited were acknowledged");
+    }
+}
+
+/// A `RESUME` of a server that was frozen runs right after the `PAUSE`: the planned change notices before it goes on.
+#[test]
+fn a_resume_right_after_a_pause_is_noticed() {
+    let mut world = steady(9);
+    world.drain("a");
+    while held(&world, "b").or(held(&world, "c")).is_none() {
+        world.run(0.0005);
+        assert!(world.now < 20.0);
+    }
+    let paused = if held(&world, "b").is_some() { "b" } else { "c" };
+    let to = if paused == "b" { "c" } else { "b" };
+    set_held(&mut world, paused, None);
+    world.run_until(2.0, "a call", |w| !w.posts.is_empty());
+    // Nothing that only the other replica has may be acknowledged now.
+    set_deaf(&mut world, to, true);
+    world.run(0.8);
+    assert_eq!(world.promoted[0].0, to);
+    set_deaf(&mut world, to, false);
+    world.run_until(2.0, "writes", World::writes);
+}
+
+/// A `PAUSE` comes after the `RESUME` that was to undo it.
+#[test]
+fn a_late_pause_is_undone() {
+    for seed in 10..14 {
+        let mut world = steady(seed);
+        world.darken("a");
+        world.run_until(2.0, "the replicas are paused", |w| held(w, "b").is_some() && held(w, "c").is_some());
+        world.recover("a");
+        world.run_until(3.0, "a primary in use", |w| w.in_use().is_some());
+        world.run(1.0);
+        let replicas: Vec<String> =
+            world.servers.values().filter(|s| !s.leader).map(|s| s.id.clone()).collect();
+        assert_eq!(replicas.len(), 2);
+        for id in &replicas {
+            set_held(&mut world, id, Some(90));
+        }
+        world.run(1.6);
+        assert!(world.writes(), "seed {seed}");
+        assert!(replicas.iter().all(|id| held(&world, id).is_none()), "seed {seed}");
+    }
+}
+
+// ---- one service's fail-over alone, with servers that answer at once
+
+struct Alone {
+    failover: Failover,
+    members: Vec<Candidate>,
+    now: f64,
+}
+
+impl Alone {
+    fn new() -> Alone {
+        let candidate = |id: &str| Candidate { id: id.to_owned(), draining_since: None, heard: 0.0 };
+        let members = ["a", "b", "c"].map(candidate).to_vec();
+        Alone { failover: Failover::new(timing().service), members, now: 0.0 }
+    }
+
+    /// A tenth of a second: all queries are answered with what `row` gives, and refused where it gives none. The other acts.
+    fn step(&mut self, record: (&str, u64), row: impl Fn(&str, Statement) -> Option<Row>) -> Vec<Act> {
+        self.now += 0.1;
+        let acts = self.failover.tick(&Around {
+            now: self.now,
+            members: &self.members,
+            lost: &[],
+            record: Some(record),
+            all_know: &|_| true,
+            since: 0.0,
+            not_before: 0.0,
+            sync: 1,
+        });
+        self.failover.told(1);
+        for act in &acts {
+            let Act::Ask(id, statement) = act else { continue };
+            let asked = match row(id, *statement) {
+                Some(row) => Asked::Row { statement: *statement, row, asked: self.now },
+                None => Asked::Refused,
+            };
+            self.failover.asked(self.now, id, asked);
+        }
+        acts
+    }
+}
+
+fn row(leader: bool, term: u64, held: u64) -> Row {
+    Row { leader, term, received: (term, 0), held }
+}
+
+/// A late `STEPDOWN` must not turn out a primary of a later term: it carries the lowest term that does.
+#[test]
+fn a_step_down_carries_the_lowest_term() {
+    let mut alone = Alone::new();
+    let mut terms = Vec::new();
+    for step in 0..40 {
+        let acts = alone.step(("a", 0), |id, _| match id {
+            // Somebody has paused c at term 7; b takes itself for the primary of an old term, a is gone after a while.
+            "a" => (step < 10).then(|| row(true, 2, 0)),
+            "b" => Some(row(true, 1, 0)),
+            _ => Some(row(false, 2, 7)),
+        });
+        terms.extend(acts.iter().filter_map(|act| match act {
+            Act::Ask(_, Statement::StepDown(term)) => Some(*term),
+            _ => None,
+        }));
+    }
+    // Under the primary of term 2 it is its term that counts, and without one the lowest that does.
+    assert!(terms.len() > 2 && terms.iter().all(|term| *term == 2), "{terms:?}");
+}
+
+/// The platform's answer to a call for another server says nothing of this one.
+#[test]
+fn an_answer_about_another_server_changes_nothing() {
+    let mut alone = Alone::new();
+    let servers = |alone_gone: bool| {
+        move |id: &str, statement: Statement| match (id, statement) {
+            ("a", _) => (!alone_gone).then(|| row(true, 1, 0)),
+            (_, Statement::Pause(term)) => Some(row(false, 1, term)),
+            _ => Some(row(false, 1, if alone_gone { 2 } else { 0 })),
+        }
+    };
+    for _ in 0..5 {
+        alone.step(("a", 0), servers(false));
+    }
+    assert_eq!(alone.failover.phase(), "steady");
+    let mut agreed = None;
+    while agreed.is_none() {
+        assert!(alone.now < 5.0);
+        let acts = alone.step(("a", 0), servers(true));
+        agreed = acts.into_iter().find_map(|act| match act {
+            Act::Agree { to, .. } => Some(to),
+            _ => None,
+        });
+    }
+    let to = agreed.unwrap_or_default();
+    let other = if to == "b" { "c" } else { "b" };
+    alone.failover.agreed(alone.now, true);
+    alone.failover.promoted(alone.now, other, PromotionOutcome::Refused);
+    assert_eq!(alone.failover.phase(), "promoting");
+    alone.failover.promoted(alone.now, &to, PromotionOutcome::Refused);
+    assert_eq!(alone.failover.phase(), "closing");
+}
--- a/crates/control/src/tests/world.rs
+++ b/crates/control/src/tests/world.rs
@@ -147,6 +147,8 @@
     pub cut: HashSet<(Node, Node)>,
     /// Control machines that reach no server, and pairs of control machine and router that do not meet.
     pub deaf_controls: HashSet<Node>,
+    /// Servers that answer no control machine, though they go on.
+    pub mute: HashSet<String>,
     pub apart: HashSet<(Node, usize)>,
     /// Of a thousand questions to servers, so many do their work and their answers are lost.
     pub lost_answers: u64,
@@ -200,6 +202,7 @@
             servers: BTreeMap::new(),
             cut: HashSet::new(),
             deaf_controls: HashSet::new(),
+            mute: HashSet::new(),
             apart: HashSet::new(),
             lost_answers: 0,
             lost_posts: 0,
@@ -439,7 +442,8 @@
                     let asked = self.now + self.controls[&node].offset;
                     let server = self.servers.get(&id).filter(|s| s.endpoint == endpoint);
                     let health = server.map_or(Health::Down, |s| s.health);
-                    if self.deaf_controls.contains(&node) || health == Health::Dark {
+                    let silent = self.deaf_controls.contains(&node) || self.mute.contains(&id);
+                    if silent || health == Health::Dark {
                         self.put(0.6, Event::Asked { node, life, id, asked: Asked::Silent });
                     } else if health == Health::Down {
                         self.put(2.0 * way, Event::Asked { node, life, id, asked: Asked::Refused });
@@ -541,7 +545,8 @@
         Some(Row { leader: server.leader, term: server.term, received: server.position(), held })
     }
 
-    fn promote(&mut self, id: &str) {
+    /// A promotion takes effect.
+    pub fn promote(&mut self, id: &str) {
         let top = self.servers.values().map(|s| s.term.max(s.heard_of)).max().unwrap();
         let most = self.servers.values().filter(|s| s.leader).map(|s| s.term).max().unwrap_or(0);
         let now = self.now;
