Routers: a success of a primary whose grant was given back is acknowledged to nobody

Cause: the lease was looked at when a write was sent and not when its answer came; what the old primary acknowledged after its grant was given back (a replica that a late RESUME let go on, a service without sync_replicas) may be cut back by the next one. Change: the answer of a write or of a COMMIT that wrote is passed on only under the grant and term it was sent under, INDOUBT otherwise. Lost answers tell their verdict.

--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -167,7 +167,13 @@
 
     /// This server may be used as the primary now. A closing grant counts as given back, so it is none.
     fn is_leased(&self, server: &Server, now: f64) -> bool {
-        self.shared.view.borrow().primary(&server.service, now).is_some_and(|g| g.id == server.id)
+        self.granted_term(server, now).is_some()
+    }
+
+    /// The term in which this server may be used as the primary now.
+    fn granted_term(&self, server: &Server, now: f64) -> Option<u64> {
+        let view = self.shared.view.borrow();
+        view.primary(&server.service, now).filter(|g| g.id == server.id).map(|g| g.term)
     }
 
     /// The server answered this position, asked then under the lease.
--- a/crates/node/src/edge/pool.rs
+++ b/crates/node/src/edge/pool.rs
@@ -10,7 +10,7 @@
 use badgerstream_pooling::session::{Shape, Values};
 use badgerstream_pooling::share::{Share, in_flight};
 use badgerstream_pooling::standing::Standing;
-use badgerstream_wire::{Answer, Code, Outcome, Position, State};
+use badgerstream_wire::{Answer, Code, Outcome, Position, State, Verdict};
 use futures_lite::future::or;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -282,6 +282,16 @@
     Gone,
 }
 
+impl Lost {
+    /// Whether the statement may have run.
+    pub fn verdict(self) -> Verdict {
+        match self {
+            Lost::Unsent => Verdict::NotRun,
+            Lost::Broken | Lost::Silent | Lost::Overdue | Lost::Gone => Verdict::MayHaveRun,
+        }
+    }
+}
+
 /// A connection in use by one client, with its places at the server. Dropping it leaves the connection as it may be
 /// left.
 pub struct Checkout {
--- a/crates/node/src/edge/talk.rs
+++ b/crates/node/src/edge/talk.rs
@@ -5,6 +5,7 @@
 use super::pool::{Checkout, Lost};
 use super::{Edge, Handle};
 use crate::clock;
+use crate::view::Server;
 use async_io::Async;
 use badgerstream_pooling::choice::Class;
 use badgerstream_pooling::pace::MIN_BACK_S;
@@ -475,6 +476,7 @@
             if primary {
                 self.session.mark.touch(now);
             }
+            let term = self.edge.granted_term(&placed.out.pool.server, now);
             // A read is asked again as soon as its answer most likely is lost; elsewhere also if a replica is silent.
             let elsewhere = reads && !primary && attempt == 0;
             let first = (terms.target / 2.0).max(ELSEWHERE_S).min(terms.deadline / 3.0);
@@ -515,6 +517,9 @@
             match outcome {
                 Ok(outcome) => match outcome.error {
                     None => {
+                        if !reads && !self.is_granted_still(&pool.server, term) {
+                            return error(Code::InDoubt, "the primary changes", State::Idle);
+                        }
                         if !reads {
                             self.session.wrote(outcome.position);
                         }
@@ -537,7 +542,7 @@
                 Err(Lost::Gone) => return Told::Gone,
                 Err(_) if passed => return Told::Gone,
                 Err(Lost::Unsent) => {}
-                Err(Lost::Broken | Lost::Silent | Lost::Overdue) if !reads => {
+                Err(lost) if !reads && lost.verdict() == Verdict::MayHaveRun => {
                     log::info!("event=in_doubt server={id} database={}", self.database);
                     return error(Code::InDoubt, "no clear answer", State::Idle);
                 }
@@ -556,6 +561,12 @@
         come_back(back.min(terms.deadline.max(COME_BACK_S)), State::Idle)
     }
 
+    /// Whether the grant under which a write was sent is in force when its answer comes. Once it was given back another server
+    /// may have been chosen by what was acknowledged until then: a later success may be cut back, and is told to nobody.
+    fn is_granted_still(&self, server: &Server, term: Option<u64>) -> bool {
+        term.is_some() && self.edge.granted_term(server, clock::now()) == term
+    }
+
     /// A server's answer outside a transaction: should it say another state, that ends with its connection.
     fn whole(&self, mut raw: Vec<u8>, outcome: &Outcome) -> Told {
         if outcome.state != State::Idle
@@ -753,6 +764,7 @@
         }
         let line = format!("QUERY {id} {text}\r\n");
         let mut answer = Answer::default();
+        let term = self.edge.granted_term(&held.pool.server, clock::now());
         held.keep_changes();
         let pass = async |_: &[u8]| true;
         let mut outcome =
@@ -764,6 +776,9 @@
         match outcome {
             Ok(outcome) => {
                 if outcome.error.is_none() && wrote {
+                    if !self.is_granted_still(&held.pool.server, term) {
+                        return error(Code::InDoubt, "the primary changes", State::Idle);
+                    }
                     self.session.wrote(outcome.position);
                 }
                 self.whole(answer.raw, &outcome)
--- a/crates/node/src/tests/edge.rs
+++ b/crates/node/src/tests/edge.rs
@@ -23,6 +23,8 @@
     Silence,
     /// It runs it and breaks off.
     Close,
+    /// It runs it, and answers when `release` rings.
+    Late,
 }
 
 /// A statement as a server got it.
@@ -48,6 +50,8 @@
     tricks: RefCell<Vec<(&'static str, Trick)>>,
     /// All connections are closed when this rings.
     hang_up: crate::bell::Bell,
+    /// Late answers are given when this rings.
+    release: crate::bell::Bell,
     changed: crate::bell::Bell,
 }
 
@@ -201,6 +205,7 @@
             match trick {
                 Some(Trick::Silence) => continue,
                 Some(Trick::Close) => return None,
+                Some(Trick::Late) => self.release.after(self.release.rings()).await,
                 _ => {}
             }
             let answer = format!("{row}COMPLETE {stamp}\r\nIDLE {state} 3.{}\r\n", self.log.get());
@@ -774,3 +779,51 @@
         assert!(got.iter().all(|g| g.id != "a2" || g.values == "tz=here;"), "{got:?}");
     });
 }
+
+/// A write whose answer comes once its primary's grant was given back, or has ended, or is another one, isn't acknowledged: the
+/// next primary may lack it.
+#[test]
+fn a_success_that_comes_after_the_grant_is_acknowledged_to_nobody() {
+    let changes: [fn(&mut crate::view::View); 4] = [
+        |view| view.grants.get_mut("db").unwrap().closing = true,
+        |view| view.lease_until = 0.0,
+        |view| view.grants.get_mut("db").unwrap().term = 4,
+        |view| view.grants.get_mut("db").unwrap().id = "i-1".into(),
+    ];
+    for change in changes {
+        for commit in [false, true] {
+            play(async |rig| {
+                let mut a = Client::open(rig.front, "lead").await;
+                if commit {
+                    a.ask("a1", "BEGIN").await;
+                    a.ask("a2", "PUT x 1").await;
+                }
+                let text = if commit { "COMMIT" } else { "PUT x 1" };
+                rig.primary.tricks.borrow_mut().push((text, Trick::Late));
+                a.say(&format!("QUERY a3 {text}\r\n")).await;
+                rig.primary.sees(|f| f.writes.get() == 1).await;
+                rig.tell(change);
+                rig.primary.release.ring();
+                assert_eq!(a.answer().await, "ERROR INDOUBT the primary changes|IDLE I -");
+            });
+        }
+    }
+}
+
+/// The same grant, told anew by another leader of control, is the same.
+#[test]
+fn a_success_under_the_same_grant_of_another_leader_is_acknowledged() {
+    play(async |rig| {
+        let mut a = Client::open(rig.front, "lead").await;
+        rig.primary.tricks.borrow_mut().push(("PUT", Trick::Late));
+        a.say("QUERY a1 PUT x 1\r\n").await;
+        rig.primary.sees(|f| f.writes.get() == 1).await;
+        rig.tell(|view| {
+            let grant = view.grants.remove("db").unwrap();
+            view.fading.insert("db".into(), (grant, 1e9));
+            view.lease_until = f64::NEG_INFINITY;
+        });
+        rig.primary.release.ring();
+        assert_eq!(a.answer().await, "COMPLETE s.a1|IDLE I 3.1");
+    });
+}
