--- a/crates/node/src/tests/server_queries.rs
+++ b/crates/node/src/tests/server_queries.rs
@@ -118,7 +118,8 @@
     let work = async {
         for statement in statements {
             sender.send(Query { statement: *statement, fence: 5 }).await.unwrap();
-            told.borrow_mut().push(answers.recv().await.unwrap());
+            let answer = answers.recv().await.unwrap();
+            told.borrow_mut().push(answer);
             // Whatever the server has ended is seen before the next one is sent.
             let closed = server.got.borrow().len();
             server.until(|s| s.ends.borrow().len() >= ended_by_server(steps, closed)).await;
