--- a/crates/control/src/failover/grant.rs
+++ b/crates/control/src/failover/grant.rs
@@ -53,6 +53,7 @@
     pub(super) fn give_up(&mut self, acts: &mut Vec<Act>) {
         let term = self.highest_term() + 1;
         self.revoke(acts);
+        self.given_since = None;
         self.phase = Phase::Closing { term };
     }
 
--- a/crates/control/src/failover/handing_over.rs
+++ b/crates/control/src/failover/handing_over.rs
@@ -4,6 +4,8 @@
 
 /// Between two pauses of a copy, in seconds.
 const PAUSE_AGAIN_S: f64 = 0.05;
+/// Between two questions to a copy that was paused, until one confirms it, in seconds.
+const CONFIRM_AGAIN_S: f64 = 0.02;
 /// Between two questions to the coming primary, in seconds.
 const ASK_COMING_S: f64 = 0.04;
 /// The coming primary must be ready within this, in seconds.
@@ -48,7 +50,11 @@
         self.ask(now, &primary.id, self.timing.ask, Statement::Status, acts);
         let pausing = self.pause_others(around, &primary.id, handing, acts);
         self.ask(now, to, ASK_COMING_S, Statement::Status, acts);
-        if pausing.complete && self.has_caught_up(to, &pausing) && self.covers_lost(around, &primary.id, to) {
+        if pausing.complete
+            && self.has_caught_up(to, &pausing)
+            && self.pending.permits(now, to)
+            && self.covers_lost(around, &primary.id, to)
+        {
             let above = self.highest_led().max(primary.term);
             self.phase = Phase::Agreeing(Choice { to: to.clone(), above, planned: true });
             acts.push(Act::Agree { to: to.clone(), above });
@@ -70,6 +76,10 @@
                 Some((at, position)) if at == handing.term => {
                     pausing.furthest = pausing.furthest.max(position);
                     pausing.answered = pausing.answered.max(seen.answered);
+                    if seen.pause_confirmed.is_none() {
+                        pausing.complete = false;
+                        self.ask(around.now, &member.id, CONFIRM_AGAIN_S, Statement::Status, acts);
+                    }
                 }
                 _ => {
                     pausing.complete = false;
--- a/crates/control/src/failover/promoting.rs
+++ b/crates/control/src/failover/promoting.rs
@@ -16,11 +16,6 @@
 /// A planned change that the platform refused is tried again after this, in seconds.
 const RETRY_S: f64 = 1.0;
 
-/// The platform's status where the server is not running.
-const CONFLICT: u16 = 409;
-/// Below this, a status says that the platform will promote the server.
-const SUCCESS_END: u16 = 300;
-
 impl Failover {
     /// What was to be agreed on holds, or doesn't.
     pub fn agreed(&mut self, now: f64, holds: bool) -> Option<Act> {
@@ -31,15 +26,19 @@
         }
         let choice = choice.clone();
         let act = Act::Promote { to: choice.to.clone() };
+        self.pending.sent(now, &choice.to);
         self.phase = Phase::Promoting(Promotion { choice, posted: now, since: now });
         Some(act)
     }
 
-    /// The platform's answer; none if there was none in time.
-    pub fn promoted(&mut self, now: f64, status: Option<u16>) {
+    /// How a call to promote this server has ended.
+    pub fn promoted(&mut self, now: f64, id: &str, outcome: PromotionOutcome) {
+        if !self.pending.ended(now, id, outcome) {
+            return;
+        }
         let Phase::Promoting(Promotion { choice, posted, .. }) = &mut self.phase else { return };
-        match status {
-            Some(CONFLICT) => {
+        match outcome {
+            PromotionOutcome::Refused => {
                 // It is not running, says the platform: choose again.
                 self.retry = now + RETRY_S;
                 self.phase = match choice.planned {
@@ -47,9 +46,12 @@
                     false => Phase::Closing { term: choice.above + 1 },
                 };
             }
-            Some(status) if status < SUCCESS_END => *posted = now + ACCEPTED_DELAY_S,
+            PromotionOutcome::Accepted => *posted = now + ACCEPTED_DELAY_S,
+            PromotionOutcome::Rejected => *posted = now,
             // Too many calls, or the platform is in trouble: again soon.
-            _ => *posted = now - FAILED_ADVANCE_S,
+            PromotionOutcome::Busy | PromotionOutcome::NotSent | PromotionOutcome::Unknown => {
+                *posted = now - FAILED_ADVANCE_S;
+            }
         }
     }
 
@@ -73,6 +75,7 @@
             log::info!("event=promoted_is_silent id={to}");
             self.give_up(acts);
         } else if now - promotion.posted > POST_AGAIN_S {
+            self.pending.sent(now, to);
             acts.push(Act::Promote { to: to.clone() });
             self.phase = Phase::Promoting(Promotion { posted: now, ..promotion });
         }
@@ -112,8 +115,9 @@
         for member in around.members.iter().filter(|m| m.id != choice.to) {
             let seen = self.observed(&member.id);
             let statement = if Some(&member.id) == old.as_ref() {
+                let term = seen.row.map_or(choice.above, |r| r.term) + 1;
                 match seen.leads() && !choice.planned {
-                    true => Statement::StepDown(choice.above + 1),
+                    true => Statement::StepDown(term),
                     false => Statement::Status,
                 }
             } else if seen.paused.is_none() && !seen.leads() && !seen.busy {
--- a/crates/control/src/failover/watching.rs
+++ b/crates/control/src/failover/watching.rs
@@ -49,8 +49,8 @@
         let seen = self.observed(id);
         let deposed = seen.row.is_some_and(|r| r.leader && r.term < term);
         // Who holds a term above the primary's was paused, by us or by a leader before us.
-        let paused =
-            seen.pausing.is_some() || !seen.resumed && seen.row.is_some_and(|r| !r.leader && r.held > term);
+        let known = seen.resumed.map_or(term, |held| held.max(term));
+        let paused = seen.pausing.is_some() || seen.row.is_some_and(|r| !r.leader && r.held > known);
         if deposed {
             (Statement::StepDown(term), ORDER_AGAIN_S)
         } else if paused {
--- a/crates/control/src/tests/world.rs
+++ b/crates/control/src/tests/world.rs
@@ -4,7 +4,8 @@
 
 use crate::controller::{Call, ControlTiming, Controller, Output};
 use crate::{
-    Asked, Ballot, Beat, Evidence, GrantNews, Node, PeerMessage, Record, Row, State, Statement, Timing,
+    Asked, Ballot, Beat, Evidence, GrantNews, Node, PeerMessage, PromotionOutcome, Record, Row, State,
+    Statement, Timing,
 };
 use crate::{ToControl, ToRouter};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -129,7 +130,7 @@
     Post { node: Node, life: u64, id: String, fence: u64, before: f64 },
     PostAt { node: Node, life: u64, id: String, fence: u64 },
     Promote(String),
-    PostAnswer { node: Node, life: u64, status: Option<u16> },
+    PostAnswer { node: Node, life: u64, id: String, outcome: PromotionOutcome },
     Depose(String, u64),
 }
 
@@ -146,6 +147,8 @@
     pub cut: HashSet<(Node, Node)>,
     /// Control machines that reach no server, and pairs of control machine and router that do not meet.
     pub deaf_controls: HashSet<Node>,
+    /// Servers that answer no control machine, though they go on.
+    pub mute: HashSet<String>,
     pub apart: HashSet<(Node, usize)>,
     /// Of a thousand questions to servers, so many do their work and their answers are lost.
     pub lost_answers: u64,
@@ -199,6 +202,7 @@
             servers: BTreeMap::new(),
             cut: HashSet::new(),
             deaf_controls: HashSet::new(),
+            mute: HashSet::new(),
             apart: HashSet::new(),
             lost_answers: 0,
             lost_posts: 0,
@@ -438,7 +442,8 @@
                     let asked = self.now + self.controls[&node].offset;
                     let server = self.servers.get(&id).filter(|s| s.endpoint == endpoint);
                     let health = server.map_or(Health::Down, |s| s.health);
-                    if self.deaf_controls.contains(&node) || health == Health::Dark {
+                    let silent = self.deaf_controls.contains(&node) || self.mute.contains(&id);
+                    if silent || health == Health::Dark {
                         self.put(0.6, Event::Asked { node, life, id, asked: Asked::Silent });
                     } else if health == Health::Down {
                         self.put(2.0 * way, Event::Asked { node, life, id, asked: Asked::Refused });
@@ -540,7 +545,8 @@
         Some(Row { leader: server.leader, term: server.term, received: server.position(), held })
     }
 
-    fn promote(&mut self, id: &str) {
+    /// A promotion takes effect.
+    pub fn promote(&mut self, id: &str) {
         let top = self.servers.values().map(|s| s.term.max(s.heard_of)).max().unwrap();
         let most = self.servers.values().filter(|s| s.leader).map(|s| s.term).max().unwrap_or(0);
         let now = self.now;
@@ -769,7 +775,8 @@
                 let control = &self.controls[node];
                 let promised = control.controller.as_ref().unwrap().record().promised.0;
                 if self.now + control.offset >= *before || promised != *fence {
-                    let answer = Event::PostAnswer { node: *node, life: *life, status: None };
+                    let outcome = PromotionOutcome::NotSent;
+                    let answer = Event::PostAnswer { node: *node, life: *life, id: id.clone(), outcome };
                     self.put(0.0, answer);
                     return;
                 }
@@ -778,11 +785,11 @@
             }
             Event::PostAt { node, life, id, fence } => self.post_at(*node, *life, id, *fence),
             Event::Promote(id) => self.promote(id),
-            Event::PostAnswer { node, life, status } => {
+            Event::PostAnswer { node, life, id, outcome } => {
                 if self.reaches(*node, Some(*life), &event) {
                     let control = self.controls.get_mut(node).unwrap();
                     let now = self.now + control.offset;
-                    control.controller.as_mut().unwrap().promoted(now, SERVICE, *status);
+                    control.controller.as_mut().unwrap().promoted(now, SERVICE, id, *outcome);
                 }
             }
             Event::Depose(id, term) => {
@@ -816,8 +823,9 @@
             self.put(after, Event::Promote(id.to_owned()));
         }
         let lost = self.draw(1000) < self.lost_posts;
-        let (after, status) = if lost { (1.0, None) } else { (way, Some(status)) };
-        self.put(after, Event::PostAnswer { node, life, status });
+        let answer = PromotionOutcome::of_status(status);
+        let (after, outcome) = if lost { (1.0, PromotionOutcome::Unknown) } else { (way, answer) };
+        self.put(after, Event::PostAnswer { node, life, id: id.to_owned(), outcome });
     }
 
     fn beat(&mut self, id: &str) {
