--- a/crates/node/src/cli/client.rs
+++ b/crates/node/src/cli/client.rs
@@ -13,11 +13,11 @@
 /// How long a try at one address may take, with what it is sent on to.
 pub const LIMIT: Duration = Duration::from_secs(3);
 
-/// How often a call is sent on by a 307.
-const SENT_ON: u32 = 2;
+/// How many redirects (307) a call follows.
+const MAX_REDIRECTS: u32 = 2;
 
 /// The most bytes that an answer may have.
-const ANSWER_BYTES: usize = 16 << 20;
+const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// What the error of an answer is carried in, where it isn't plain text.
 #[derive(DeJson)]
@@ -59,9 +59,9 @@
 
     /// Puts this configuration in force, on top of version `base`.
     pub fn replace(&mut self, base: u64, body: &[u8]) -> Result<(), CliError> {
-        let told = base.to_string();
+        let base_version = base.to_string();
         // That it was taken may be told to nobody: the same bytes are answered 200 again, at any address.
-        let sent = self.call(Replace::METHOD, Replace::PATH, &[(BASE_VERSION, &told)], body);
+        let sent = self.call(Replace::METHOD, Replace::PATH, &[(BASE_VERSION, &base_version)], body);
         match sent {
             Ok((_, answer)) if answer.status == 200 => Ok(()),
             Ok((at, answer)) => Err(CliError::Refused(at, answer.status, why(&answer))),
@@ -84,8 +84,8 @@
         let leader = SocketAddr::new(leader, at.port());
         let asked =
             Client::within(&[leader], self.limit).call(ReadStatus::METHOD, ReadStatus::PATH, &[], b"");
-        let told = asked.and_then(|(at, answer)| read_status(at, &answer));
-        Ok(told.ok().filter(|told| told.leads).unwrap_or(status))
+        let of_leader = asked.and_then(|(at, answer)| read_status(at, &answer));
+        Ok(of_leader.ok().filter(|status| status.leads).unwrap_or(status))
     }
 
     /// The first answer that settles the call, and whose it is.
@@ -114,7 +114,7 @@
     ) -> Result<(SocketAddr, Response), String> {
         let until = Instant::now() + self.limit;
         let (mut at, mut path) = (first, path.to_owned());
-        for sent_on in 0.. {
+        for redirects in 0.. {
             let asked = connect(at, until).and_then(|stream| {
                 self.sent = true;
                 exchange(stream, at, until, method, &path, headers, body)
@@ -133,8 +133,8 @@
             if answer.status != 307 {
                 return Ok((at, answer));
             }
-            if sent_on == SENT_ON {
-                return Err(format!("{first}: sent on more than {SENT_ON} times"));
+            if redirects == MAX_REDIRECTS {
+                return Err(format!("{first}: sent on more than {MAX_REDIRECTS} times"));
             }
             let location = answer.header("Location").unwrap_or_default();
             let next = target(location, at).ok_or_else(|| {
@@ -181,13 +181,13 @@
     }
 }
 
-fn left(until: Instant) -> std::io::Result<Duration> {
-    let left = until.saturating_duration_since(Instant::now());
-    if left.is_zero() { Err(ErrorKind::TimedOut.into()) } else { Ok(left) }
+fn remaining(until: Instant) -> std::io::Result<Duration> {
+    let remaining = until.saturating_duration_since(Instant::now());
+    if remaining.is_zero() { Err(ErrorKind::TimedOut.into()) } else { Ok(remaining) }
 }
 
 fn connect(at: SocketAddr, until: Instant) -> std::io::Result<TcpStream> {
-    let stream = TcpStream::connect_timeout(&at, left(until)?)?;
+    let stream = TcpStream::connect_timeout(&at, remaining(until)?)?;
     stream.set_nodelay(true)?;
     Ok(stream)
 }
@@ -202,10 +202,10 @@
     let mut rest = &request(method, path, &at.to_string(), &headers, body)[..];
     let invalid =
         |e: badgerstream_calls::http::HttpError| std::io::Error::new(ErrorKind::InvalidData, e.to_string());
-    let mut answered = Responses::new(ANSWER_BYTES);
+    let mut answered = Responses::new(MAX_ANSWER_BYTES);
     let mut bytes = vec![0; 16 << 10];
     while !rest.is_empty() {
-        stream.set_write_timeout(Some(left(until)?))?;
+        stream.set_write_timeout(Some(remaining(until)?))?;
         match stream.write(rest) {
             Ok(count) => rest = &rest[count..],
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
@@ -218,7 +218,7 @@
         if let Some(answer) = answered.next().map_err(invalid)? {
             return Ok(answer);
         }
-        stream.set_read_timeout(Some(left(until)?))?;
+        stream.set_read_timeout(Some(remaining(until)?))?;
         match stream.read(&mut bytes) {
             Ok(0) => {
                 let closed = std::io::Error::new(ErrorKind::UnexpectedEof, "closed without an answer");
--- a/crates/node/src/edge/client.rs
+++ b/crates/node/src/edge/client.rs
@@ -56,7 +56,7 @@
         failure_reported: true,
     };
     session.run().await;
-    session.handle.inside.set(false);
+    session.handle.in_transaction.set(false);
     if let Some(checkout) = session.checkout.take() {
         checkout.roll_back();
     }
@@ -94,7 +94,7 @@
                 Err(e) => self.malformed(&e.to_string()),
             };
             drop(line);
-            self.handle.inside.set(self.session.transaction != Transaction::None);
+            self.handle.in_transaction.set(self.session.transaction != Transaction::None);
             let sent = self.respond(response).await;
             drop(working);
             if !sent {
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -27,17 +27,17 @@
 use std::task::{Poll, Waker};
 
 /// Between two looks at what rests, and at whether the end has come, in seconds.
-const LOOK_S: f64 = 0.25;
+const SWEEP_LOOK_S: f64 = 0.25;
 /// After SIGTERM, so long new connections are taken as before: the platform passes some on until it has asked twice.
-const ACCEPT_S: f64 = 2.0;
+const ACCEPT_AFTER_TERM_S: f64 = 2.0;
 /// Descriptors kept for files and for connections that are no client's.
-const KEPT_DESCRIPTORS: usize = 500;
+const RESERVED_DESCRIPTORS: usize = 500;
 /// Clients beyond the most at once that are let in while others are being closed for them.
 const CLIENTS_IN_EXCESS: usize = 64;
 /// Between two tries to bind the front, in seconds.
 const BIND_RETRY_S: f64 = 0.5;
 /// On how many routers a server's connections are divided until control tells.
-const ROUTERS: usize = 9;
+const DEFAULT_ROUTERS: usize = 9;
 
 /// What a router may use, and its name.
 #[derive(Debug, Clone)]
@@ -81,7 +81,7 @@
     /// Since when it rests outside a transaction; none while it works.
     idle_since: Cell<Option<f64>>,
     /// It is inside a transaction.
-    inside: Cell<bool>,
+    in_transaction: Cell<bool>,
     /// It is asked to end as soon as it rests.
     close: Cell<bool>,
     waker: RefCell<Option<Waker>>,
@@ -138,14 +138,14 @@
             sessions: RefCell::default(),
             next_session: Cell::new(0),
             working: Cell::new(0),
-            routers: Cell::new(ROUTERS),
+            routers: Cell::new(DEFAULT_ROUTERS),
             random: RefCell::new(fastrand::Rng::with_seed(limits.seed)),
             limits,
         });
         // Bound before this returns, so that whoever hears that the router serves finds it so.
         let listener = bind(front);
         tasks.spawn(edge.clone().accept(front, listener)).detach();
-        tasks.spawn(edge.clone().keep()).detach();
+        tasks.spawn(edge.clone().maintain()).detach();
         edge
     }
 
@@ -178,7 +178,7 @@
 
     /// How many statements are in work or transactions open.
     pub fn open(&self) -> usize {
-        let inside = self.sessions.borrow().values().filter(|s| s.inside.get()).count();
+        let inside = self.sessions.borrow().values().filter(|s| s.in_transaction.get()).count();
         self.working.get() + inside
     }
 
@@ -226,7 +226,7 @@
 
     /// The most clients at once.
     fn max_clients(&self) -> usize {
-        self.limits.file_limit.saturating_sub(KEPT_DESCRIPTORS).max(16)
+        self.limits.file_limit.saturating_sub(RESERVED_DESCRIPTORS).max(16)
     }
 
     async fn accept(self: Rc<Self>, front: SocketAddr, listener: std::io::Result<Async<TcpListener>>) {
@@ -243,7 +243,7 @@
                     continue;
                 }
             };
-            if self.shared.ending.get().is_some_and(|at| clock::now() > at + ACCEPT_S) {
+            if self.shared.ending.get().is_some_and(|at| clock::now() > at + ACCEPT_AFTER_TERM_S) {
                 return;
             }
             if self.sessions.borrow().len() >= self.max_clients() {
@@ -283,16 +283,16 @@
     }
 
     /// Looks after what rests, and at the end ends it.
-    async fn keep(self: Rc<Self>) {
+    async fn maintain(self: Rc<Self>) {
         let mut swept = clock::now();
         loop {
-            net::sleep_until(clock::now() + LOOK_S).await;
+            net::sleep_until(clock::now() + SWEEP_LOOK_S).await;
             let now = clock::now();
             if let Some(ending) = self.shared.ending.get() {
-                let resting = now > ending + ACCEPT_S.min(self.limits.grace_s / 2.0);
+                let resting = now > ending + ACCEPT_AFTER_TERM_S.min(self.limits.grace_s / 2.0);
                 let inside = now > ending + self.limits.grace_s / 2.0;
                 for session in self.sessions.borrow().values() {
-                    if resting && !session.inside.get() || inside {
+                    if resting && !session.in_transaction.get() || inside {
                         session.close();
                     }
                 }
--- a/crates/node/src/edge/pool/checkout.rs
+++ b/crates/node/src/edge/pool/checkout.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 
 /// How long the statements of the router itself may take, in seconds.
-pub(super) const OWN_S: f64 = 1.0;
+pub(super) const OWN_STATEMENT_S: f64 = 1.0;
 
 /// Whether the connection of a `Checkout` may be used by the next.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -111,7 +111,7 @@
         let edge = self.edge.clone();
         self.slot = None;
         let work = async move {
-            let at = clock::now() + OWN_S;
+            let at = clock::now() + OWN_STATEMENT_S;
             let _ = self.ask(b"QUERY - ABORT\r\n", &mut Answer::default(), at, async |_: &[u8]| true).await;
         };
         edge.tasks.spawn(work).detach();
--- a/crates/node/src/edge/pool/prepare.rs
+++ b/crates/node/src/edge/pool/prepare.rs
@@ -1,7 +1,7 @@
 //! Bringing a connection to the values and prepared shapes that its next statement needs.
 
 use super::Pool;
-use super::checkout::{Checkout, OWN_S, Reuse};
+use super::checkout::{Checkout, OWN_STATEMENT_S, Reuse};
 use crate::clock;
 use crate::edge::link::Link;
 use crate::edge::net::{self, Scratch, sleep_until};
@@ -28,7 +28,7 @@
             pool.record_round_trip(sent);
             Ok(())
         };
-        match net::until(sent + OWN_S, or(made, overtaken(pool, sent))).await {
+        match net::until(sent + OWN_STATEMENT_S, or(made, overtaken(pool, sent))).await {
             Some(Ok(())) => {
                 self.reuse = if inside { Reuse::Closed } else { Reuse::Clean };
                 self.changed_inside |= inside;
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -11,10 +11,10 @@
 use std::time::Duration;
 
 /// A connection on which nothing is asked is closed after so many seconds.
-const IDLE: f64 = 30.0;
+const IDLE_S: f64 = 30.0;
 
 /// Connections at a time, at most: more are closed at once.
-const MOST: usize = 512;
+const MAX_CONNECTIONS: usize = 512;
 
 /// What answers requests.
 pub trait Handler {
@@ -33,7 +33,7 @@
             Timer::after(Duration::from_millis(20)).await;
             continue;
         };
-        if connections.get() >= MOST {
+        if connections.get() >= MAX_CONNECTIONS {
             continue;
         }
         frames::prepare(&stream, 3.0);
@@ -66,7 +66,7 @@
                 }
             }
             Ok(None) => {
-                let read = frames::within(IDLE, async { stream.read(&mut bytes).await }).await;
+                let read = frames::within(IDLE_S, async { stream.read(&mut bytes).await }).await;
                 match read {
                     Ok(count) if count > 0 => requests.feed(&bytes[..count]),
                     _ => return,
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -10,11 +10,11 @@
 #[command(name = "badgerpool", version, about)]
 struct Arguments {
     #[command(subcommand)]
-    what: What,
+    command: Command,
 }
 
 #[derive(Subcommand)]
-enum What {
+enum Command {
     /// Runs this machine's part of the system, until SIGTERM.
     Node {
         /// The settings file; the variable BADGERSTREAM_BOOT names it otherwise.
@@ -26,12 +26,12 @@
 }
 
 fn main() -> ExitCode {
-    let ended = match Arguments::parse().what {
-        What::Node { settings } => {
+    let ended = match Arguments::parse().command {
+        Command::Node { settings } => {
             env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
             node::run(settings).inspect_err(|e| log::error!("event=failed error={e:?}"))
         }
-        What::Operator(command) => {
+        Command::Operator(command) => {
             cli::run(command, &mut std::io::stdout().lock()).map_err(|e| e.to_string())
         }
     };
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -10,9 +10,9 @@
 use std::path::PathBuf;
 
 /// Changes are written at most this often, in seconds.
-const EVERY: f64 = 0.5;
+const WRITE_INTERVAL_S: f64 = 0.5;
 /// What is read at most, in bytes.
-const MOST: u64 = 4 << 20;
+const MAX_BYTES: u64 = 4 << 20;
 
 /// The file.
 pub struct Servers {
@@ -29,13 +29,15 @@
     /// What was kept; nothing if it can't be read whole.
     pub fn read(&self) -> Vec<MemberNews> {
         let mut bytes = Vec::new();
-        let read = File::open(&self.path).and_then(|file| file.take(MOST).read_to_end(&mut bytes));
+        let read = File::open(&self.path).and_then(|file| file.take(MAX_BYTES).read_to_end(&mut bytes));
         if read.is_err() {
             return Vec::new();
         }
         let Some(body) = unpack(&bytes) else { return Vec::new() };
-        let read =
-            bincode::decode_from_slice(body, bincode::config::standard().with_limit::<{ MOST as usize }>());
+        let read = bincode::decode_from_slice(
+            body,
+            bincode::config::standard().with_limit::<{ MAX_BYTES as usize }>(),
+        );
         read.map(|(kept, _)| kept).unwrap_or_default()
     }
 
@@ -43,7 +45,7 @@
     pub fn keep(&self, now: f64, controller: &Controller) {
         let (at, changes) = self.written.get();
         let known = controller.members().changes();
-        if known == changes || now - at < EVERY {
+        if known == changes || now - at < WRITE_INTERVAL_S {
             return;
         }
         self.written.set((now, known));
