--- a/crates/simulation/src/machine.rs
+++ b/crates/simulation/src/machine.rs
@@ -87,9 +87,9 @@
     }
 
     /// Three control machines as a list that runs late has them: some may be gone by now, but not all.
-    fn listed_seeds(&mut self) -> Vec<Node> {
-        let listed: Vec<Node> =
-            self.controls.iter().filter(|(_, machine)| !machine.removed).map(|(node, _)| *node).collect();
+    fn listed_seeds(&mut self, of: Node) -> Vec<Node> {
+        let others = self.controls.iter().filter(|(node, machine)| !machine.removed && **node != of);
+        let listed: Vec<Node> = others.map(|(node, _)| *node).collect();
         let gone: Vec<Node> =
             self.controls.iter().filter(|(_, machine)| machine.removed).map(|(node, _)| *node).collect();
         let mut seeds: Vec<Node> = (0..2).filter_map(|_| self.chance.pick(&listed)).collect();
@@ -107,7 +107,7 @@
         let life = 1 + self.draw(1 << 40);
         let budget = self.budget;
         self.trouble(node);
-        let seeds = self.listed_seeds();
+        let seeds = self.listed_seeds(node);
         let machine = self.controls.get_mut(&node).expect("the machine exists");
         if machine.life > 0 || !self.seeds.contains(&node) {
             machine.seeds = seeds;
