Simulation: contact, orders, losses, catching up and faults by chance as tests; a leaver waits until it is out

Cause: found by a_member_that_leaves_takes_no_copy_with_it: a machine that ends took the joint set, in which it still decides, for its leave, and ended with one of three copies; the loss of a disk within the budget then left no majority of the old set. Change: may_end() waits for the completed set or for Left.

--- a/crates/control/src/consensus/voters.rs
+++ b/crates/control/src/consensus/voters.rs
@@ -119,7 +119,8 @@
     /// Whether this machine, which is about to end, need not wait to be left out.
     pub fn may_end(&self) -> bool {
         let membership = &self.record.state.membership;
-        self.membership.left || !membership.contains(self.me) || !self.can_be_spared()
+        let stays = !membership.is_joint() && !self.can_be_spared();
+        self.membership.left || !membership.contains(self.me) || stays
     }
 
     fn can_be_spared(&self) -> bool {
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -145,8 +145,9 @@
         if self.world.lost() >= self.world.budget {
             return None;
         }
-        let fit: Vec<Node> =
-            self.world.controls.keys().copied().filter(|n| !self.world.is_lost(*n)).collect();
+        let world = &self.world;
+        let there = |node: &Node| !world.controls[node].removed && !world.is_lost(*node);
+        let fit: Vec<Node> = world.controls.keys().copied().filter(there).collect();
         let leader = self.world.leader().filter(|leader| fit.contains(leader));
         if self.chance.of_thousand(500) { leader.or(self.chance.pick(&fit)) } else { self.chance.pick(&fit) }
     }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -338,6 +338,15 @@
         self.now = until;
     }
 
+    /// Lets the next event happen.
+    pub fn step(&mut self) {
+        if let Some((at, event)) = self.schedule.next_until(f64::INFINITY) {
+            self.now = self.now.max(at);
+            self.handle(event);
+            self.check();
+        }
+    }
+
     /// Runs until this holds; gives the seconds it took, or panics after so many.
     pub fn run_until(&mut self, most: f64, what: &str, holds: impl Fn(&World) -> bool) -> f64 {
         let begin = self.now;
--- a/crates/simulation/tests/contact.rs
+++ b/crates/simulation/tests/contact.rs
@@ -1,7 +1,8 @@
 //! A control machine that is cut off: it serves nothing old, confirms nothing and holds nobody up.
 
-use badgerstream_control::Node;
+use badgerstream_control::{Call, Node};
 use badgerstream_simulation::World;
+use badgerstream_simulation::servers::beat;
 
 /// Control machines that have settled, and operators at work.
 fn at_work(seed: u64, machines: u32, budget: usize) -> (World, Node) {
@@ -36,3 +37,123 @@
         }
     }
 }
+
+fn calls() -> [(&'static str, Call); 4] {
+    let body = b"{\"epoch\":999999}".as_slice();
+    [
+        ("read", Call::Read),
+        ("order", Call::Replace { base: 0, epoch: 999_999, body: body.into() }),
+        ("beat", Call::Beat { id: "new".to_owned(), beat: beat("10.0.9.9:1", 1, false) }),
+        ("depart", Call::Depart { id: "new".to_owned() }),
+    ]
+}
+
+/// Whatever is asked of a machine without contact, it confirms, refuses and serves nothing, and says so within a second.
+#[test]
+fn a_machine_that_is_cut_off_answers_nothing_but_503() {
+    for (hears_nobody, unheard) in [(true, true), (true, false), (false, true)] {
+        for leads in [true, false] {
+            let (mut world, leader) = at_work(12, 3, 1);
+            let cut = if leads { leader } else { 1 + leader % 3 };
+            world.cut_off(cut, hears_nobody, unheard);
+            world.run(1.3);
+            for round in 0..15 {
+                for (at, (what, call)) in calls().into_iter().enumerate() {
+                    let number = 1 + 10 * round + at as u64;
+                    world.call(cut, number, call);
+                    world.run(1.0);
+                    let status = world.replies.get(&number).map(|reply| reply.0);
+                    assert_eq!(status, Some(503), "{what}, leader {leads}, {hears_nobody} {unheard}");
+                }
+            }
+        }
+    }
+}
+
+/// A follower that hears a leader which is cut off itself, with it, confirms nothing either.
+#[test]
+fn a_follower_of_a_leader_that_is_cut_off_answers_nothing_but_503() {
+    let (mut world, leader) = at_work(13, 5, 2);
+    let with_it = 1 + leader % 5;
+    for other in (1..=5).filter(|node| *node != leader && *node != with_it) {
+        for side in [leader, with_it] {
+            world.links.cut_between(side, other);
+        }
+    }
+    world.run(1.3);
+    for (at, (what, call)) in calls().into_iter().enumerate() {
+        for (node, number) in [(leader, 1 + at as u64), (with_it, 100 + at as u64)] {
+            world.call(node, number, call.clone());
+            world.run(1.0);
+            assert_eq!(world.replies.get(&number).map(|reply| reply.0), Some(503), "{what} at {node}");
+        }
+    }
+}
+
+/// A leader stands still at every event around a read; when it wakes, others have changed the configuration: what it
+/// serves then is not from before.
+#[test]
+fn what_is_read_after_a_standstill_is_not_from_before() {
+    let mut start = World::control_only(14, 3, 1);
+    start.run(3.0);
+    let leader = start.leader().unwrap();
+    let first = b"{\"epoch\":3}".as_slice();
+    start.call(leader, 1, Call::Replace { base: 0, epoch: 3, body: first.into() });
+    start.run(0.5);
+    assert_eq!(start.replies[&1].0, 200);
+    for at in 0..40 {
+        for asked in 1..=3 {
+            let mut world = start.clone();
+            world.call(asked, 2, Call::Read);
+            for _ in 0..at {
+                world.step();
+            }
+            world.freeze(leader);
+            world.run(2.0);
+            let answered = world.replies.contains_key(&2);
+            let next = world.leader().expect("another one leads");
+            let second = b"{\"epoch\":4}".as_slice();
+            world.call(next, 3, Call::Replace { base: 3, epoch: 4, body: second.into() });
+            world.run(0.5);
+            assert_eq!(world.replies[&3].0, 200);
+            world.thaw(leader);
+            world.run(1.5);
+            let read = world.replies.get(&2).expect("an answer");
+            assert!(answered || read.0 == 503 || read.1 == second, "{asked} at {at}: {read:?}");
+        }
+    }
+}
+
+/// What one machine acknowledged for a server, here that it drains or is gone, is known to the next leader, though the
+/// machine that acknowledged it and the leader are lost at once.
+#[test]
+fn what_was_acknowledged_for_a_server_outlives_two_machines() {
+    for depart in [false, true] {
+        for at in 0..30 {
+            let mut world = World::control_only(15, 5, 2);
+            world.run(4.0);
+            let leader = world.leader().unwrap();
+            let asked = 1 + leader % 5;
+            world.call(asked, 1, Call::Beat { id: "a".to_owned(), beat: beat("10.0.0.1:1", 1, false) });
+            world.run(0.5);
+            assert_eq!(world.replies[&1].0, 200);
+            let call = match depart {
+                true => Call::Depart { id: "a".to_owned() },
+                false => Call::Beat { id: "a".to_owned(), beat: beat("10.0.0.1:1", 2, true) },
+            };
+            world.call(asked, 2, call);
+            for _ in 0..at {
+                world.step();
+            }
+            let acknowledged = world.replies.get(&2).is_some_and(|reply| reply.0 == 200);
+            world.wipe(asked);
+            world.wipe(leader);
+            world.run(1.5);
+            let next = world.leader().expect("three of five lead");
+            let controller = world.controls[&next].controller.as_ref().unwrap();
+            let member = controller.members().get("a");
+            let known = if depart { member.is_none() } else { member.is_some_and(|m| m.news.draining) };
+            assert!(known || !acknowledged, "after {at} events");
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/tests/losses.rs
@@ -0,0 +1,209 @@
+//! A second loss right after a repair, as soon as the budget allows it: somebody leads, agrees and has all that was
+//! acknowledged.
+
+use badgerstream_control::{Call, Node};
+use badgerstream_simulation::World;
+use badgerstream_simulation::oracle::CATCH_UP;
+
+const SITES: [(u32, usize); 4] = [(3, 1), (4, 1), (5, 2), (6, 2)];
+
+fn settled(seed: u64, machines: u32, budget: usize) -> World {
+    let mut world = World::control_only(seed, machines, budget);
+    world.run(4.0);
+    assert!(world.all_decide());
+    world
+}
+
+fn replace(world: &mut World, number: u64, base: u64, epoch: u64) {
+    let leader = world.leader().expect("somebody leads");
+    let body = format!("{{\"epoch\":{epoch}}}").into_bytes();
+    world.call(leader, number, Call::Replace { base, epoch, body: body.into() });
+    for _ in 0..400 {
+        if world.replies.contains_key(&number) {
+            break;
+        }
+        world.run(0.002);
+    }
+    assert_eq!(world.replies.get(&number).map(|reply| reply.0), Some(200), "{}", world.describe());
+}
+
+/// Machines that aren't gone and run.
+fn running(world: &World) -> Vec<Node> {
+    let runs = world.controls.iter().filter(|(_, machine)| !machine.removed && machine.controller.is_some());
+    runs.map(|(node, _)| *node).collect()
+}
+
+/// Every machine that runs reads the newest acknowledged configuration.
+fn all_read(world: &mut World, number: u64, epoch: u64) {
+    for node in running(world) {
+        let call = number + u64::from(node);
+        world.call(node, call, Call::Read);
+        world.run(1.0);
+        let expected = (200, format!("{{\"epoch\":{epoch}}}").into_bytes());
+        assert_eq!(world.replies.get(&call), Some(&expected), "{}", world.describe());
+    }
+}
+
+/// As many disks as the budget allows are lost at once, right behind an acknowledgement; as soon as the machines have had
+/// their time to catch up, as many others end, the leader first.
+#[test]
+fn a_second_loss_after_lost_disks() {
+    for (machines, budget) in SITES {
+        for seed in 0..6 {
+            let mut world = settled(seed, machines, budget);
+            replace(&mut world, 1, 0, 7);
+            let leader = world.leader().unwrap();
+            let mut wiped: Vec<Node> = (0..machines).map(|at| 1 + (leader + at - 1) % machines).collect();
+            wiped.rotate_left(seed as usize % 2);
+            wiped.truncate(budget);
+            for node in &wiped {
+                world.wipe(*node);
+            }
+            world.run(0.8);
+            for node in &wiped {
+                world.start(*node);
+            }
+            world.run(CATCH_UP);
+            assert!(world.all_decide(), "{}", world.describe());
+            let leader = world.leader().unwrap();
+            let others = (1..=machines).filter(|node| !wiped.contains(node));
+            let mut ends: Vec<Node> = others.collect();
+            ends.sort_by_key(|node| *node != leader);
+            for node in ends.iter().take(budget) {
+                world.kill(*node);
+            }
+            world.run(2.5);
+            replace(&mut world, 2, 7, 9);
+            all_read(&mut world, 100, 9);
+        }
+    }
+}
+
+/// One machine is gone for good, another loses its disk meanwhile where the budget allows that; the successor comes, and
+/// as soon as it has had its time as many others end.
+#[test]
+fn a_second_loss_after_a_replacement() {
+    for (machines, budget) in SITES {
+        for seed in 0..6 {
+            let mut world = settled(seed, machines, budget);
+            replace(&mut world, 1, 0, 7);
+            let leader = world.leader().unwrap();
+            let gone = if seed % 2 == 0 { leader } else { 1 + leader % machines };
+            world.remove(gone);
+            world.run(0.5);
+            if budget > 1 {
+                let wiped = running(&world)[seed as usize % 3];
+                world.wipe(wiped);
+                world.run(0.3);
+                world.start(wiped);
+            }
+            world.run(0.5);
+            world.join(20);
+            world.run(CATCH_UP);
+            for node in running(&world).into_iter().rev().take(budget) {
+                world.kill(node);
+            }
+            world.run(2.5);
+            replace(&mut world, 2, 7, 9);
+            all_read(&mut world, 100, 9);
+        }
+    }
+}
+
+/// A machine that leaves has, with the leader, one of the few copies of the newest state; the leader's disk is lost right
+/// after it has left.
+#[test]
+fn a_member_that_leaves_takes_no_copy_with_it() {
+    for seed in 0..12 {
+        let mut world = settled(seed, 4, 1);
+        let leader = world.leader().unwrap();
+        let lags = 1 + leader % 4;
+        let leaves = 1 + lags % 4;
+        // One of four knows nothing of the newest state when the next one asks to leave.
+        world.cut_off(lags, true, true);
+        replace(&mut world, 1, 0, 7);
+        world.heal(lags);
+        world.resign(leaves);
+        world.run_until(1.5, "it may end", |w| {
+            w.controls[&leaves].controller.as_ref().is_some_and(|c| c.may_end())
+        });
+        world.remove(leaves);
+        world.wipe(leader);
+        world.run(0.6);
+        world.start(leader);
+        world.run(CATCH_UP);
+        assert!(world.leader().is_some(), "{}", world.describe());
+        all_read(&mut world, 100, 7);
+        replace(&mut world, 2, 7, 9);
+    }
+}
+
+/// A new machine takes the place of one that is gone; the leader is lost at every event of that, in turn by a kill, a loss of
+/// power and a freeze, and is back a second later.
+#[test]
+fn a_replacement_whose_leader_is_lost_at_every_event() {
+    let mut start = settled(5, 3, 1);
+    replace(&mut start, 1, 0, 7);
+    let leader = start.leader().unwrap();
+    start.remove(1 + leader % 3);
+    start.run(1.2);
+    start.join(20);
+    for at in 0..120 {
+        let mut world = start.clone();
+        for _ in 0..at {
+            world.step();
+        }
+        match at % 3 {
+            0 => world.kill(leader),
+            1 => world.power_off(leader),
+            _ => world.freeze(leader),
+        }
+        world.run(1.0);
+        if at % 3 == 2 {
+            world.thaw(leader)
+        } else {
+            world.start(leader)
+        }
+        world.run(CATCH_UP);
+        assert_eq!(world.controls.values().filter(|machine| !machine.removed).count(), 3);
+        for lost in running(&world) {
+            let mut world = world.clone();
+            world.kill(lost);
+            world.run(2.5);
+            replace(&mut world, 2, 7, 9);
+        }
+    }
+}
+
+/// The closing fault: as many disks as the budget allows are lost while all other machines lose power, at every moment
+/// around an acknowledgement.
+#[test]
+fn lost_disks_while_all_others_lose_power() {
+    for (machines, budget) in SITES {
+        let start = settled(3, machines, budget);
+        let leader = start.leader().unwrap();
+        for at in 0..40 {
+            let mut world = start.clone();
+            let body = b"{\"epoch\":7}".as_slice();
+            world.call(leader, 1, Call::Replace { base: 0, epoch: 7, body: body.into() });
+            for _ in 0..at {
+                world.step();
+            }
+            let acknowledged = world.replies.get(&1).is_some_and(|reply| reply.0 == 200);
+            for node in 1..=machines {
+                // The leader's disk among them, as often as not.
+                let wiped = (0..budget as u32).any(|more| 1 + (leader + at / 2 + more) % machines == node);
+                if wiped { world.wipe(node) } else { world.power_off(node) }
+            }
+            for node in 1..=machines {
+                world.run(0.2);
+                world.start(node);
+            }
+            world.run(CATCH_UP);
+            if acknowledged {
+                all_read(&mut world, 100, 7);
+            }
+            assert!(world.leader().is_some(), "{}", world.describe());
+        }
+    }
+}
