--- a/crates/control/src/tests/mod.rs
+++ b/crates/control/src/tests/mod.rs
@@ -1,4 +1,5 @@
 mod agreement;
+mod answers;
 mod differences;
 mod members;
 mod net;
--- a/crates/simulation/src/links.rs
+++ b/crates/simulation/src/links.rs
@@ -80,6 +80,13 @@
         }
     }
 
+    /// What waits to be sent is lost, as too much of it waits; the connection goes on.
+    pub fn overflow(&mut self, from: Node, to: Node) {
+        if let Some(link) = self.all.get_mut(&(from, to)) {
+            link.held.clear();
+        }
+    }
+
     /// Whether this connection is the newest one.
     pub fn is_newest(&self, from: Node, to: Node, connection: u64) -> bool {
         self.all.get(&(from, to)).is_some_and(|link| link.connection == connection)
--- /dev/null
+++ b/crates/simulation/tests/rosters.rs
@@ -0,0 +1,50 @@
+//! What a new leader has to know of servers before it replaces a primary.
+
+use badgerstream_control::{Call, Node};
+use badgerstream_simulation::World;
+use badgerstream_simulation::servers::beat;
+
+/// A new copy is known to the leader and to one follower only, and alone has the newest commits, when the primary and the
+/// leader are lost at once. The other follower takes over: it waits until it has heard of that copy.
+#[test]
+fn a_new_leader_hears_of_copies_that_it_did_not_know() {
+    let mut played = 0;
+    for seed in 0..10 {
+        let mut world = World::new(seed);
+        world.run_until(6.0, "a primary in use", |w| w.in_use().as_deref() == Some("a"));
+        world.run(3.0);
+        let leader = world.leader().unwrap();
+        let others: Vec<Node> = (1..=3).filter(|node| *node != leader).collect();
+        let (takes_over, knows) = (others[0], others[1]);
+        // It hears nothing of the others while they are told of the new copy.
+        for other in [leader, knows] {
+            world.links.cut.insert((other, takes_over));
+        }
+        world.add_server("d", "10.0.0.200:1", false);
+        world.servers.get_mut("d").unwrap().beats = false;
+        world.call(knows, 9, Call::Beat { id: "d".to_owned(), beat: beat("10.0.0.200:1", 1, false) });
+        world.run(0.1);
+        assert_eq!(world.replies[&9].0, 200);
+        for id in ["b", "c"] {
+            world.servers.get_mut(id).unwrap().deaf = true;
+        }
+        world.run(0.15);
+        world.crash("a");
+        world.kill(leader);
+        // So much waited for the connections to it that some was lost, and this as well.
+        world.links.overflow(leader, takes_over);
+        world.links.overflow(knows, takes_over);
+        world.heal_all();
+        for id in ["b", "c"] {
+            world.servers.get_mut(id).unwrap().deaf = false;
+        }
+        world.run_until(4.0, "another leader", |w| w.leader().is_some());
+        let length = |id: &str| world.servers[id].log.len();
+        let alone = length("d") > length("b").max(length("c"));
+        played += u32::from(alone && world.leader() == Some(takes_over));
+        // A promotion without the commits that only the new copy has is an error of the world.
+        world.run(8.0);
+        assert!(!alone || world.promoted.iter().all(|(id, _)| id == "d"), "{:?}", world.promoted);
+    }
+    assert!(played > 3, "{played}");
+}
