--- a/crates/control/src/consensus.rs
+++ b/crates/control/src/consensus.rs
@@ -95,6 +95,8 @@
     joining: f64,
     /// This machine is about to end.
     leaving: bool,
+    /// It led and lost its quorum, and has heard nothing from any other machine since.
+    quorum_lost: bool,
     /// So few may decide and no fewer: a majority of them outlives what may be lost at once.
     least: usize,
     /// A leader is missed after so many seconds.
@@ -136,6 +138,7 @@
             wants: HashMap::new(),
             joining: now,
             leaving: false,
+            quorum_lost: false,
             least: 3,
             suspect,
             authority: suspect,
@@ -356,8 +359,17 @@
             return;
         }
         self.change_voters(now, out);
+        let authority = self.authority();
         match &mut self.role {
             Role::Leader(leading) => {
+                // Whoever is heard and hears nobody would keep the others from having another leader.
+                if now > authority.max(leading.since + self.suspect) + self.suspect {
+                    log::info!("event=quorum_lost");
+                    self.quorum_lost = true;
+                    self.follow(out);
+                    self.heard = now;
+                    return;
+                }
                 if now - leading.beat < BEAT {
                     return;
                 }
@@ -405,6 +417,7 @@
             Role::Follower => {
                 if now - self.heard > self.suspect + self.pause
                     && !self.leaving
+                    && !self.quorum_lost
                     && self.voters().contains(&me)
                 {
                     self.stand(now, out);
@@ -456,6 +469,7 @@
 
     /// A message of another machine.
     pub fn message(&mut self, now: f64, from: Node, message: PeerMessage, out: &mut Vec<ConsensusOutput>) {
+        self.quorum_lost = false;
         match message {
             PeerMessage::Prepare { ballot } => {
                 self.highest = self.highest.max(ballot);
--- a/crates/control/src/tests/mod.rs
+++ b/crates/control/src/tests/mod.rs
@@ -3,6 +3,7 @@
 mod failover;
 mod members;
 mod promotions;
+mod quorum;
 mod voters;
 mod world;
 
