Stand-in: relays with faults each way, histories of operators and a judge of them

Control machines as processes whose links are cut one way for 20 s (the leader is heard by nobody; it hears nobody and answers no operator), orders whose connection is reset at each stage, answers late by seconds, a leader stopped between reading and answering; promotions whose call breaks off at each stage, a leader stopped in the middle of one. The judge compares times along the chain of versions that the orders name.

--- a/crates/standin/src/children.rs
+++ b/crates/standin/src/children.rs
@@ -42,6 +42,15 @@
         None
     }
 
+    /// Sends a signal to a child that still runs.
+    pub fn signal(&self, name: &str, signal: Signal) {
+        let found = self.running.iter().find(|(n, _)| n == name);
+        // Its id is not used again before we have waited for it.
+        if let Some(pid) = found.and_then(|(_, child)| Pid::from_raw(child.id() as i32)) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
     /// Kills a child at once, and waits for it.
     pub fn kill(&mut self, name: &str) {
         if let Some(at) = self.running.iter().position(|(n, _)| n == name) {
@@ -53,11 +62,10 @@
 
     /// Asks all to end, and kills those that take too long. Gives their names and how each ended.
     pub fn end(&mut self) -> Vec<(String, ExitStatus)> {
-        for (_, child) in &self.running {
-            // Its id is not used again before we have waited for it.
-            if let Some(pid) = Pid::from_raw(child.id() as i32) {
-                let _ = kill_process(pid, Signal::TERM);
-            }
+        for (name, _) in &self.running {
+            // One that is stopped would not hear of its end.
+            self.signal(name, Signal::TERM);
+            self.signal(name, Signal::CONT);
         }
         let until = Instant::now() + GRACE;
         let mut all = Vec::new();
--- a/crates/standin/src/plan.rs
+++ b/crates/standin/src/plan.rs
@@ -22,6 +22,7 @@
 const PLATFORM: u16 = 8783;
 const DESK: u16 = 8786;
 const DATABASE: u16 = 5440;
+const PEER: u16 = 7440;
 
 quick_error! {
     /// Why a deployment can't be planned.
@@ -62,6 +63,11 @@
     routers: usize,
     /// Between two beats of a database, in milliseconds.
     pub heartbeat_ms: u64,
+    /// Whether the links between control machines lead over relays: each control machine then has a port of its own, and looks
+    /// for the others at that port, where the relays are to be.
+    pub peers_relayed: bool,
+    /// Whether control machines call the platform at [`Plan::platform_door`], where a relay is to be.
+    pub platform_relayed: bool,
     /// Settings of the project's own for every process, `badgerstream.lease_ms=500` say.
     pub own: Vec<String>,
 }
@@ -75,7 +81,15 @@
         if !(1..=ROUTERS).contains(&routers) {
             return Err(PlanError::Count("routers", ROUTERS));
         }
-        Ok(Self { net, services, routers, heartbeat_ms: 500, own: Vec::new() })
+        Ok(Self {
+            net,
+            services,
+            routers,
+            heartbeat_ms: 500,
+            peers_relayed: false,
+            platform_relayed: false,
+            own: Vec::new(),
+        })
     }
 
     fn at(&self, last: usize, port: u16) -> SocketAddr {
@@ -103,6 +117,30 @@
         self.at(2, PLATFORM)
     }
 
+    /// Where control machines call the relay before the platform, if there is one.
+    pub fn platform_door(&self) -> SocketAddr {
+        self.at(3, PLATFORM)
+    }
+
+    /// Where operators call the relay before a control machine.
+    pub fn operator_door(&self, n: usize) -> SocketAddr {
+        self.at(41 + n, CONTROL)
+    }
+
+    /// Where a control machine is called by the others and by routers.
+    pub fn peer(&self, n: usize) -> SocketAddr {
+        self.at(11 + n, self.peer_port(n))
+    }
+
+    /// Where one control machine looks for another.
+    pub fn peer_door(&self, from: usize, to: usize) -> SocketAddr {
+        self.at(11 + to, self.peer_port(from))
+    }
+
+    fn peer_port(&self, n: usize) -> u16 {
+        if self.peers_relayed { PEER + 1 + n as u16 } else { PEER }
+    }
+
     /// Where the stand-in itself is told what to do.
     pub fn desk(&self) -> SocketAddr {
         self.at(2, DESK)
@@ -184,6 +222,7 @@
         let name = format!("control-{}", n + 1);
         let at = self.controls()[n];
         let mut text = self.common(&name, "core", "coordinator", n, at, first);
+        let _ = writeln!(text, "port_range={},7455", self.peer_port(n));
         let _ = writeln!(text, "bind_addrs.control={at}");
         let _ = writeln!(text, "voting=true\nlimits.storage_mb=128");
         let _ = writeln!(text, "state_dir={}", folder.join(&name).display());
@@ -194,6 +233,7 @@
         let name = format!("router-{}", n + 1);
         let front = self.fronts()[n];
         let mut text = self.common(&name, "edge", "edge", n, front, first);
+        let _ = writeln!(text, "port_range={PEER},7455");
         let _ = writeln!(text, "bind_addrs.front={front}\nbind_addrs.readiness={}", self.readiness()[n]);
         let _ = writeln!(text, "voting=false\nlimits.storage_mb=0");
         (name, text)
@@ -211,11 +251,12 @@
             let _ = writeln!(text, "zones.{}=local", zone(copy));
         }
         let seeds: Vec<String> = self.controls().iter().map(ToString::to_string).collect();
-        let _ = writeln!(text, "port_range=7440,7455\nseeds={}\nbootstrap={first}", seeds.join(","));
+        let _ = writeln!(text, "seeds={}\nbootstrap={first}", seeds.join(","));
         let _ = writeln!(text, "limits.mem_mb=256\nlimits.file_limit=4096");
         let _ = writeln!(text, "heartbeat_ms={}\nfault_budget.machine_loss=1", self.heartbeat_ms);
         let _ = writeln!(text, "bounds.grace_s=6\nbounds.drain_ms=7000\nbounds.fencing=true");
-        let _ = writeln!(text, "provider.endpoint={}\nprovider.duties=failover", self.platform());
+        let platform = if self.platform_relayed { self.platform_door() } else { self.platform() };
+        let _ = writeln!(text, "provider.endpoint={platform}\nprovider.duties=failover");
         for line in &self.own {
             let _ = writeln!(text, "{line}");
         }
--- a/crates/standin/src/tests/mod.rs
+++ b/crates/standin/src/tests/mod.rs
@@ -1,4 +1,5 @@
 mod days;
+mod histories;
 mod plan;
 mod statements;
 mod terms;
--- /dev/null
+++ b/crates/standin/tests/orders.rs
@@ -0,0 +1,372 @@
+//! Orders of operators to control machines as processes, over links on which faults are laid; a judge looks for the single
+//! order of versions that explains all that was answered.
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use badgerstream_calls::call::BASE_VERSION;
+use badgerstream_calls::http::request;
+use badgerstream_calls::status::Status;
+use badgerstream_node::clock;
+use badgerstream_standin::call;
+use badgerstream_standin::children::Children;
+use badgerstream_standin::history::{History, Order, Outcome, Version};
+use badgerstream_standin::operator::Operator;
+use badgerstream_standin::plan::{CONTROLS, Net, Plan};
+use badgerstream_standin::relay::{Fault, Relay, Way};
+use futures_lite::future;
+use rustix::process::Signal;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// No test takes longer, in seconds.
+const LIMIT_S: f64 = 58.0;
+/// What is to come about in a system in order comes about within so many seconds, also on a busy machine.
+const PATIENCE_S: f64 = 25.0;
+/// So many orders at least are acknowledged while links are cut; with a disk that is shared with other work a sync may take
+/// seconds, so that it is few.
+const ORDERS: usize = 3;
+/// So long links are cut, in seconds.
+const CUT_S: f64 = 20.0;
+
+/// Three control machines as processes, with a relay on each link between them and before each for operators.
+struct Rig {
+    tasks: Rc<LocalExecutor<'static>>,
+    plan: Plan,
+    children: RefCell<Children>,
+    /// By who calls and who is called.
+    peers: Vec<Vec<Option<Rc<Relay>>>>,
+    /// Before each control machine.
+    doors: Vec<Rc<Relay>>,
+    folder: PathBuf,
+    history: Rc<RefCell<History>>,
+    /// How many texts were written.
+    texts: Cell<u64>,
+    /// Operators end.
+    done: Rc<Cell<bool>>,
+}
+
+impl Rig {
+    fn start(tasks: &Rc<LocalExecutor<'static>>, number: u32) -> Rig {
+        clock::now();
+        let mark = std::process::id() * 8 + number;
+        let net = Net([127, 16 + (mark % 200) as u8, (mark / 200 % 250) as u8]);
+        let mut plan = Plan::new(net, 1, 1).unwrap();
+        plan.peers_relayed = true;
+        let folder = std::env::temp_dir().join(format!("standin-orders-{}-{number}", std::process::id()));
+        let relay = |at: SocketAddr, to: SocketAddr| Relay::start(tasks, at, to).unwrap();
+        let peer =
+            |from: usize, to: usize| (from != to).then(|| relay(plan.peer_door(from, to), plan.peer(to)));
+        let peers = (0..CONTROLS).map(|from| (0..CONTROLS).map(|to| peer(from, to)).collect()).collect();
+        let doors = (0..CONTROLS).map(|n| relay(plan.operator_door(n), plan.controls()[n])).collect();
+        let mut children = Children::default();
+        for (name, file) in plan.write(&folder, true).unwrap().into_iter().take(CONTROLS) {
+            start_node(&mut children, &name, &file, &folder);
+        }
+        let (history, texts, done) = Default::default();
+        let tasks = tasks.clone();
+        Rig { tasks, plan, children: RefCell::new(children), peers, doors, folder, history, texts, done }
+    }
+
+    fn operator_doors(&self) -> Vec<SocketAddr> {
+        (0..CONTROLS).map(|n| self.plan.operator_door(n)).collect()
+    }
+
+    /// Lays a fault on the links from a control machine to the others, or on those from the others to it. Messages travel on
+    /// connections of who sends them, so that a way is a link here.
+    fn cut(&self, node: usize, outgoing: bool, fault: Option<Fault>) {
+        for other in (0..CONTROLS).filter(|other| *other != node) {
+            let (from, to) = if outgoing { (node, other) } else { (other, node) };
+            self.peers[from][to].as_ref().unwrap().set(Way::Requests, fault);
+        }
+    }
+
+    /// Waits for a control machine that leads, and says so to an operator.
+    async fn leader(&self) -> usize {
+        let until = clock::now() + PATIENCE_S;
+        loop {
+            for (n, at) in self.plan.controls().into_iter().enumerate() {
+                let asked = call::once(at, 0.5, "GET", "/api/System.Status", &[], b"").await;
+                let status = asked.ok().and_then(|answer| Status::read(&answer.body).ok());
+                if status.is_some_and(|s| s.leads) {
+                    return n;
+                }
+            }
+            assert!(clock::now() < until, "nobody leads");
+            pause(0.05).await;
+        }
+    }
+
+    /// A configuration of this number, with a text like no other's.
+    fn version(&self, epoch: u64) -> Version {
+        self.texts.set(self.texts.get() + 1);
+        let idle = format!("\"idle_timeout_ms\":{}", 15_000 + self.texts.get());
+        let body = self.plan.configuration(epoch).replace("\"idle_timeout_ms\":15000", &idle);
+        Version { epoch, body }
+    }
+
+    /// Sends an order until it has a clear answer, and writes it down.
+    async fn order(&self, operator: &Operator, base: u64, version: Version) -> Outcome {
+        let order = operator.order(base, version, clock::now() + PATIENCE_S).await;
+        let outcome = order.tries.last().map_or(Outcome::Unclear, |t| t.outcome);
+        self.history.borrow_mut().orders.push(order);
+        outcome
+    }
+
+    /// Reads until there is a clear answer, and writes it down; the version's number.
+    async fn read(&self, operator: &Operator) -> u64 {
+        let until = clock::now() + PATIENCE_S;
+        loop {
+            if let Some(read) = operator.read().await {
+                let epoch = read.version.as_ref().map_or(0, |v| v.epoch);
+                self.history.borrow_mut().reads.push(read);
+                return epoch;
+            }
+            assert!(clock::now() < until, "nothing can be read");
+            pause(0.05).await;
+        }
+    }
+
+    /// An operator that reads, and orders on top of what it has read, until the end of the test.
+    async fn keep_ordering(&self, number: usize) {
+        let operator = Operator::new(&self.operator_doors(), number);
+        let mut turn = 0;
+        while !self.done.get() {
+            let base = self.read(&operator).await;
+            // At times both take the same number.
+            turn += 1;
+            let version = self.version(base + 1 + turn % 2);
+            self.order(&operator, base, version).await;
+            pause(0.03).await;
+        }
+    }
+
+    /// Two operators at work while this passes, and a moment longer.
+    async fn under_way(&self, trouble: impl Future<Output = ()>) {
+        let operators = future::zip(self.keep_ordering(1), self.keep_ordering(2));
+        let trouble = async {
+            trouble.await;
+            pause(1.5).await;
+            self.done.set(true);
+        };
+        future::zip(operators, trouble).await;
+    }
+
+    /// How many orders were acknowledged in this time.
+    fn acknowledged(&self, from: f64, to: f64) -> usize {
+        let history = self.history.borrow();
+        let tries = history.orders.iter().flat_map(|order| &order.tries);
+        let within = |ended: f64| (from..to).contains(&ended);
+        tries.filter(|t| t.outcome == Outcome::Acknowledged && within(t.ended)).count()
+    }
+
+    /// All machines say the same in the end, and one order of versions explains all that was said.
+    async fn judge(&self) {
+        let reader = Operator::new(&self.operator_doors(), 0);
+        let mut newest = Vec::new();
+        for _ in 0..CONTROLS {
+            newest.push(self.read(&reader).await);
+        }
+        let history = self.history.borrow();
+        let count = |outcome: fn(&Outcome) -> bool| {
+            history.orders.iter().flat_map(|o| &o.tries).filter(|t| outcome(&t.outcome)).count()
+        };
+        println!(
+            "orders={} acknowledged={} refused={} unclear={} reads={}",
+            history.orders.len(),
+            count(|o| *o == Outcome::Acknowledged),
+            count(|o| matches!(o, Outcome::Refused(_))),
+            count(|o| *o == Outcome::Unclear),
+            history.reads.len()
+        );
+        match history.judge() {
+            Ok(chain) => assert!(newest.iter().all(|n| Some(n) == chain.last()), "{newest:?} {chain:?}"),
+            Err(violation) => panic!("{violation}: {history:#?}"),
+        }
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let ended = self.children.borrow_mut().end();
+        if std::thread::panicking() {
+            eprintln!("the logs are in {}: {ended:?}", self.folder.display());
+        } else {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+fn start_node(children: &mut Children, name: &str, file: &Path, folder: &Path) {
+    let program = Path::new(env!("CARGO_BIN_EXE_standin"));
+    let settings = file.display().to_string();
+    let log = folder.join(format!("{name}.log"));
+    children.start(name, program, &["node", "--settings", &settings], &log).unwrap();
+}
+
+async fn pause(seconds: f64) {
+    Timer::after(Duration::from_secs_f64(seconds)).await;
+}
+
+/// Plays a test on a system that has taken its first configuration, and judges what was answered.
+fn play(number: u32, test: impl AsyncFnOnce(&Rig)) {
+    let tasks = Rc::new(LocalExecutor::new());
+    let rig = Rig::start(&tasks, number);
+    let all = async {
+        let first = Operator::new(&rig.operator_doors(), 0);
+        assert_eq!(rig.order(&first, 0, rig.version(1)).await, Outcome::Acknowledged);
+        test(&rig).await;
+        rig.judge().await;
+    };
+    let late = async {
+        pause(LIMIT_S).await;
+        panic!("not done within {LIMIT_S} s");
+    };
+    async_io::block_on(rig.tasks.run(future::or(all, late)));
+}
+
+#[test]
+fn the_leader_is_heard_by_nobody_for_twenty_seconds() {
+    play(0, async |rig| {
+        let leader = rig.leader().await;
+        let cut = Cell::new(0.0);
+        rig.under_way(async {
+            pause(1.0).await;
+            rig.cut(leader, true, Some(Fault::Drop));
+            cut.set(clock::now());
+            pause(CUT_S).await;
+            rig.cut(leader, true, None);
+        })
+        .await;
+        let orders = rig.acknowledged(cut.get() + 2.0, cut.get() + CUT_S);
+        assert!(orders >= ORDERS, "{orders} orders were acknowledged while the link was cut");
+    });
+}
+
+#[test]
+fn the_leader_hears_nobody_and_answers_no_operator_for_twenty_seconds() {
+    play(1, async |rig| {
+        let leader = rig.leader().await;
+        let cut = Cell::new(0.0);
+        rig.under_way(async {
+            pause(1.0).await;
+            rig.cut(leader, false, Some(Fault::Drop));
+            rig.doors[leader].set(Way::Answers, Some(Fault::Drop));
+            cut.set(clock::now());
+            pause(CUT_S).await;
+            rig.cut(leader, false, None);
+            rig.doors[leader].set(Way::Answers, None);
+        })
+        .await;
+        let orders = rig.acknowledged(cut.get() + 2.0, cut.get() + CUT_S);
+        assert!(orders >= ORDERS, "{orders} orders were acknowledged while the links were cut");
+    });
+}
+
+/// The bytes of an order at this address.
+fn bytes_of(at: SocketAddr, order: &Order) -> usize {
+    let base = order.base.to_string();
+    let headers = [(BASE_VERSION, base.as_str())];
+    let body = order.version.body.as_bytes();
+    request("POST", "/api/Config.Replace", &at.to_string(), &headers, body).len()
+}
+
+#[test]
+fn an_order_whose_connection_is_reset_at_any_stage_has_one_outcome() {
+    play(2, async |rig| {
+        for node in 0..CONTROLS {
+            for stage in 0..4 {
+                let at = rig.plan.operator_door(node);
+                let operator = Operator::new(&rig.operator_doors(), node + 1);
+                let base = rig.read(&operator).await;
+                let mut order = Order { base, version: rig.version(base + 2), tries: Vec::new() };
+                let whole = bytes_of(at, &order);
+                let (way, passes) = match stage {
+                    0 => (Way::Requests, 0),
+                    1 => (Way::Requests, whole / 2),
+                    2 => (Way::Requests, whole),
+                    _ => (Way::Answers, 0),
+                };
+                let door = &rig.doors[node];
+                let resets = door.resets();
+                door.set(way, Some(Fault::ResetAfter(passes)));
+                let first = operator.try_order(at, &order).await;
+                door.set(way, None);
+                assert_eq!(first.outcome, Outcome::Unclear, "stage {stage}");
+                assert_eq!(door.resets(), resets + 1, "stage {stage}");
+                order.tries.push(first);
+                // The same again, at the other machines: it is taken now, or was before.
+                let again = operator.order(base, order.version.clone(), clock::now() + PATIENCE_S).await;
+                order.tries.extend(again.tries);
+                let ended = order.tries.last().map(|t| t.outcome);
+                rig.history.borrow_mut().orders.push(order);
+                assert_eq!(ended, Some(Outcome::Acknowledged), "stage {stage}");
+                // Another one on that base comes too late.
+                let late = rig.order(&operator, base, rig.version(base + 3)).await;
+                assert_eq!(late, Outcome::Refused(412), "stage {stage}");
+            }
+        }
+    });
+}
+
+#[test]
+fn answers_that_come_late_by_seconds_reach_nobody_else() {
+    play(3, async |rig| {
+        let leader = rig.leader().await;
+        rig.under_way(async {
+            pause(0.5).await;
+            // An operator waits for a second.
+            rig.doors[leader].set(Way::Answers, Some(Fault::Delay(Duration::from_millis(2500))));
+            pause(3.0).await;
+            rig.doors[leader].set(Way::Answers, None);
+            let other = (leader + 1) % CONTROLS;
+            for (from, to) in [(leader, other), (other, leader)] {
+                let link = rig.peers[from][to].as_ref().unwrap();
+                link.set(Way::Requests, Some(Fault::Delay(Duration::from_millis(1500))));
+            }
+            pause(4.0).await;
+            for (from, to) in [(leader, other), (other, leader)] {
+                rig.peers[from][to].as_ref().unwrap().set(Way::Requests, None);
+            }
+        })
+        .await;
+    });
+}
+
+/// The leader has read an order and can't answer it, as it reaches nobody; it is stopped there, and goes on once another
+/// machine has led for a while.
+#[test]
+fn a_leader_that_is_stopped_between_reading_and_answering() {
+    play(4, async |rig| {
+        for _ in 0..2 {
+            let leader = rig.leader().await;
+            let name = format!("control-{}", leader + 1);
+            let at = rig.plan.operator_door(leader);
+            let operator = Operator::new(&rig.operator_doors(), leader + 1);
+            let base = rig.read(&operator).await;
+            let mut order = Order { base, version: rig.version(base + 2), tries: Vec::new() };
+            rig.cut(leader, true, Some(Fault::Drop));
+            let sent = operator.try_order(at, &order);
+            let stopped = async {
+                pause(0.25).await;
+                rig.children.borrow().signal(&name, Signal::STOP);
+                rig.cut(leader, true, None);
+            };
+            let (first, ()) = future::zip(sent, stopped).await;
+            order.tries.push(first);
+            // Another one on the same base, while the first may be under way, and more on top of whichever won.
+            rig.order(&operator, base, rig.version(base + 3)).await;
+            let newest = rig.read(&operator).await;
+            rig.order(&operator, newest, rig.version(newest + 5)).await;
+            rig.children.borrow().signal(&name, Signal::CONT);
+            // What it read before it was stopped is answered, if at all, by what is in force now.
+            let again = operator.order(base, order.version.clone(), clock::now() + PATIENCE_S).await;
+            order.tries.extend(again.tries);
+            rig.history.borrow_mut().orders.push(order);
+            let direct = Operator::new(&[at], 0);
+            rig.read(&direct).await;
+        }
+    });
+}
--- a/crates/standin/tests/system.rs
+++ b/crates/standin/tests/system.rs
@@ -3,24 +3,33 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use badgerstream_calls::status::Status;
 use badgerstream_node::bell::Bell;
 use badgerstream_node::clock;
 use badgerstream_standin::children::Children;
 use badgerstream_standin::client::Client;
 use badgerstream_standin::plan::{Net, Plan};
+use badgerstream_standin::relay::{Fault, Relay, Way};
 use badgerstream_standin::serve::Stage;
-use badgerstream_standin::up;
+use badgerstream_standin::{call, up};
 use badgerstream_wire::{Code, Verdict};
 use futures_lite::future;
+use rustix::process::Signal;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Nothing here takes longer, in seconds.
+/// No test takes longer, in seconds.
 const LIMIT: f64 = 30.0;
 
+/// One of several rounds takes no longer, in seconds: each waits several times for what may take seconds on a busy machine.
+const LONG_LIMIT: f64 = 58.0;
+
+/// What a round waits for comes within so many seconds, also where a sync of the disk takes some.
+const PATIENCE: f64 = 25.0;
+
 /// Writers, each of one thing of its own, and readers of these.
 const WRITERS: usize = 6;
 
@@ -29,6 +38,8 @@
     tasks: Rc<LocalExecutor<'static>>,
     plan: Plan,
     stage: Rc<Stage>,
+    /// Before the platform.
+    platform: Rc<Relay>,
     children: RefCell<Children>,
     folder: PathBuf,
 }
@@ -57,14 +68,16 @@
     fn start(tasks: &Rc<LocalExecutor<'static>>, number: u32) -> Self {
         let mark = std::process::id() * 2 + number;
         let net = Net([127, 16 + (mark % 200) as u8, (mark / 200 % 250) as u8]);
-        let plan = Plan::new(net, 1, 2).unwrap();
+        let mut plan = Plan::new(net, 1, 2).unwrap();
+        plan.platform_relayed = true;
+        let platform = Relay::start(tasks, plan.platform_door(), plan.platform()).unwrap();
         let folder = std::env::temp_dir().join(format!("standin-system-{}-{number}", std::process::id()));
         let stage = up::stage(tasks, &plan).unwrap();
         let mut children = Children::default();
         for (name, file) in plan.write(&folder, true).unwrap() {
             start_node(&mut children, &name, &file, &folder);
         }
-        Self { tasks: tasks.clone(), plan, stage, children: RefCell::new(children), folder }
+        Self { tasks: tasks.clone(), plan, stage, platform, children: RefCell::new(children), folder }
     }
 
     fn client(&self, n: usize, seen: &Rc<Seen>) {
@@ -209,6 +222,10 @@
 }
 
 fn play(number: u32, test: impl AsyncFnOnce(&Rig, &Rc<Seen>)) {
+    play_within(LIMIT, number, test);
+}
+
+fn play_within(limit: f64, number: u32, test: impl AsyncFnOnce(&Rig, &Rc<Seen>)) {
     let tasks = Rc::new(LocalExecutor::new());
     let rig = Rig::start(&tasks, number);
     let seen = Rc::<Seen>::default();
@@ -220,8 +237,8 @@
         seen.settle(&rig).await;
     };
     let late = async {
-        Timer::after(Duration::from_secs_f64(LIMIT)).await;
-        panic!("not done within {LIMIT} s; {}", seen.line());
+        Timer::after(Duration::from_secs_f64(limit)).await;
+        panic!("not done within {limit} s; {}", seen.line());
     };
     async_io::block_on(tasks.run(future::or(all, late)));
 }
@@ -262,3 +279,99 @@
         seen.until(6.0, "writes after the change", |s| s.writes.get() >= more).await;
     });
 }
+
+impl Rig {
+    fn primary(&self) -> String {
+        self.stage.world.borrow().primary("db1").expect("somebody leads").to_owned()
+    }
+
+    /// The term of the primary.
+    fn term(&self) -> u64 {
+        let status = self.stage.world.borrow().status(&self.primary()).expect("the primary runs");
+        status.split(' ').nth(1).and_then(|term| term.parse().ok()).expect("a term")
+    }
+
+    /// The name of the control machine that leads.
+    async fn leader(&self) -> String {
+        loop {
+            for (n, at) in self.plan.controls().into_iter().enumerate() {
+                let asked = call::once(at, 0.5, "GET", "/api/System.Status", &[], b"").await;
+                if asked.ok().and_then(|a| Status::read(&a.body).ok()).is_some_and(|s| s.leads) {
+                    return format!("control-{}", n + 1);
+                }
+            }
+        }
+    }
+
+    /// Waits until the platform's relay is so; the test fails when it takes longer than so many seconds.
+    async fn platform_until(&self, seconds: f64, what: &str, holds: impl Fn(&Relay) -> bool) {
+        let late = async {
+            Timer::after(Duration::from_secs_f64(seconds)).await;
+            panic!("not within {seconds} s: {what}");
+        };
+        let held = async {
+            loop {
+                let rings = self.platform.changed.rings();
+                if holds(&self.platform) {
+                    return;
+                }
+                self.platform.changed.after(rings).await;
+            }
+        };
+        future::or(held, late).await;
+    }
+}
+
+/// The call that makes another server the primary meets a reset before its first byte, in its middle, and once its answer is
+/// written, and silence: one server is promoted each time, and no acknowledged write is lost.
+#[test]
+fn a_promotion_whose_call_breaks_off_at_any_stage_happens_once() {
+    play_within(LONG_LIMIT, 2, async |rig, seen| {
+        let stages = [
+            (Way::Requests, Fault::ResetAfter(0)),
+            (Way::Requests, Fault::ResetAfter(60)),
+            (Way::Answers, Fault::ResetAfter(0)),
+            (Way::Answers, Fault::Drop),
+        ];
+        for (way, fault) in stages {
+            let more = seen.writes.get() + 60;
+            seen.until(PATIENCE, "60 writes", |s| s.writes.get() >= more).await;
+            let (before, term) = (rig.primary(), rig.term());
+            let (requests, resets) = (rig.platform.requests(), rig.platform.resets());
+            rig.platform.set(way, Some(fault));
+            rig.stage.crash(&before);
+            rig.platform_until(PATIENCE, "a call to the platform", |platform| match fault {
+                Fault::Drop => platform.requests() > requests,
+                _ => platform.resets() > resets,
+            })
+            .await;
+            let silence = if fault == Fault::Drop { 1.2 } else { 0.0 };
+            Timer::after(Duration::from_secs_f64(silence)).await;
+            rig.platform.set(way, None);
+            let more = seen.writes.get() + WRITERS as u64 + 1;
+            seen.until(PATIENCE, "writes at another primary", |s| s.writes.get() > more).await;
+            assert_eq!(rig.term(), term + 1, "{fault:?}");
+            rig.stage.revive(&before).unwrap();
+        }
+    });
+}
+
+/// The leader is stopped between its call to the platform and the answer, and goes on when another machine has led for a while.
+#[test]
+fn a_leader_that_is_stopped_in_the_middle_of_a_promotion() {
+    play_within(LONG_LIMIT, 3, async |rig, seen| {
+        for _ in 0..2 {
+            let more = seen.writes.get() + 60;
+            seen.until(PATIENCE, "60 writes", |s| s.writes.get() >= more).await;
+            let (before, leader, requests) = (rig.primary(), rig.leader().await, rig.platform.requests());
+            rig.stage.crash(&before);
+            rig.platform_until(PATIENCE, "a call to the platform", |platform| platform.requests() > requests)
+                .await;
+            rig.children.borrow().signal(&leader, Signal::STOP);
+            let more = seen.writes.get() + WRITERS as u64 + 1;
+            seen.until(PATIENCE, "writes at another primary", |s| s.writes.get() > more).await;
+            rig.children.borrow().signal(&leader, Signal::CONT);
+            rig.stage.revive(&before).unwrap();
+        }
+    });
+}
