--- a/crates/standin/tests/orders.rs
+++ b/crates/standin/tests/orders.rs
@@ -265,6 +265,28 @@
     });
 }
 
+/// The leader is cut off both ways, again and again, while operators reach it: it confirms and hands out nothing that the next one
+/// doesn't know of.
+#[test]
+fn a_leader_that_is_cut_off_serves_nothing_old() {
+    play(5, async |rig| {
+        rig.under_way(async {
+            for _ in 0..4 {
+                let leader = rig.leader().await;
+                for outgoing in [true, false] {
+                    rig.cut(leader, outgoing, Some(Fault::Drop));
+                }
+                pause(2.5).await;
+                for outgoing in [true, false] {
+                    rig.cut(leader, outgoing, None);
+                }
+                pause(0.5).await;
+            }
+        })
+        .await;
+    });
+}
+
 /// The bytes of an order at this address.
 fn bytes_of(at: SocketAddr, order: &Order) -> usize {
     let base = order.base.to_string();
