--- a/crates/standin/src/world/statements.rs
+++ b/crates/standin/src/world/statements.rs
@@ -219,9 +219,7 @@
         }
     }
 
-    fn commit(
-        &mut self, at: &str, conn: Conn, ids: Vec<String>, puts: Vec<(String, String)>, stamp: String,
-    ) {
+    fn commit(&mut self, at: &str, conn: Conn, ids: Vec<String>, puts: Vec<(String, String)>, stamp: String) {
         ids.iter().for_each(|id| self.ledger.committed(id));
         let now = self.now;
         let writes = ids.len() as u64;
