--- a/crates/standin/src/plan.rs
+++ b/crates/standin/src/plan.rs
@@ -68,6 +68,8 @@
     pub peers_relayed: bool,
     /// Whether control machines call the platform at [`Plan::platform_door`], where a relay is to be.
     pub platform_relayed: bool,
+    /// Whether databases say that they are reached at [`Plan::database_door`], where relays are to be.
+    pub databases_relayed: bool,
     /// Settings of the project's own for every process, `badgerstream.lease_ms=500` say.
     pub own: Vec<String>,
 }
@@ -88,6 +90,7 @@
             heartbeat_ms: 500,
             peers_relayed: false,
             platform_relayed: false,
+            databases_relayed: false,
             own: Vec::new(),
         })
     }
@@ -146,11 +149,25 @@
         self.at(2, DESK)
     }
 
+    /// The relay before a database.
+    pub fn database_door(&self, service: usize, copy: usize) -> SocketAddr {
+        self.at(101 + 10 * service + copy, DATABASE + 1)
+    }
+
+    fn database(&self, service: usize, copy: usize) -> SocketAddr {
+        if self.databases_relayed {
+            self.database_door(service, copy)
+        } else {
+            self.at(101 + 10 * service + copy, DATABASE)
+        }
+    }
+
     /// The services, called `db1` and so on, their servers `db1-a` and so on.
     pub fn services(&self) -> Vec<ServiceSpec> {
         let server = |service: usize, copy: usize| ServerSpec {
             id: format!("db{}-{}", service + 1, letter(copy)),
             endpoint: self.at(101 + 10 * service + copy, DATABASE),
+            told: self.database(service, copy),
             zone: zone(copy),
         };
         let service = |n: usize| ServiceSpec {
--- a/crates/standin/src/tests/mod.rs
+++ b/crates/standin/src/tests/mod.rs
@@ -11,6 +11,7 @@
     let server = |n: u8| ServerSpec {
         id: char::from(b'a' + n).to_string(),
         endpoint: ([127, 0, 0, 1 + n], 5440).into(),
+        told: ([127, 0, 0, 1 + n], 5440).into(),
         zone: "z".to_owned(),
     };
     ServiceSpec {
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -66,8 +66,10 @@
 pub struct ServerSpec {
     /// Its id, like no other's.
     pub id: String,
-    /// Where it is reached.
+    /// Where it listens.
     pub endpoint: SocketAddr,
+    /// Where it says that it is reached: a relay before it, or the same.
+    pub told: SocketAddr,
     /// The zone it stands in.
     pub zone: String,
 }
@@ -255,7 +257,7 @@
         server.call_seq += 1;
         Some(Heartbeat {
             backend: server.service.clone(),
-            endpoint: server.spec.endpoint.to_string(),
+            endpoint: server.spec.told.to_string(),
             zone: server.spec.zone.clone(),
             epoch: "v1".to_owned(),
             capacity: slots,
--- a/crates/standin/tests/system.rs
+++ b/crates/standin/tests/system.rs
@@ -11,6 +11,7 @@
 use badgerstream_standin::plan::{Net, Plan};
 use badgerstream_standin::relay::{Fault, Relay, Way};
 use badgerstream_standin::serve::Stage;
+use badgerstream_standin::world::ServerSpec;
 use badgerstream_standin::{call, up};
 use badgerstream_wire::{Code, Verdict};
 use futures_lite::future;
@@ -40,6 +41,8 @@
     stage: Rc<Stage>,
     /// Before the platform.
     platform: Rc<Relay>,
+    /// Before each database, by its id.
+    databases: Vec<(String, Rc<Relay>)>,
     children: RefCell<Children>,
     folder: PathBuf,
 }
@@ -69,15 +72,20 @@
         let mark = std::process::id() * 2 + number;
         let net = Net([127, 16 + (mark % 200) as u8, (mark / 200 % 250) as u8]);
         let mut plan = Plan::new(net, 1, 2).unwrap();
-        plan.platform_relayed = true;
+        (plan.platform_relayed, plan.databases_relayed) = (true, true);
         let platform = Relay::start(tasks, plan.platform_door(), plan.platform()).unwrap();
+        let servers = plan.services().into_iter().flat_map(|service| service.servers);
+        let database =
+            |server: ServerSpec| (server.id, Relay::start(tasks, server.told, server.endpoint).unwrap());
+        let databases = servers.map(database).collect();
         let folder = std::env::temp_dir().join(format!("standin-system-{}-{number}", std::process::id()));
         let stage = up::stage(tasks, &plan).unwrap();
         let mut children = Children::default();
         for (name, file) in plan.write(&folder, true).unwrap() {
             start_node(&mut children, &name, &file, &folder);
         }
-        Self { tasks: tasks.clone(), plan, stage, platform, children: RefCell::new(children), folder }
+        let (tasks, children) = (tasks.clone(), RefCell::new(children));
+        Self { tasks, plan, stage, platform, databases, children, folder }
     }
 
     fn client(&self, n: usize, seen: &Rc<Seen>) {
@@ -285,6 +293,12 @@
         self.stage.world.borrow().primary("db1").expect("somebody leads").to_owned()
     }
 
+    /// The relay before a database.
+    fn relay(&self, id: &str) -> &Relay {
+        let found = self.databases.iter().find(|(of, _)| of == id);
+        &found.expect("each database has a relay").1
+    }
+
     /// The term of the primary.
     fn term(&self) -> u64 {
         let status = self.stage.world.borrow().status(&self.primary()).expect("the primary runs");
@@ -375,3 +389,56 @@
         }
     });
 }
+
+/// Connections to the primary, of routers and of control, are reset at each stage of a statement, and its answers are held up: no
+/// write takes effect twice, none that was acknowledged is lost, and what changes a server is not sent again.
+#[test]
+fn statements_whose_connection_is_reset_at_any_stage_run_at_most_once() {
+    play_within(LONG_LIMIT, 4, async |rig, seen| {
+        let stages = [
+            (Way::Requests, Fault::ResetAfter(0)),
+            (Way::Requests, Fault::ResetAfter(30)),
+            (Way::Requests, Fault::ResetAfter(400)),
+            (Way::Answers, Fault::ResetAfter(0)),
+            (Way::Answers, Fault::ResetAfter(300)),
+            (Way::Answers, Fault::Drop),
+        ];
+        for (way, fault) in stages {
+            let more = seen.writes.get() + 60;
+            seen.until(PATIENCE, "60 writes", |s| s.writes.get() >= more).await;
+            let primary = rig.primary();
+            let resets = rig.relay(&primary).resets();
+            rig.relay(&primary).set(way, Some(fault));
+            Timer::after(Duration::from_secs_f64(0.4)).await;
+            rig.relay(&primary).set(way, None);
+            assert!(fault == Fault::Drop || rig.relay(&primary).resets() > resets, "{fault:?}");
+        }
+        let more = seen.writes.get() + 60;
+        seen.until(PATIENCE, "60 writes after all", |s| s.writes.get() >= more).await;
+    });
+}
+
+/// The same of the replicas, while the primary is replaced: what they are asked breaks off at each stage, or is answered late.
+#[test]
+fn a_change_of_the_primary_whose_queries_break_off_loses_nothing() {
+    play_within(LONG_LIMIT, 5, async |rig, seen| {
+        for (way, fault) in [
+            (Way::Requests, Fault::ResetAfter(30)),
+            (Way::Answers, Fault::ResetAfter(0)),
+            (Way::Answers, Fault::Delay(Duration::from_millis(900))),
+        ] {
+            let more = seen.writes.get() + 60;
+            seen.until(PATIENCE, "60 writes", |s| s.writes.get() >= more).await;
+            let before = rig.primary();
+            let replicas = rig.databases.iter().filter(|(id, _)| *id != before);
+            let replicas: Vec<&Relay> = replicas.map(|(_, relay)| &**relay).collect();
+            rig.stage.crash(&before);
+            replicas.iter().for_each(|relay| relay.set(way, Some(fault)));
+            Timer::after(Duration::from_secs_f64(1.5)).await;
+            replicas.iter().for_each(|relay| relay.set(way, None));
+            let more = seen.writes.get() + WRITERS as u64 + 1;
+            seen.until(PATIENCE, "writes at another primary", |s| s.writes.get() > more).await;
+            rig.stage.revive(&before).unwrap();
+        }
+    });
+}
