--- a/crates/control/src/tests/promotions.rs
+++ b/crates/control/src/tests/promotions.rs
@@ -1,10 +1,11 @@
 //! Calls that change servers, and what becomes of them when they come late: `POST /promotions`, `PAUSE`, `RESUME` and
 //! `STEPDOWN`. The table that these tests hold to is in `docs/design/calls.md`.
 
-use super::world::{World, timing};
+use super::world::{Health, World, timing};
 use crate::failover::{Act, Around, Candidate, Failover};
 use crate::promotion::{PendingPromotion, PromotionOutcome};
 use crate::{Asked, Row, Statement};
+use arbtest::arbtest;
 use badgerstream_wire::Verdict;
 
 fn steady(seed: u64) -> World {
@@ -260,6 +261,60 @@
     }
 }
 
+/// `PAUSE` and `STEPDOWN` of former leaders arrive at any moment, while leaders and servers come and go: the rules hold (they are
+/// checked at every event), and once all is calm writes go on.
+#[test]
+fn late_pauses_and_step_downs_at_any_moment() {
+    arbtest(|u| {
+        let mut world = World::new(u.int_in_range(0..=1000)?);
+        world.fencing = u.arbitrary()?;
+        world.lost_posts = u.int_in_range(0..=300)?;
+        world.run(3.0);
+        for _ in 0..u.int_in_range(2..=10)? {
+            let id = *u.choose(&["a", "b", "c"])?;
+            let up = world.servers[id].health == Health::Up;
+            let top = world.servers.values().map(|s| s.term).max().unwrap_or(0);
+            let late = top + u.int_in_range(0..=4)?;
+            match u.int_in_range(0..=6)? {
+                0 | 1 if up && !world.servers[id].leader && late > world.servers[id].held.unwrap_or(top) => {
+                    set_held(&mut world, id, Some(late));
+                }
+                // The lowest term that turned it out, which is its own and one more.
+                2 if up && world.servers[id].leader => world.servers.get_mut(id).unwrap().leader = false,
+                3 if up && world.servers.values().filter(|s| s.health == Health::Up).count() > 2 => {
+                    world.crash(id);
+                }
+                4 if !up => world.recover(id),
+                5 => world.drain(id),
+                _ => {
+                    if let Some(leader) = world.leader() {
+                        world.kill(leader);
+                        world.run(0.02);
+                        world.start(leader, true);
+                    }
+                }
+            }
+            world.run(f64::from(u.int_in_range(0..=1200u16)?) / 1000.0);
+        }
+        for id in ["a", "b", "c"] {
+            world.servers.get_mut(id).unwrap().draining = false;
+            if world.servers[id].health != Health::Up {
+                world.recover(id);
+            }
+        }
+        world.lost_posts = 0;
+        world.run(0.2);
+        world.run_until(25.0, "writes once all is calm", World::writes);
+        world.run_until(4.0, "no replica is held", |w| {
+            w.servers.values().all(|s| s.leader || s.held.is_none())
+        });
+        Ok(())
+    })
+    .size_min(64)
+    .size_max(300)
+    .budget_ms(super::budget());
+}
+
 // ---- one service's fail-over alone, with servers that answer at once
 
 struct Alone {
--- a/crates/node/src/control/duties.rs
+++ b/crates/node/src/control/duties.rs
@@ -1,7 +1,7 @@
 //! What the leader asks of servers and of the platform. `docs/design/calls.md` says which of these calls may be repeated.
 
 use super::*;
-use crate::exchange::{self, ExchangeError};
+use crate::exchange::{self, DutyLost, ExchangeError};
 use crate::server_queries::{self, Query, Target};
 use badgerstream_control::{Asked, PromotionOutcome};
 use badgerstream_wire::Verdict;
@@ -101,7 +101,7 @@
             // Whoever was frozen since this was decided must not call: another one may hold the duty.
             let now = clock::now();
             if now >= *before || !self.controller.borrow().may_act_under(now, *fence) {
-                return Err(io::Error::other("the duty may have gone to another"));
+                return Err(io::Error::other(DutyLost::NoAuthority));
             }
             progress.send(&stream, &request).await?;
             let status = read_status_code(&mut stream).await?;
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -4,10 +4,22 @@
 use crate::frames;
 use async_io::Async;
 use badgerstream_wire::Verdict;
+use quick_error::quick_error;
 use std::cell::Cell;
 use std::io::{Error, ErrorKind, Result};
 use std::net::TcpStream;
 
+quick_error! {
+    /// The request was not sent: another machine may hold the duty by now.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum DutyLost {
+        /// This machine can't tell any more that no other one leads.
+        NoAuthority {
+            display("another machine may lead by now")
+        }
+    }
+}
+
 /// Why an exchange came to no answer.
 #[derive(Debug)]
 pub struct ExchangeError {
@@ -17,6 +29,13 @@
     pub error: Error,
 }
 
+impl ExchangeError {
+    /// Whether it was given up since another machine may hold the duty.
+    pub fn is_duty_lost(&self) -> bool {
+        self.error.get_ref().is_some_and(|error| error.is::<DutyLost>())
+    }
+}
+
 /// How far an exchange has come.
 pub struct Progress(Cell<Verdict>);
 
--- a/crates/node/src/server_queries.rs
+++ b/crates/node/src/server_queries.rs
@@ -4,7 +4,7 @@
 //! so that what a cut holds up of it is lost, and never used again.
 
 use crate::edge::net;
-use crate::exchange::{self, ExchangeError, Progress};
+use crate::exchange::{self, DutyLost, ExchangeError, Progress};
 use crate::{clock, frames};
 use async_channel::Receiver;
 use async_io::{Async, Timer};
@@ -79,7 +79,7 @@
                     failed.error
                 );
                 match failed.error.kind() {
-                    ErrorKind::PermissionDenied => Asked::NotSent,
+                    _ if failed.is_duty_lost() => Asked::NotSent,
                     ErrorKind::ConnectionRefused | ErrorKind::NotFound => Asked::Refused,
                     _ => Asked::Silent,
                 }
@@ -138,7 +138,7 @@
             };
             // Whoever was frozen or cut off since this was decided must not send it: another machine may lead by now.
             if !query.is_idempotent() && !may_act(query) {
-                return Err(Error::new(ErrorKind::PermissionDenied, "another machine may lead by now"));
+                return Err(Error::other(DutyLost::NoAuthority));
             }
             let row = connection.exchange(progress, query, &target.id).await?;
             Ok((connection, row))
@@ -152,8 +152,8 @@
 
 /// Whether a query that failed on a connection that had rested is sent once more on a new one.
 fn may_try_again(query: Query, failed: &ExchangeError) -> bool {
-    let refused = matches!(failed.error.kind(), ErrorKind::TimedOut | ErrorKind::PermissionDenied);
-    !refused && failed.verdict.permits_retry(query.is_idempotent())
+    let given_up = failed.is_duty_lost() || failed.error.kind() == ErrorKind::TimedOut;
+    !given_up && failed.verdict.permits_retry(query.is_idempotent())
 }
 
 struct Connection {
