Control: a request to leave ends with its life; a leader that was left out makes room

Change: a request to join ends one to leave; a leader that isn't among the voters gives up the lead; between two changes of the voters what else waits has its turn (0.1 s).

--- a/crates/control/src/consensus/voters.rs
+++ b/crates/control/src/consensus/voters.rs
@@ -17,6 +17,8 @@
 const ALL_THERE: f64 = 0.5;
 /// A voter that answered no heartbeat for so many seconds is left out, where enough are left.
 const ABSENT: f64 = 3.0;
+/// Between two changes of the voters, in seconds: what else waits has its turn.
+const BETWEEN_CHANGES: f64 = 0.1;
 /// There are never more voters: each one makes every change dearer.
 const MAX_VOTERS: usize = 9;
 /// So many addresses of control machines are remembered besides those of voters.
@@ -39,6 +41,8 @@
     leaving: bool,
     /// A leader has said that this machine, which is about to end, is no voter.
     left: bool,
+    /// When the last change of the voters was complete.
+    changed: f64,
     /// No fewer decide: a majority of them outlives what may be lost at once.
     least: usize,
 }
@@ -53,6 +57,7 @@
             asked: now,
             leaving: false,
             left: false,
+            changed: f64::NEG_INFINITY,
             least: 3,
         }
     }
@@ -107,6 +112,11 @@
     /// This machine is about to end: it leads no longer, stands no more, and leaves the voters where enough are left.
     pub fn resign(&mut self, out: &mut Vec<ConsensusOutput>) {
         self.membership.leaving = true;
+        self.give_up_the_lead(out);
+    }
+
+    /// Leads no longer and tells the others, so that they need not miss it first.
+    fn give_up_the_lead(&mut self, out: &mut Vec<ConsensusOutput>) {
         if let Role::Leader(leading) = &self.role {
             let ballot = leading.ballot;
             let others = self.record.state.membership.all().filter(|voter| *voter != self.me);
@@ -162,6 +172,8 @@
             out.push(send(from, ConsensusMessage::Contacts { voters }));
             return;
         }
+        // Whoever asks has started anew since it asked to leave.
+        self.membership.leavers.retain(|voter| *voter != from);
         if self.voters().contains(&from) {
             return;
         }
@@ -192,9 +204,18 @@
         if self.authority() < now {
             return;
         }
+        if !state.membership.contains(self.me) {
+            // A former leader had begun to leave this machine out, and this one has completed that.
+            self.give_up_the_lead(out);
+            self.heard = now;
+            return;
+        }
         self.membership.joining.retain(|_, asked| now - *asked < STILL_WANTS);
         let next = if state.membership.is_joint() {
+            self.membership.changed = now;
             Some(state.membership.completed())
+        } else if now - self.membership.changed < BETWEEN_CHANGES {
+            None
         } else {
             let voters = self.replacement(now).or_else(|| self.removal(now));
             voters.and_then(|voters| state.membership.changed_to(voters))
@@ -232,7 +253,7 @@
             self.membership.leavers.clear();
             return None;
         }
-        let leaver = self.membership.leavers.first().copied();
+        let leaver = self.membership.leavers.pop();
         let removed =
             leaver.or_else(|| voters.into_iter().find(|voter| self.silence(now, *voter) > ABSENT))?;
         Some(self.record.state.membership.with(None, Some(removed)))
--- a/crates/control/src/tests/voters.rs
+++ b/crates/control/src/tests/voters.rs
@@ -283,6 +283,73 @@
     assert!(net.leader().is_some() && net.all_decide());
 }
 
+/// A machine is left out while it is down, and its leader ends in the middle of that: whoever leads next, be it that machine,
+/// the change is completed, and it is taken in again.
+#[test]
+fn a_leader_that_has_left_itself_out_makes_room() {
+    let mut led = 0;
+    for steps in 0..160 {
+        let mut net = Net::new(8);
+        net.join(4);
+        net.calm(3.0);
+        let leader = net.leader().expect("somebody leads");
+        let left_out = 1 + leader % 4;
+        net.at(left_out).up = false;
+        net.calm(2.9);
+        net.be_silent();
+        deliver(&mut net, steps);
+        let joint = net.is_joint();
+        net.at(leader).up = false;
+        // Of the others it is the first to stand.
+        net.restart(left_out, false);
+        let before = net.wins.len();
+        for _ in 0..300 {
+            net.now += 0.01;
+            net.tick(left_out);
+            while !net.bag.is_empty() {
+                net.deliver(0, false);
+            }
+        }
+        led += usize::from(joint && net.wins[before..].iter().any(|(_, node)| *node == left_out));
+        net.restart(leader, false);
+        net.calm(6.0);
+        assert!(net.leader().is_some() && net.all_decide(), "after {steps} steps: {:?}", net.voters());
+    }
+    assert!(led > 0, "it never led in the middle of the change");
+}
+
+/// Whoever asked to leave and has started anew is taken in once and for all, while orders go on.
+#[test]
+fn who_asked_to_leave_and_is_back_stays() {
+    for seed in 0..8 {
+        let mut net = Net::new(seed);
+        net.join(4);
+        net.calm(3.0);
+        let leader = net.leader().expect("somebody leads");
+        let ends = 1 + leader % 4;
+        let mut outs = Vec::new();
+        net.at(ends).consensus.resign(&mut outs);
+        net.take(ends, outs);
+        // Its request is repeated, and some copies are on their way when it is back.
+        let mut late = Vec::new();
+        for _ in 0..40 {
+            net.now += 0.02;
+            net.tick_all();
+            late.extend(net.bag.iter().filter(|l| matches!(l.message, ConsensusMessage::Leave)).cloned());
+            while !net.bag.is_empty() {
+                net.deliver(0, false);
+            }
+        }
+        net.restart(ends, false);
+        net.bag.extend(late);
+        net.calm(3.0);
+        assert!(net.all_decide());
+        let newest = net.agreed.keys().max().copied().unwrap_or(0);
+        net.calm(5.0);
+        assert!(net.agreed.keys().max().copied().unwrap_or(0) <= newest + 2, "the voters change for ever");
+    }
+}
+
 /// A machine that was left out meanwhile and doesn't know it leads nothing and disturbs nobody.
 #[test]
 fn a_removed_voter_that_returns_is_harmless() {
