--- a/crates/calls/src/status.rs
+++ b/crates/calls/src/status.rs
@@ -44,6 +44,14 @@
     pub node: String,
     /// Whether it leads.
     pub leads: bool,
+    /// Whether it is out of contact with a majority of the control machines: what it shows may be old.
+    pub out_of_contact: bool,
+    /// For how many seconds it has been; 0 in contact, and below 0 if it never was in this life of its process.
+    pub out_of_contact_s: f64,
+    /// Whether its disk has refused what had to be saved, and it takes no part until the disk takes bytes again.
+    pub disk_failed: bool,
+    /// Whether it isn't one of those that decide.
+    pub no_voter: bool,
     /// The IPv4 address of the machine that leads, as far as is known there.
     pub leader: Option<String>,
     /// The IPv4 addresses of the machines whose word counts.
--- a/crates/node/src/cli/status.rs
+++ b/crates/node/src/cli/status.rs
@@ -35,6 +35,28 @@
     }
 }
 
+/// What the machine that answered can't do, one line each; empty if it is well.
+fn trouble_notes(status: &Status) -> String {
+    let node = text::clean(&status.node);
+    let mut notes = String::new();
+    if status.out_of_contact {
+        let since = match status.out_of_contact_s {
+            seconds if seconds >= 0.0 => format!("for {seconds:.1} s"),
+            _ => "since its start".to_owned(),
+        };
+        notes += &format!(
+            "{node} has had no contact with most control machines {since}: what it shows may be old\n"
+        );
+    }
+    if status.disk_failed {
+        notes += &format!("{node} can't save: it takes no part until its disk takes bytes again\n");
+    }
+    if status.no_voter {
+        notes += &format!("{node} is none of the machines that decide\n");
+    }
+    notes
+}
+
 /// The state of the system and the primary of each service.
 pub(super) fn overview(status: &Status) -> String {
     let mut pairs = Table::new(&[]);
@@ -58,7 +80,7 @@
         true => write!(text, "\n{}", primaries(status)).unwrap_or_default(),
         false => text += &follower_note(status),
     }
-    text
+    text + &trouble_notes(status)
 }
 
 /// The table of database servers.
@@ -77,8 +99,8 @@
         table.row(&[&m.service, &m.id, &m.endpoint, or_dash(&m.zone), &m.slots.to_string(), role, state]);
     }
     match status.members.is_empty() {
-        true => "no servers are known\n".to_owned() + &follower_note(status),
-        false => table.text() + &follower_note(status),
+        true => "no servers are known\n".to_owned() + &follower_note(status) + &trouble_notes(status),
+        false => table.text() + &follower_note(status) + &trouble_notes(status),
     }
 }
 
@@ -87,7 +109,7 @@
     if status.primaries.is_empty() {
         return match status.leads {
             true => "no services are known\n".to_owned(),
-            false => follower_note(status),
+            false => follower_note(status) + &trouble_notes(status),
         };
     }
     let mut table = Table::new(&["SERVICE", "PRIMARY", "TERM", "ENDPOINT", "ZONE", "STATE"]);
@@ -100,5 +122,5 @@
         let term = if p.id.is_empty() { "-".to_owned() } else { p.term.to_string() };
         table.row(&[&p.service, or_dash(&p.id), &term, endpoint, zone, phase_text(p)]);
     }
-    table.text()
+    table.text() + &trouble_notes(status)
 }
--- a/crates/node/src/tests/cli.rs
+++ b/crates/node/src/tests/cli.rs
@@ -125,6 +125,10 @@
     Status {
         node: "core-lima-a-1".to_owned(),
         leads: true,
+        out_of_contact: false,
+        out_of_contact_s: 0.0,
+        disk_failed: false,
+        no_voter: false,
         leader: Some("127.0.0.1".to_owned()),
         voters: vec!["127.0.0.1".to_owned(), "127.0.0.2".to_owned()],
         epoch: 7,
@@ -193,6 +197,26 @@
     assert!(error.unwrap().ends_with("routes[0] (r1): backend \"x\" is unknown"));
 }
 
+/// A machine that is cut off, can't save or doesn't decide says so, and for how long.
+#[test]
+fn what_a_machine_cannot_do_is_told() {
+    let cut_off = Status {
+        leads: false,
+        out_of_contact: true,
+        out_of_contact_s: 12.34,
+        disk_failed: true,
+        no_voter: true,
+        ..status()
+    };
+    let machine = Machine::new(vec![ok(&cut_off.serialize_json()), ok(&cut_off.serialize_json())]);
+    let (out, error) = run(&["status", "--at", &machine.at.to_string()]);
+    assert_eq!(error, None);
+    let notes = "core-lima-a-1 has had no contact with most control machines for 12.3 s: what it shows may be old\n\
+                 core-lima-a-1 can't save: it takes no part until its disk takes bytes again\n\
+                 core-lima-a-1 is none of the machines that decide\n";
+    assert!(out.ends_with(notes), "{out}");
+}
+
 #[test]
 fn get_gives_the_bytes_that_were_sent() {
     let machine = Machine::new(vec![ok(CONFIG)]);
