--- /dev/null
+++ b/crates/node/src/edge/pool/exchange.rs
@@ -0,0 +1,140 @@
+//! A statement and its answer on a connection in use.
+
+use super::Pool;
+use super::checkout::{Checkout, Reuse};
+use super::health::Unanswered;
+use crate::clock;
+use crate::edge::net;
+use badgerstream_wire::{Answer, Code, Outcome, State};
+
+/// Between two looks at an answer that is late, in seconds.
+const LOOK_S: f64 = 0.05;
+
+/// Why a statement has no outcome.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExchangeError {
+    /// Nothing of it was sent.
+    Unsent,
+    /// It was sent, in part at least, and the connection broke off.
+    Broken,
+    /// It was sent, and there is no answer yet.
+    Silent,
+    /// It was sent and the answer is overdue, while what was sent later is answered: lost, most likely.
+    Overdue,
+    /// A part of its answer was passed on to a client who has gone.
+    ClientGone,
+}
+
+impl Checkout {
+    /// Sends a statement and waits for its outcome until this second. `answer` then holds what is to be passed on;
+    /// long answers are passed on in parts by `pass`, which tells whether the client is still there.
+    pub async fn ask(
+        &mut self, line: &[u8], answer: &mut Answer, at: f64, pass: impl AsyncFn(&[u8]) -> bool,
+    ) -> Result<Outcome, ExchangeError> {
+        let Some(link) = &mut self.link else { return Err(ExchangeError::Unsent) };
+        let sent = clock::now();
+        // Under the lease at this moment no other primary exists, so its log has all that was acknowledged.
+        let leased = self.edge.is_leased(&self.pool.server, sent);
+        if self.reuse == Reuse::Clean {
+            self.reuse = Reuse::Pending;
+        }
+        match net::until(at, link.send(line)).await {
+            Some(Ok(())) => {}
+            other => {
+                self.link = None;
+                self.pool.mark_failing();
+                return Err(if matches!(other, Some(Err(e)) if e.none) {
+                    ExchangeError::Unsent
+                } else {
+                    ExchangeError::Broken
+                });
+            }
+        }
+        // What is our own takes no slot there: it tells nothing of the latency.
+        self.takes_slot = !line.starts_with(b"QUERY - ");
+        self.unanswered = Some(Unanswered::new(&self.pool, sent, leased));
+        self.wait(answer, at, pass).await
+    }
+
+    /// As `ask`; `Overdue` as soon as the answer of a statement with this target (seconds) most likely is lost.
+    pub async fn ask_patiently(
+        &mut self, line: &[u8], answer: &mut Answer, target: f64, at: f64, pass: impl AsyncFn(&[u8]) -> bool,
+    ) -> Result<Outcome, ExchangeError> {
+        let look = |now: f64, pool: &Pool| (now + pool.latency().overdue_after(target)).min(at);
+        let first = look(clock::now(), &self.pool);
+        let mut outcome = self.ask(line, answer, first, &pass).await;
+        while outcome == Err(ExchangeError::Silent) {
+            let now = clock::now();
+            if now >= at {
+                break;
+            }
+            if self.is_overtaken() {
+                return Err(ExchangeError::Overdue);
+            }
+            // Until others are answered nothing tells this one from them.
+            let next = look(now, &self.pool).min(now + LOOK_S);
+            outcome = self.wait(answer, next, &pass).await;
+        }
+        outcome
+    }
+
+    /// Waits on, until this second, for the outcome of what was asked and is `Silent`.
+    pub async fn wait(
+        &mut self, answer: &mut Answer, at: f64, pass: impl AsyncFn(&[u8]) -> bool,
+    ) -> Result<Outcome, ExchangeError> {
+        let Some(link) = &mut self.link else { return Err(ExchangeError::Broken) };
+        loop {
+            match net::until(at, link.answer(answer, &self.edge.scratch)).await {
+                None => return Err(ExchangeError::Silent),
+                Some(Err(())) => {
+                    self.link = None;
+                    self.unanswered = None;
+                    self.pool.mark_failing();
+                    return Err(ExchangeError::Broken);
+                }
+                Some(Ok(None)) => {
+                    if let Some(asked) = &mut self.unanswered {
+                        asked.partly = true;
+                    }
+                    if !pass(&answer.raw).await {
+                        return Err(ExchangeError::ClientGone);
+                    }
+                    answer.raw.clear();
+                }
+                Some(Ok(Some(outcome))) => {
+                    self.conclude(&outcome);
+                    return Ok(outcome);
+                }
+            }
+        }
+    }
+
+    /// The answer is in: what it tells of the server, and whether the connection may be used by the next.
+    fn conclude(&mut self, outcome: &Outcome) {
+        self.pool.mark_answered(outcome.position);
+        let idle = outcome.state == State::Idle;
+        if let Some(asked) = self.unanswered.take() {
+            if self.takes_slot {
+                self.pool.record_answer(asked.sent);
+            } else {
+                self.pool.record_round_trip(asked.sent);
+            }
+            if asked.leased && idle {
+                self.edge.sample(&self.pool.server, asked.sent, outcome.position);
+            }
+        }
+        let Some(link) = &mut self.link else { return };
+        let clean = idle && link.is_clean() && outcome.error != Some(Code::Unknown);
+        self.reuse = if clean { Reuse::Clean } else { Reuse::Closed };
+        let kept = self.keeps && outcome.error.is_none();
+        if idle && std::mem::take(&mut self.changed_inside) && !kept {
+            // Nobody has said whether an end that rolls back takes values back, too.
+            link.held.mark_uncertain();
+        }
+    }
+
+    /// The server has answered what was sent after this statement, so that its answer may be lost.
+    pub fn is_overtaken(&self) -> bool {
+        self.unanswered.as_ref().is_some_and(|u| !u.partly && self.pool.last_answered.get() > u.sent)
+    }
+}
--- a/crates/store/src/format.rs
+++ b/crates/store/src/format.rs
@@ -5,7 +5,7 @@
 use bincode::{Decode, Encode};
 
 /// The version of the rows that this program writes and reads.
-pub(crate) const VERSION: u8 = 1;
+pub(crate) const VERSION: u8 = 2;
 
 /// The bytes before the body: the version and the checksum.
 const HEADER: usize = 5;
@@ -15,22 +15,21 @@
 
 /// The row that each ballot rewrites.
 #[derive(Encode, Decode)]
-pub(crate) struct Promise {
+pub(crate) struct Ballots {
     pub(crate) promised: u64,
+    pub(crate) accepted: u64,
 }
 
-/// The row that each acceptance rewrites, as written: the value is borrowed.
+/// The row that each new value rewrites, as written: the value is borrowed.
 #[derive(Encode)]
-pub(crate) struct Acceptance<'a> {
-    pub(crate) accepted: u64,
+pub(crate) struct Value<'a> {
     pub(crate) identity: u64,
     pub(crate) value: &'a [u8],
 }
 
-/// The row that each acceptance rewrites, as read back.
+/// The row that each new value rewrites, as read back.
 #[derive(Decode)]
-pub(crate) struct Accepted {
-    pub(crate) accepted: u64,
+pub(crate) struct OwnedValue {
     pub(crate) identity: u64,
     pub(crate) value: Vec<u8>,
 }
@@ -71,23 +70,8 @@
 
 /// CRC-32 as in IEEE 802.3 (reflected, 0xEDB88320), over both parts one after the other.
 pub(crate) fn checksum(first: &[u8], second: &[u8]) -> u32 {
-    const TABLE: [u32; 256] = table();
-    let step = |sum: u32, byte: &u8| TABLE[usize::from(sum as u8 ^ byte)] ^ (sum >> 8);
-    !second.iter().fold(first.iter().fold(!0, step), step)
-}
-
-const fn table() -> [u32; 256] {
-    let mut table = [0; 256];
-    let mut at = 0;
-    while at < 256 {
-        let mut sum = at as u32;
-        let mut bit = 0;
-        while bit < 8 {
-            sum = if sum & 1 == 1 { 0xEDB8_8320 ^ (sum >> 1) } else { sum >> 1 };
-            bit += 1;
-        }
-        table[at] = sum;
-        at += 1;
-    }
-    table
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(first);
+    hasher.update(second);
+    hasher.finalize()
 }
