--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! The figures of `docs/CAPACITY.md` come from here.
 
+pub mod days;
 pub mod decisions;
 pub mod figures;
 pub mod machines;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,5 +1,6 @@
 //! `badgerscale`: what control costs beside so many routers and services.
 
+use badgerstream_scale::days::{Day, Site};
 use badgerstream_scale::decisions;
 use badgerstream_scale::plan::{Net, Plan};
 use badgerstream_scale::run::{self, Wanted};
@@ -68,6 +69,15 @@
         #[arg(long, default_value_t = 5.0)]
         seconds: f64,
     },
+    /// Prints a day for the bench, drawn from a seed: several troubles on the same machine within the same second.
+    Day {
+        /// The kind of deployment that it is drawn for.
+        #[arg(long)]
+        site: Site,
+        /// The same seed always draws the same day.
+        #[arg(long)]
+        seed: u64,
+    },
     /// Runs one machine's part of the system: for tests, which know of no other program.
     #[command(hide = true)]
     Node {
@@ -111,6 +121,10 @@
             let evidence = evidence.unwrap_or(services);
             plan.and_then(|plan| decisions::run(&plan, evidence, seconds, &mut |line| println!("{line}")))
         }
+        What::Day { site, seed } => {
+            print!("{}", Day::draw(site, seed));
+            Ok(())
+        }
         What::Node { settings } => badgerstream_node::node::run(settings),
     };
     match ended {
--- /dev/null
+++ b/crates/scale/src/tests/days.rs
@@ -0,0 +1,122 @@
+//! Days that are drawn: the same seed draws the same day, and the bench can read it.
+
+use crate::days::{Day, LENGTH_S, Site};
+use clap::ValueEnum;
+use std::collections::HashSet;
+
+const SEEDS: std::ops::Range<u64> = 0..300;
+
+/// The kinds that the bench's `kinds` lists for each of the sites.
+const KINDS: [&str; 26] = [
+    "ack_lost",
+    "after_ack_kill",
+    "after_ack_wipe",
+    "answer_lost",
+    "bad_config",
+    "big_config",
+    "clock_step",
+    "config_race",
+    "core_cut",
+    "disk_full",
+    "disk_slow",
+    "disk_stall",
+    "herd_kill",
+    "hup",
+    "node_cut",
+    "node_freeze",
+    "node_kill",
+    "node_slow",
+    "primary_cut",
+    "release",
+    "replace_core",
+    "replica_lag",
+    "reset_conns",
+    "roll_term",
+    "seed_turnover",
+    "srv_crash",
+];
+
+/// Kinds of which the small sites know nothing.
+const ONLY_GROWN: [&str; 2] = ["srv_flap", "srv_lying_health"];
+
+fn days(site: Site) -> impl Iterator<Item = Day> {
+    SEEDS.map(move |seed| Day::draw(site, seed))
+}
+
+#[test]
+fn a_seed_always_draws_the_same_day() {
+    for site in Site::value_variants() {
+        for day in days(*site).zip(days(*site)) {
+            assert_eq!(day.0, day.1);
+            assert_eq!(day.0.to_string(), day.1.to_string());
+        }
+        let texts: HashSet<String> = days(*site).map(|day| day.to_string()).collect();
+        assert_eq!(texts.len(), SEEDS.count());
+    }
+}
+
+/// The text of one seed stands here whole: who changes how days are drawn makes the seeds of old reports worthless, and
+/// has to say so.
+#[test]
+fn the_text_of_a_seed_is_known() {
+    assert_eq!(Day::draw(Site::Control, 7).to_string(), include_str!("day-control-7.toml"));
+}
+
+#[test]
+fn only_known_kinds_are_drawn() {
+    for site in Site::value_variants() {
+        for day in days(*site) {
+            for entry in day.plan().iter().chain(day.faults()) {
+                let kind = entry.kind();
+                assert!(KINDS.contains(&kind) || ONLY_GROWN.contains(&kind), "{kind}");
+                assert!(*site == Site::Grown || !ONLY_GROWN.contains(&kind), "{kind} on {site:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn entries_stand_in_order_and_within_the_day() {
+    for site in Site::value_variants() {
+        for day in days(*site) {
+            for entries in [day.plan(), day.faults()] {
+                assert!(entries.is_sorted_by_key(|entry| entry.at()), "{day}");
+                assert!(entries.iter().all(|e| e.at() >= 1.0 && e.at() < LENGTH_S - 3.0), "{day}");
+            }
+        }
+    }
+}
+
+/// Orders are under way all day, and of the troubles several begin in the same second.
+#[test]
+fn troubles_meet_in_the_same_second() {
+    for site in Site::value_variants() {
+        for day in days(*site) {
+            assert!(day.plan().iter().any(|entry| entry.kind() == "config_race"), "{day}");
+            let neighbours = day.faults().windows(2).filter(|pair| pair[1].at() - pair[0].at() <= 1.0);
+            assert!(neighbours.count() >= 1, "{day}");
+        }
+    }
+}
+
+/// Each line is a key with a value, or an entry of a list; brackets, braces and quotes are balanced.
+#[test]
+fn the_text_has_the_shape_of_a_day() {
+    for site in Site::value_variants() {
+        for day in days(*site) {
+            let text = day.to_string();
+            for key in ["name = \"", "slot = \"trouble\"", "seed = ", "plan = [", "faults = ["] {
+                assert_eq!(text.lines().filter(|line| line.starts_with(key)).count(), 1, "{key} in {text}");
+            }
+            assert_eq!(text.matches('"').count() % 2, 0, "{text}");
+            for entry in text.lines().filter(|line| line.starts_with("  ")) {
+                assert!(entry.starts_with("  { at = ") && entry.ends_with(" },"), "{entry}");
+                assert_eq!(entry.matches(['{', '}']).count(), 2, "{entry}");
+                assert!(
+                    !entry.contains("= ,") && !entry.contains("\"\"") && !entry.contains("  }"),
+                    "{entry}"
+                );
+            }
+        }
+    }
+}
--- a/crates/scale/src/tests/mod.rs
+++ b/crates/scale/src/tests/mod.rs
@@ -1,3 +1,4 @@
+mod days;
 mod decisions;
 mod figures;
 mod plan;
