--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -40,6 +40,9 @@
         /// Each part (the start, the changes, the crash, the leader's end) is to be over within so many seconds.
         #[arg(long, default_value_t = 60.0)]
         limit: f64,
+        /// What each router's link carries from control, in Mbit/s; by default all that loopback does.
+        #[arg(long)]
+        link: Option<f64>,
         /// The first two parts of all addresses.
         #[arg(long, default_value = "127.2")]
         net: Net,
@@ -90,6 +93,7 @@
             changes,
             crashes,
             limit,
+            link,
             net,
             folder,
             program,
@@ -100,7 +104,7 @@
                 program.or_else(|| Some(std::env::current_exe().ok()?.with_file_name("badgerpool")));
             let Some(program) = program else { return fail("tell --program") };
             let evidence = evidence.unwrap_or(services);
-            let wanted = Wanted { evidence, seconds, changes, crashes, limit };
+            let wanted = Wanted { evidence, seconds, changes, crashes, limit, link: link.map(|mbps| mbps * 1e6 / 8.0) };
             let plan = Plan::new(net, routers, services, own).map_err(|e| e.to_string());
             plan.and_then(|plan| {
                 run::run(&plan, wanted, &folder.unwrap_or_else(new), &program, &mut |line| println!("{line}"))
--- a/crates/scale/src/routers.rs
+++ b/crates/scale/src/routers.rs
@@ -20,6 +20,10 @@
 const RENEW: f64 = 0.3;
 /// Without an answer for so long another machine is tried, in seconds: the default of routers.
 const SUSPECT: f64 = 0.6;
+/// What the kernel may hold for a router whose link is limited, in bytes: the rest waits at control's side.
+const RECEIVE_BUFFER: usize = 8 << 10;
+/// What is read at once from a limited link, in bytes.
+const LINK_READ: usize = 4 << 10;
 
 /// What has passed between all hollow routers and control.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -128,6 +132,8 @@
     controls: Vec<Node>,
     /// Of how many primaries each tells what it saw.
     evidence: usize,
+    /// Bytes a second that a router's link carries from control; none is as fast as loopback.
+    link: Option<f64>,
     traffic: Cell<Traffic>,
 }
 
@@ -140,15 +146,16 @@
 }
 
 impl Routers {
-    /// Starts so many.
+    /// Starts so many; `link` is what each one's link carries, in bytes a second.
     pub fn start(
         tasks: &Rc<LocalExecutor<'static>>, count: usize, controls: &[SocketAddr], evidence: usize,
+        link: Option<f64>,
     ) -> Routers {
         let nodes = controls.iter().filter_map(|at| match at.ip() {
             IpAddr::V4(ip) => Some(u32::from(ip)),
             IpAddr::V6(_) => None,
         });
-        let common = Rc::new(Common { controls: nodes.collect(), evidence, traffic: Cell::default() });
+        let common = Rc::new(Common { controls: nodes.collect(), evidence, link, traffic: Cell::default() });
         let one = |n: usize| {
             Rc::new(Router {
                 name: format!("edge-local-{n}"),
@@ -201,9 +208,12 @@
     common.count(|t| t.connects += 1);
     let to = SocketAddr::from((Ipv4Addr::from(node), PEERS));
     let stream = frames::connect(to, SUSPECT.min(0.4), SUSPECT * 2.0).await?;
+    if common.link.is_some() {
+        let _ = rustix::net::sockopt::set_socket_recv_buffer_size(&stream, RECEIVE_BUFFER);
+    }
     let (news, told) = async_channel::bounded(64);
     let read = async {
-        let mut reader = io::BufReader::with_capacity(1024, Counted { stream: &stream, common });
+        let mut reader = io::BufReader::with_capacity(1024, Counted::new(&stream, common));
         loop {
             let Frame::News(one) = frames::read(&mut reader).await? else {
                 return Err(io::ErrorKind::InvalidData.into());
@@ -276,19 +286,53 @@
     within(SUSPECT, writer.write_all(&bytes)).await
 }
 
-/// A connection whose bytes are counted.
+/// A connection whose bytes are counted, and that carries no more than the router's link does.
 struct Counted<'a> {
     stream: &'a Async<TcpStream>,
     common: &'a Common,
+    /// When the link has carried what was read so far, in seconds.
+    free_at: f64,
+    pause: Option<Timer>,
+}
+
+impl<'a> Counted<'a> {
+    fn new(stream: &'a Async<TcpStream>, common: &'a Common) -> Self {
+        Counted { stream, common, free_at: 0.0, pause: None }
+    }
+
+    /// Waits until the link is free again.
+    fn poll_link(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let now = clock::now();
+        if self.free_at <= now {
+            self.pause = None;
+            return Poll::Ready(());
+        }
+        let after = Duration::from_secs_f64(self.free_at - now);
+        let pause = self.pause.get_or_insert_with(|| Timer::after(after));
+        match Pin::new(pause).poll(cx) {
+            Poll::Ready(_) => {
+                self.pause = None;
+                Poll::Ready(())
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
 }
 
 impl AsyncRead for Counted<'_> {
     fn poll_read(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let read = Pin::new(&mut self.stream).poll_read(cx, bytes);
+        if self.common.link.is_some() && self.poll_link(cx).is_pending() {
+            return Poll::Pending;
+        }
+        let most = if self.common.link.is_some() { bytes.len().min(LINK_READ) } else { bytes.len() };
+        let read = Pin::new(&mut self.stream).poll_read(cx, &mut bytes[..most]);
         if let Poll::Ready(Ok(count)) = &read {
             self.common.count(|t| t.into += *count as u64);
+            if let Some(link) = self.common.link {
+                self.free_at = self.free_at.max(clock::now()) + *count as f64 / link;
+            }
         }
         read
     }
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -28,6 +28,8 @@
     pub crashes: usize,
     /// What each part may take, in seconds.
     pub limit: f64,
+    /// Bytes a second that each router's link carries from control; none is as fast as loopback.
+    pub link: Option<f64>,
 }
 
 struct Run<'a> {
@@ -49,7 +51,7 @@
     let tasks = Rc::new(LocalExecutor::new());
     let machines = machines::start(plan, folder, program)?;
     let servers = Servers::start(plan.servers(), plan.controls(), plan.platform())?;
-    let routers = Routers::start(&tasks, plan.routers, &plan.controls(), wanted.evidence);
+    let routers = Routers::start(&tasks, plan.routers, &plan.controls(), wanted.evidence, wanted.link);
     let mut run = Run { plan, wanted, machines, routers, servers, tell };
     future::block_on(tasks.run(run.all()))
 }
--- a/crates/scale/tests/small.rs
+++ b/crates/scale/tests/small.rs
@@ -10,7 +10,7 @@
     let folder = std::env::temp_dir().join(format!("badgerscale-test-{}", std::process::id()));
     // Own addresses, in case somebody measures at the same time.
     let plan = Plan::new(Net([127, 202]), 20, 2, Vec::new()).unwrap();
-    let wanted = Wanted { evidence: 2, seconds: 0.2, changes: 2, crashes: 1, limit: 20.0 };
+    let wanted = Wanted { evidence: 2, seconds: 0.2, changes: 2, crashes: 1, limit: 20.0, link: None };
     let mut lines = Vec::new();
     let program = Path::new(env!("CARGO_BIN_EXE_badgerscale"));
     let ended = run::run(&plan, wanted, &folder, program, &mut |line| lines.push(line));
