--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -6,8 +6,13 @@
 use crate::members::{Beat, Members};
 use crate::message::{GrantNews, MemberNews, Node, PeerMessage, ToControl, ToRouter};
 use crate::state::{Primary, State, Taken};
+use beats::Refreshed;
+use news::{Session, Telling};
+use services::Turns;
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
 
+mod beats;
 mod members_news;
 mod news;
 mod orders;
@@ -59,8 +64,10 @@
     Save,
     /// To another control machine.
     Peer(Node, PeerMessage),
-    /// To the router on this session.
+    /// To the router on this session: an answer, or where else to ask.
     Router(u64, ToRouter),
+    /// News to the router on this session, behind all that went there before. Sessions that lack the same share it.
+    News(u64, Rc<ToRouter>),
     /// To a database server.
     Ask { id: String, endpoint: String, service: String, statement: Statement },
     /// To the platform, if it can be sent before this second; `fence` rises with every holder of the duty.
@@ -99,14 +106,6 @@
     },
 }
 
-#[derive(Clone, Debug)]
-struct Session {
-    router: String,
-    /// What it was last told, so that nothing is sent twice.
-    told: u64,
-    epoch: u64,
-}
-
 #[derive(Clone, Debug)]
 struct Grant {
     news: GrantNews,
@@ -126,7 +125,9 @@
     leases: Leases,
     services: BTreeMap<String, Failover>,
     grants: BTreeMap<String, Grant>,
-    sessions: HashMap<u64, Session>,
+    sessions: BTreeMap<u64, Session>,
+    telling: Telling,
+    turns: Turns,
     /// Under way: what is being agreed on.
     proposed: Option<(u64, Waiting)>,
     queue: VecDeque<Waiting>,
@@ -149,6 +150,8 @@
     held: VecDeque<(u64, Call, f64)>,
     /// Bodies of members that changed while leading, told under the next number.
     news_due: bool,
+    /// Beats that told nothing new, for the other control machines.
+    refreshed: Refreshed,
 }
 
 impl Controller {
@@ -167,6 +170,7 @@
             passing: seed << 16,
             held: VecDeque::new(),
             news_due: false,
+            refreshed: Refreshed::default(),
         }
     }
 
@@ -265,7 +269,9 @@
             leases: Leases::begin(before_us),
             services: BTreeMap::new(),
             grants: BTreeMap::new(),
-            sessions: HashMap::new(),
+            sessions: BTreeMap::new(),
+            telling: Telling::default(),
+            turns: Turns::default(),
             proposed: None,
             queue: VecDeque::new(),
             sync: HashMap::new(),
@@ -318,6 +324,7 @@
         let mut outs = Vec::new();
         self.consensus.tick(now, &mut outs);
         self.settle(now, outs, &mut out);
+        self.spread_refreshed(now, &mut out);
         let number = self.lead.as_ref().map_or(0, |l| l.number + 1);
         if self.members.sweep(now, self.timing.forget, number) {
             self.news_due = true;
@@ -335,14 +342,7 @@
                 self.step(now, &mut out);
             }
             self.next(now, &mut out);
-            // What came in one step is told at once: changes come in crowds, and each telling is answered.
-            if self.news_due && now < self.consensus.authority() {
-                self.news_due = false;
-                if let Some(lead) = &mut self.lead {
-                    lead.number += 1;
-                }
-                self.tell_all(now, &mut out);
-            }
+            self.tell_all(now, &mut out);
             if let Some(lead) = &mut self.lead {
                 lead.leases.sweep(now);
                 let late = lead.queue.iter().position(|w| now > w.until);
@@ -405,11 +405,7 @@
         let mut out = Vec::new();
         match call {
             Call::Beat { id, beat } => {
-                let stamp = self.lead.as_ref().map_or(0, |l| l.number + 1);
-                if let Some(news) = self.members.beat(now, &id, &beat, stamp) {
-                    self.news_due |= stamp > 0 && self.members.is_stamped(&id, stamp);
-                    self.spread(&news, &mut out);
-                }
+                self.beat(now, &id, &beat, &mut out);
                 out.push(Output::Reply(number, self.taken(now)));
                 self.know_services();
             }
--- a/crates/control/src/controller/news.rs
+++ b/crates/control/src/controller/news.rs
@@ -1,91 +1,214 @@
-//! What routers are told: sessions, grants, servers, configurations.
+//! What routers are told: the lease in answer to each renewal, and news in turns.
+//!
+//! An answer carries the lease and nothing else, so that it is small and never late. News goes out by itself, to so many
+//! sessions a tick, each of which has one news under way at most: what changes meanwhile is told with the next one, once the
+//! router has said that it knows the last. Nothing queues up for a router that is slow, and none is told twice what it took.
 
 use super::*;
 
+/// To so many sessions news goes in one tick, at most.
+pub(crate) const SESSIONS_A_TICK: usize = 64;
+/// News that is not confirmed within so many seconds is told again; the span doubles each time, up to [`MOST_PATIENCE`].
+const PATIENCE: f64 = 1.0;
+const MOST_PATIENCE: f64 = 8.0;
+/// All there is to tell is put together this often at most, in seconds: a session that is told an older whole is told the rest
+/// with its next news.
+const WHOLE_KEPT: f64 = 0.25;
+/// News that is kept to be shared, at most.
+const SHARED: usize = 8;
+
+/// The connection of one router.
+#[derive(Clone, Debug)]
+pub(super) struct Session {
+    router: String,
+    /// Up to which number it was told; 0 if nothing of this leader.
+    told: u64,
+    /// Up to which number it said that it knows.
+    confirmed: u64,
+    /// The configuration that it was told.
+    epoch: u64,
+    /// When it was last told something.
+    told_at: f64,
+    /// News counts as lost after so many seconds.
+    patience: f64,
+}
+
+impl Session {
+    fn new(router: String, known: u64, epoch: u64) -> Session {
+        Session {
+            router,
+            told: known,
+            confirmed: known,
+            epoch,
+            told_at: f64::NEG_INFINITY,
+            patience: PATIENCE,
+        }
+    }
+
+    fn is_under_way(&self) -> bool {
+        self.told > self.confirmed
+    }
+
+    /// The router says up to where it knows the news.
+    fn confirm(&mut self, now: f64, known: u64, epoch: u64) {
+        self.confirmed = self.confirmed.max(known);
+        if !self.is_under_way() {
+            self.patience = PATIENCE;
+        } else if now - self.told_at > self.patience {
+            self.patience = (2.0 * self.patience).min(MOST_PATIENCE);
+            self.told = self.confirmed;
+            self.epoch = epoch;
+        }
+    }
+}
+
+/// What a leader keeps to tell its sessions.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Telling {
+    /// The session that was told last: the next turn begins behind it.
+    last: u64,
+    /// The configuration's epoch that the newest number covers.
+    epoch: u64,
+    shared: Vec<Shared>,
+    /// How many routers there are; 0 while that isn't known.
+    routers: u32,
+    /// Services of whose primary routers are to tell what they saw.
+    pub(super) evidence_wanted: Vec<String>,
+}
+
+/// News for all sessions that lack the same.
+#[derive(Clone, Debug)]
+struct Shared {
+    /// The number after which it tells what changed; 0 for all there is.
+    after: u64,
+    /// Whether the configuration is with it.
+    with_config: bool,
+    /// Up to which number, and which configuration, it tells.
+    number: u64,
+    epoch: u64,
+    made: f64,
+    news: Rc<ToRouter>,
+}
+
 impl Controller {
     pub(super) fn elsewhere(&self) -> ToRouter {
         let leader = self.consensus.leader().filter(|l| *l != self.me || self.lead.is_some());
         ToRouter::Elsewhere { leader, voters: self.voters().to_vec() }
     }
 
-    pub(super) fn news(
-        &self, now: f64, lead: &Lead, session: &Session, sent: Option<f64>, lease: f64, whole: bool,
-    ) -> ToRouter {
-        let after = if whole { 0 } else { session.told };
-        // Most calls only renew the lease: nothing is looked through for them.
-        let any = after < lead.number || self.news_due;
-        let grants =
-            lead.grants.values().filter(|g| any && g.stamp > after).map(|g| g.news.clone()).collect();
-        let members = any.then(|| self.members.all().filter(|m| m.stamp > after && !(whole && m.news.gone)));
-        let newer = self.current.epoch > session.epoch;
-        ToRouter::News {
-            known: (crate::Ballot(lead.fence), lead.number),
-            sent,
-            lease,
-            whole,
-            grants,
-            members: members.into_iter().flatten().map(|m| m.news.clone()).collect::<Vec<MemberNews>>(),
-            config: newer.then(|| self.current.config.clone()),
-            voters: self.voters().to_vec(),
-            routers: if now - lead.since < SETTLED { 0 } else { lead.leases.held(now) as u32 },
-        }
-    }
-
-    /// Tells every router what it doesn't know yet.
+    /// Tells routers what they don't know yet, as many as have their turn. To be called at each tick.
     pub(super) fn tell_all(&mut self, now: f64, out: &mut Vec<Output>) {
         if now >= self.consensus.authority() {
-            self.news_due = true;
             return;
         }
         let Some(mut lead) = self.lead.take() else { return };
-        let mut sessions = std::mem::take(&mut lead.sessions);
-        for (id, session) in &mut sessions {
-            if session.told < lead.number || session.epoch < self.current.epoch {
-                out.push(Output::Router(*id, self.news(now, &lead, session, None, 0.0, false)));
-                session.told = lead.number;
-                session.epoch = self.current.epoch;
-            }
+        // What came in one step is told under one number: changes come in crowds.
+        if std::mem::take(&mut self.news_due) || lead.telling.epoch < self.current.epoch {
+            lead.number += 1;
+            lead.telling.epoch = self.current.epoch;
+        }
+        let settled = now - lead.since >= SETTLED;
+        lead.telling.routers = if settled { lead.leases.present(now, self.timing.lease) as u32 } else { 0 };
+        let number = lead.number;
+        lead.telling.shared.retain(|s| s.number == number || now - s.made < WHOLE_KEPT);
+        for id in next_turns(&lead, self.current.epoch) {
+            let news = self.tell(now, &mut lead, id);
+            out.extend(news.map(|news| Output::News(id, news)));
         }
-        lead.sessions = sessions;
         self.lead = Some(lead);
     }
 
+    /// What this session lacks, which counts as told from now on.
+    fn tell(&self, now: f64, lead: &mut Lead, id: u64) -> Option<Rc<ToRouter>> {
+        let session = lead.sessions.get(&id)?;
+        let shared = self.shared(now, lead, session.told, session.epoch < self.current.epoch);
+        let session = lead.sessions.get_mut(&id)?;
+        session.told = shared.number;
+        session.epoch = session.epoch.max(shared.epoch);
+        session.told_at = now;
+        lead.telling.last = id;
+        Some(shared.news)
+    }
+
+    fn shared(&self, now: f64, lead: &mut Lead, after: u64, with_config: bool) -> Shared {
+        let fits = |s: &&Shared| {
+            let newest = s.number == lead.number && s.epoch == self.current.epoch;
+            s.after == after && s.with_config == with_config && (newest || after == 0)
+        };
+        if let Some(found) = lead.telling.shared.iter().find(fits) {
+            return found.clone();
+        }
+        let news = Rc::new(self.news(lead, after, with_config));
+        let epoch = if with_config { self.current.epoch } else { 0 };
+        let made = Shared { after, with_config, number: lead.number, epoch, made: now, news };
+        if lead.telling.shared.len() >= SHARED {
+            lead.telling.shared.remove(0);
+        }
+        lead.telling.shared.push(made.clone());
+        made
+    }
+
+    /// All that changed after this number.
+    fn news(&self, lead: &Lead, after: u64, with_config: bool) -> ToRouter {
+        let whole = after == 0;
+        let members = self.members.all().filter(|m| m.stamp > after && !(whole && m.news.gone));
+        ToRouter::News {
+            known: (crate::Ballot(lead.fence), lead.number),
+            sent: None,
+            lease: 0.0,
+            whole,
+            grants: lead.grants.values().filter(|g| g.stamp > after).map(|g| g.news.clone()).collect(),
+            members: members.map(|m| m.news.clone()).collect(),
+            config: with_config.then(|| self.current.config.clone()),
+            voters: self.voters().to_vec(),
+            routers: lead.telling.routers,
+            evidence_wanted: lead.telling.evidence_wanted.clone(),
+        }
+    }
+
     /// A router asks for its lease on this session.
     pub fn router(&mut self, now: f64, session: u64, call: ToControl) -> Vec<Output> {
-        let mut out = Vec::new();
         let authority = self.consensus.authority();
-        let elsewhere = self.elsewhere();
         if self.lead.is_some() && now >= authority + 0.5 * self.timing.suspect {
             // Cut off from the others: somebody else may lead by now.
-            out.push(Output::Router(
-                session,
-                ToRouter::Elsewhere { leader: None, voters: self.voters().to_vec() },
-            ));
-            return out;
+            let elsewhere = ToRouter::Elsewhere { leader: None, voters: self.voters().to_vec() };
+            return vec![Output::Router(session, elsewhere)];
         }
-        let Some(mut lead) = self.lead.take() else {
-            out.push(Output::Router(session, elsewhere));
-            return out;
+        let (elsewhere, voters) = (self.elsewhere(), self.voters().to_vec());
+        let Some(lead) = &mut self.lead else {
+            return vec![Output::Router(session, elsewhere)];
         };
         for seen in &call.evidence {
             if let Some(failover) = lead.services.get_mut(&seen.service) {
                 failover.evidence(&seen.id, now - seen.answered);
             }
         }
-        let ours = call.known.0 == crate::Ballot(lead.fence);
-        let known = if ours { call.known.1 } else { 0 };
-        let mut lease = 0.0;
+        let ballot = crate::Ballot(lead.fence);
+        let known = if call.known.0 == ballot { call.known.1 } else { 0 };
+        let of = lead
+            .sessions
+            .entry(session)
+            .or_insert_with(|| Session::new(call.router.clone(), known, call.epoch));
+        of.confirm(now, known, call.epoch);
+        // Whoever was told nothing by this leader has no grants that a lease could cover.
+        let leased = now < authority && of.confirmed > 0;
+        let lease = if leased { self.timing.lease } else { 0.0 };
         if now < authority {
-            lease = self.timing.lease;
             lead.leases.renew(now, &call.router, call.life, known, lease);
         }
-        let of = Session { router: call.router, told: known, epoch: call.epoch };
-        out.push(Output::Router(session, self.news(now, &lead, &of, Some(call.sent), lease, !ours)));
-        let told = lead.number;
-        let epoch = self.current.epoch.max(of.epoch);
-        lead.sessions.insert(session, Session { told, epoch, ..of });
-        self.lead = Some(lead);
-        out
+        let answer = ToRouter::News {
+            known: (ballot, of.confirmed),
+            sent: Some(call.sent),
+            lease,
+            whole: false,
+            grants: Vec::new(),
+            members: Vec::new(),
+            config: None,
+            voters,
+            routers: lead.telling.routers,
+            evidence_wanted: lead.telling.evidence_wanted.clone(),
+        };
+        vec![Output::Router(session, answer)]
     }
 
     /// A session's connection has ended. The lease that its router holds goes on.
@@ -97,3 +220,12 @@
         }
     }
 }
+
+/// The sessions that are told something in this tick: those that lack something and have nothing under way, in turn.
+fn next_turns(lead: &Lead, epoch: u64) -> Vec<u64> {
+    let last = lead.telling.last;
+    let behind = lead.sessions.range(last + 1..).chain(lead.sessions.range(..=last));
+    let lacks = |s: &Session| s.told < lead.number || s.epoch < epoch;
+    let due = behind.filter(|(_, s)| !s.is_under_way() && lacks(s));
+    due.map(|(id, _)| *id).take(SESSIONS_A_TICK).collect()
+}
--- a/crates/control/src/controller/services.rs
+++ b/crates/control/src/controller/services.rs
@@ -2,6 +2,58 @@
 
 use super::*;
 
+/// So many services are stepped in one tick, at most.
+pub(crate) const SERVICES_A_TICK: usize = 128;
+/// Of these so many at most are such whose primary isn't settled, while there are others.
+const UNSETTLED_A_TICK: usize = 96;
+/// So many questions go to servers in one tick, at most; the services that had no turn have theirs in the next.
+pub(crate) const QUESTIONS_A_TICK: usize = 64;
+/// Routers are asked about so many primaries at a time, at most.
+pub(crate) const EVIDENCE_WANTED: usize = 32;
+/// Each primary is asked so seldom that no more than so many are asked a second.
+const PRIMARIES_A_SECOND: f64 = 1250.0;
+/// Which services are stepped next.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Turns {
+    /// The service that was stepped last: the next turn begins behind it.
+    last: String,
+    /// The changes of members after which the services were last looked through.
+    members_seen: Option<u64>,
+}
+
+/// The spans that go with so many services: with many, servers are asked less often, and a silence is longer.
+fn paced(timing: Timing, services: usize) -> Timing {
+    let slower = (services as f64 / PRIMARIES_A_SECOND / timing.ask).max(1.0);
+    Timing {
+        ask: timing.ask * slower,
+        ask_replica: timing.ask_replica * slower,
+        silence: timing.silence * slower,
+        ..timing
+    }
+}
+
+/// The services that are stepped in this tick.
+fn next_turns(lead: &Lead) -> Vec<String> {
+    let from = (std::ops::Bound::Excluded(lead.turns.last.clone()), std::ops::Bound::Unbounded);
+    let behind = lead.services.range(from).chain(lead.services.range(..=lead.turns.last.clone()));
+    let (steady, unsettled): (Vec<_>, Vec<_>) = behind.partition(|(_, f)| f.is_watching());
+    let first = unsettled.len().min(UNSETTLED_A_TICK.max(SERVICES_A_TICK.saturating_sub(steady.len())));
+    let turns = unsettled.into_iter().take(first).chain(steady);
+    turns.map(|(service, _)| service.clone()).take(SERVICES_A_TICK).collect()
+}
+
+/// The services that routers are to tell evidence of: those whose primary nobody heard for the longest.
+fn evidence_wanted(now: f64, lead: &Lead) -> Vec<String> {
+    let silent = |(service, failover): (_, &Failover)| Some((failover.unheard(now)?, service));
+    let mut wanted: Vec<(f64, &String)> = lead.services.iter().filter_map(silent).collect();
+    wanted.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+    wanted.into_iter().take(EVIDENCE_WANTED).map(|(_, service)| service.clone()).collect()
+}
+
+fn questions(out: &[Output]) -> usize {
+    out.iter().filter(|o| matches!(o, Output::Ask { .. })).count()
+}
+
 impl Controller {
     /// How many replicas each service waits for: the driver tells it with each configuration that it has read.
     pub fn replicas_waited_for(&mut self, sync: HashMap<String, u32>) {
@@ -10,45 +62,61 @@
         }
     }
 
+    /// Services of which a server was heard for the first time get their failover.
     pub(super) fn know_services(&mut self) {
         let timing = self.timing.service;
-        let services = self.members.services();
-        if let Some(lead) = &mut self.lead {
-            for service in services {
-                lead.services.entry(service).or_insert_with(|| Failover::new(timing));
-            }
+        let Some(lead) = &mut self.lead else { return };
+        if lead.turns.members_seen == Some(self.members.changes()) {
+            return;
+        }
+        lead.turns.members_seen = Some(self.members.changes());
+        for service in self.members.services() {
+            lead.services.entry(service).or_insert_with(|| Failover::new(timing));
         }
     }
 
-    /// One step of every service.
+    /// One step of the services that have their turn: those whose primary isn't settled go first.
     pub(super) fn step(&mut self, now: f64, out: &mut Vec<Output>) {
-        let services: Vec<String> = match &self.lead {
-            Some(lead) => lead.services.keys().cloned().collect(),
-            None => return,
-        };
+        let Some(lead) = &mut self.lead else { return };
+        let timing = paced(self.timing.service, lead.services.len());
+        let services = next_turns(lead);
+        let asked_before = out.len();
         for service in services {
-            let members: Vec<Candidate> = self.members.of(&service).map(candidate).collect();
-            let Some(lead) = &mut self.lead else { return };
-            let Some(mut failover) = lead.services.remove(&service) else { continue };
-            let lost = self.members.lost(&service, self.timing.service.heartbeat);
-            let record = self.current.primaries.get(&service);
-            let leases = &lead.leases;
-            let all_know = |number: u64| leases.all_know(now, number);
-            let acts = failover.tick(&Around {
-                now,
-                members: &members,
-                lost: &lost,
-                record: record.map(|p| (p.id.as_str(), p.above)),
-                all_know: &all_know,
-                since: lead.since,
-                not_before: lead.leases.before_us() + self.timing.platform,
-                sync: lead.sync.get(&service).copied().unwrap_or(1),
-            });
-            lead.services.insert(service.clone(), failover);
-            self.act(now, &service, acts, out);
+            if questions(&out[asked_before..]) >= QUESTIONS_A_TICK {
+                break;
+            }
+            self.step_of(now, &service, timing, out);
+            if let Some(lead) = &mut self.lead {
+                lead.turns.last = service;
+            }
+        }
+        if let Some(lead) = &mut self.lead {
+            lead.telling.evidence_wanted = evidence_wanted(now, lead);
         }
     }
 
+    fn step_of(&mut self, now: f64, service: &str, timing: Timing, out: &mut Vec<Output>) {
+        let members: Vec<Candidate> = self.members.of(service).map(candidate).collect();
+        let Some(lead) = &mut self.lead else { return };
+        let Some(failover) = lead.services.get_mut(service) else { return };
+        failover.pace(now, timing);
+        let lost = self.members.lost(service, self.timing.service.heartbeat);
+        let record = self.current.primaries.get(service);
+        let leases = &lead.leases;
+        let all_know = |number: u64| leases.all_know(now, number);
+        let acts = failover.tick(&Around {
+            now,
+            members: &members,
+            lost: &lost,
+            record: record.map(|p| (p.id.as_str(), p.above)),
+            all_know: &all_know,
+            since: lead.since,
+            not_before: leases.before_us() + self.timing.platform,
+            sync: lead.sync.get(service).copied().unwrap_or(1),
+        });
+        self.act(now, service, acts, out);
+    }
+
     pub(super) fn act(&mut self, now: f64, service: &str, acts: Vec<Act>, out: &mut Vec<Output>) {
         for act in acts {
             match act {
--- a/crates/control/src/failover.rs
+++ b/crates/control/src/failover.rs
@@ -7,6 +7,8 @@
 //! A primary that is to leave is replaced while it goes on: all copies but the coming primary are paused, so that whatever
 //! is acknowledged from then on is there; only once it leads do the routers let go of the old one.
 
+mod load;
+
 use std::collections::BTreeMap;
 
 /// A position in a service's log: term and number.
@@ -198,6 +200,7 @@
     retry: f64,
     /// That a change is complete is told again after this.
     settle: f64,
+    pace: load::Pace,
 }
 
 impl Failover {
@@ -212,6 +215,7 @@
             trail: Vec::new(),
             retry: 0.0,
             settle: f64::NEG_INFINITY,
+            pace: load::Pace::default(),
         }
     }
 
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -11,6 +11,8 @@
     known: u64,
     /// Its lease has ended for certain at this second of our clock.
     until: f64,
+    /// When it last asked.
+    asked: f64,
 }
 
 /// Leases by the routers' names.
@@ -27,16 +29,20 @@
         Leases { all: HashMap::new(), before_us }
     }
 
-    /// A router asks and is given the lease for so many seconds; it knows all news up to `known`.
+    /// A router asks and is given the lease for so many seconds, 0 for none; it knows all news up to `known`.
     pub fn renew(&mut self, now: f64, router: &str, life: u64, known: u64, lease: f64) {
-        let until = now + lease;
-        let session = self.all.entry(router.to_owned()).or_insert(Session { life, known, until });
+        let renewed = Session { life, known, until: now + lease, asked: now };
+        let Some(session) = self.all.get_mut(router) else {
+            self.all.insert(router.to_owned(), renewed);
+            return;
+        };
         if session.life == life {
             // A call that was overtaken takes nothing back of what is known.
             session.known = session.known.max(known);
-            session.until = session.until.max(until);
+            session.until = session.until.max(renewed.until);
+            session.asked = now;
         } else {
-            *session = Session { life, known, until };
+            *session = renewed;
         }
     }
 
@@ -50,6 +56,11 @@
         self.all.values().filter(|s| now < s.until).count()
     }
 
+    /// How many routers hold a lease or asked for one within so many seconds.
+    pub fn present(&self, now: f64, within: f64) -> usize {
+        self.all.values().filter(|s| now < s.until || now - s.asked < within).count()
+    }
+
     /// When leases from before this machine led have ended.
     pub fn before_us(&self) -> f64 {
         self.before_us
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -98,7 +98,7 @@
     pub known: (Ballot, u64),
     /// The configuration it goes by.
     pub epoch: u64,
-    /// What it saw.
+    /// What it saw of the primaries that control asked about.
     pub evidence: Vec<Evidence>,
 }
 
@@ -107,13 +107,14 @@
 pub enum ToRouter {
     /// Another machine leads.
     Elsewhere { leader: Option<Node>, voters: Vec<Node> },
-    /// News, and the lease.
+    /// News, or the answer to a renewal: an answer carries the lease and no news.
     News {
-        /// Who tells it, and up to which number.
+        /// Who tells it, and up to which number the router knows the news once it has taken this.
         known: (Ballot, u64),
-        /// The call that this answers, as it was sent; none for news that nobody asked for.
+        /// The call that this answers, as it was sent; none for news.
         sent: Option<f64>,
-        /// The lease on all grants runs for so many seconds from when the call was sent.
+        /// The lease on all grants that the router was told of runs for so many seconds from when the call was sent; 0 for
+        /// none.
         lease: f64,
         /// All before is to be forgotten: these are all there are.
         whole: bool,
@@ -127,5 +128,7 @@
         voters: Vec<Node>,
         /// How many routers share the servers; 0 while the leader doesn't know yet.
         routers: u32,
+        /// Services of whose primary the leader had no answer for a while: the router tells what it saw of these.
+        evidence_wanted: Vec<String>,
     },
 }
--- a/crates/control/src/tests/world.rs
+++ b/crates/control/src/tests/world.rs
@@ -410,6 +410,9 @@
         for one in out {
             let way = self.way();
             match one {
+                Output::News(conn, news) => {
+                    self.perform(node, vec![Output::Router(conn, (*news).clone())]);
+                }
                 Output::Save => {
                     let control = self.controls.get_mut(&node).unwrap();
                     control.saved = control.controller.as_ref().unwrap().record().clone();
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -4,6 +4,7 @@
 mod disk;
 mod duties;
 mod links;
+mod sessions;
 mod status;
 
 use crate::asker::{self, Whom};
@@ -28,6 +29,7 @@
 use badgerstream_control::{ControlTiming, Timing, ToRouter};
 use badgerstream_store::{Fresh, Store};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future, io};
+use sessions::Sessions;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -36,8 +38,6 @@
 
 /// Messages that wait for a link or a session, at most; what is over is lost, and mended by what comes next.
 const WAITING: usize = 256;
-/// News that waits for one router, at most.
-const NEWS: usize = 16;
 
 /// The control part of a process.
 pub struct Control {
@@ -54,7 +54,7 @@
     kept: RefCell<badgerstream_store::Record>,
     links: RefCell<HashMap<Node, Sender<PeerMessage>>>,
     heard: RefCell<HashMap<Node, Rc<Bell>>>,
-    sessions: RefCell<HashMap<u64, Sender<ToRouter>>>,
+    sessions: Sessions,
     askers: RefCell<HashMap<String, Sender<Statement>>>,
     calls: RefCell<HashMap<u64, Sender<Answer>>>,
     next: Cell<u64>,
@@ -151,7 +151,7 @@
             servers,
             links: RefCell::default(),
             heard: RefCell::default(),
-            sessions: RefCell::default(),
+            sessions: Sessions::default(),
             askers: RefCell::default(),
             calls: RefCell::default(),
             next: Cell::new(0),
@@ -207,16 +207,8 @@
                     }
                 }
                 Output::Peer(node, message) => self.link(node, message),
-                Output::Router(session, message) => {
-                    let sent = self
-                        .sessions
-                        .borrow()
-                        .get(&session)
-                        .map(|s| s.try_send(message).is_err() && s.is_full());
-                    if sent == Some(true) {
-                        self.sessions.borrow_mut().remove(&session);
-                    }
-                }
+                Output::Router(session, message) => self.sessions.answer(session, message),
+                Output::News(session, news) => self.sessions.tell(session, news),
                 Output::Ask { id, endpoint, service, statement } => {
                     self.ask(id, &endpoint, service, statement)
                 }
--- a/crates/node/src/control/links.rs
+++ b/crates/node/src/control/links.rs
@@ -1,4 +1,4 @@
-//! Connections with other control machines and with routers.
+//! Connections with other control machines, and whose a new connection is.
 
 use super::*;
 
@@ -89,7 +89,8 @@
 
     /// A connection of another process, until it ends.
     pub(super) async fn hear(self: Rc<Self>, stream: Async<TcpStream>) {
-        let mut reader = io::BufReader::with_capacity(1024, &stream);
+        let stream = Rc::new(stream);
+        let mut reader = io::BufReader::with_capacity(1024, &*stream);
         let mut node = None;
         let mut session = None;
         while let Ok(frame) = frames::read(&mut reader).await {
@@ -105,41 +106,12 @@
                     self.perform(out);
                 }
                 Frame::Renew(call) => {
-                    let id = match session {
-                        Some((id, _)) => id,
-                        None => {
-                            let id = self.next.get() + 1;
-                            self.next.set(id);
-                            // A router that takes no news comes again and is told all anew.
-                            let (sender, receiver) = async_channel::bounded(NEWS);
-                            self.sessions.borrow_mut().insert(id, sender);
-                            let Ok(copy) = stream.get_ref().try_clone().and_then(Async::new) else { break };
-                            let told = self.tasks.spawn(tell(copy, receiver));
-                            session = Some((id, told));
-                            id
-                        }
-                    };
-                    let out = self.controller.borrow_mut().router(now, id, call);
+                    let session = session.get_or_insert_with(|| self.open_session(&stream));
+                    let out = self.controller.borrow_mut().router(now, session.id, call);
                     self.perform(out);
-                    if !self.sessions.borrow().contains_key(&id) {
-                        break;
-                    }
                 }
                 Frame::News(_) => break,
             }
         }
-        if let Some((id, _told)) = session {
-            self.sessions.borrow_mut().remove(&id);
-            self.controller.borrow_mut().gone(id);
-        }
-    }
-}
-
-async fn tell(mut stream: Async<TcpStream>, messages: Receiver<ToRouter>) {
-    while let Ok(message) = messages.recv().await {
-        let frame = Frame::News(message);
-        if frames::within(1.5, frames::write(&mut stream, &frame)).await.is_err() {
-            return;
-        }
     }
 }
--- /dev/null
+++ b/crates/node/src/control/sessions.rs
@@ -0,0 +1,115 @@
+//! Connections of routers. What goes to one is its newest answer and one news at most: nothing queues up, however slowly it
+//! reads, and what all are told is encoded once and held once.
+
+use super::*;
+use async_executor::Task;
+
+/// A router whose connection takes nothing for so many seconds is gone.
+const STALLED: f64 = 1.5;
+/// What is written at once, in bytes: a slow connection shows that it takes something.
+const WRITTEN_AT_ONCE: usize = 4 << 10;
+
+/// The sessions of all routers.
+#[derive(Default)]
+pub(super) struct Sessions {
+    all: RefCell<HashMap<u64, Rc<Outbox>>>,
+    /// News that is told to several, as the bytes of its frame; for as long as the controller may tell it again.
+    encoded: RefCell<Vec<(Rc<ToRouter>, Rc<[u8]>)>>,
+}
+
+/// What waits to be written to one router.
+#[derive(Default)]
+struct Outbox {
+    /// Only the newest counts: it answers a later call.
+    answer: RefCell<Option<ToRouter>>,
+    news: RefCell<Option<Rc<[u8]>>>,
+    filled: Bell,
+}
+
+/// One router's session: ends with this.
+pub(super) struct OpenSession {
+    pub(super) id: u64,
+    control: Rc<Control>,
+    _writer: Task<()>,
+}
+
+impl Sessions {
+    /// An answer to this router, in place of one that still waits.
+    pub(super) fn answer(&self, session: u64, answer: ToRouter) {
+        if let Some(outbox) = self.all.borrow().get(&session) {
+            *outbox.answer.borrow_mut() = Some(answer);
+            outbox.filled.ring();
+        }
+    }
+
+    /// News to this router. While the last is still being written it is left out: the controller tells it again.
+    pub(super) fn tell(&self, session: u64, news: Rc<ToRouter>) {
+        let outbox = self.all.borrow().get(&session).cloned();
+        let Some(outbox) = outbox.filter(|o| o.news.borrow().is_none()) else { return };
+        *outbox.news.borrow_mut() = Some(self.encode(news));
+        outbox.filled.ring();
+    }
+
+    fn encode(&self, news: Rc<ToRouter>) -> Rc<[u8]> {
+        let mut encoded = self.encoded.borrow_mut();
+        if let Some((_, bytes)) = encoded.iter().find(|(of, _)| Rc::ptr_eq(of, &news)) {
+            return bytes.clone();
+        }
+        // What only this list still holds is not told any more.
+        encoded.retain(|(of, _)| Rc::strong_count(of) > 1);
+        let bytes: Rc<[u8]> = frames::bytes(&Frame::News(news.clone())).into();
+        encoded.push((news, bytes.clone()));
+        bytes
+    }
+}
+
+impl Control {
+    /// A router has asked for the first time on this connection.
+    pub(super) fn open_session(self: &Rc<Self>, stream: &Rc<Async<TcpStream>>) -> OpenSession {
+        let id = self.next.get() + 1;
+        self.next.set(id);
+        let outbox = Rc::new(Outbox::default());
+        self.sessions.all.borrow_mut().insert(id, outbox.clone());
+        let writer = self.tasks.spawn(write(stream.clone(), outbox));
+        OpenSession { id, control: self.clone(), _writer: writer }
+    }
+}
+
+impl Drop for OpenSession {
+    fn drop(&mut self) {
+        self.control.sessions.all.borrow_mut().remove(&self.id);
+        self.control.controller.borrow_mut().gone(self.id);
+    }
+}
+
+/// Writes what there is, answers first, until the connection ends.
+async fn write(stream: Rc<Async<TcpStream>>, outbox: Rc<Outbox>) {
+    while write_next(&stream, &outbox).await.is_ok() {}
+    // Whoever reads from this connection ends as well.
+    let _ = stream.get_ref().shutdown(std::net::Shutdown::Both);
+}
+
+async fn write_next(stream: &Async<TcpStream>, outbox: &Outbox) -> io::Result<()> {
+    let rings = outbox.filled.rings();
+    if let Some(answer) = outbox.answer.take() {
+        let bytes = frames::bytes(&Frame::News(Rc::new(answer)));
+        return write_slowly(stream, &bytes).await;
+    }
+    let news = outbox.news.borrow().clone();
+    let Some(bytes) = news else {
+        outbox.filled.after(rings).await;
+        return Ok(());
+    };
+    write_slowly(stream, &bytes).await?;
+    outbox.news.take();
+    Ok(())
+}
+
+/// Writes all of it, for as long as the other side takes some of it now and then.
+async fn write_slowly(stream: &Async<TcpStream>, bytes: &[u8]) -> io::Result<()> {
+    let mut writer = stream;
+    for part in bytes.chunks(WRITTEN_AT_ONCE) {
+        frames::within(STALLED, writer.write_all(part)).await?;
+    }
+    Ok(())
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -33,7 +33,8 @@
 impl Readiness {
     fn ready(&self) -> bool {
         let view = self.shared.view.borrow();
-        let able = view.config.is_some() && !view.servers.is_empty() && clock::now() < view.lease_until + 1.0;
+        let able =
+            view.config.is_some() && !view.servers.is_empty() && clock::now() < view.leased_until() + 1.0;
         able && self.shared.ending.get().is_none()
     }
 }
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -1,4 +1,5 @@
-//! A router's session with control: the lease on primaries, and all news.
+//! A router's session with control: the lease on primaries, and all news. Whoever still receives something has not lost the
+//! leader, however long a frame takes on a slow link.
 
 use crate::frames::{self, Frame};
 use crate::view::{Grant, Server, Shared};
@@ -6,11 +7,13 @@
 use async_io::{Async, Timer};
 use badgerstream_calls::config::Config;
 use badgerstream_control::{Ballot, Evidence, GrantNews, MemberNews, Node, ToControl, ToRouter};
-use futures_lite::{future, io};
+use futures_lite::{AsyncRead, future, io};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 /// A server that a new leader says nothing of is kept for so many seconds: it may not have heard of it yet.
@@ -37,6 +40,17 @@
     /// Servers that the newest leader has not told of, and since when.
     untold: RefCell<HashMap<String, f64>>,
     evidence: Box<dyn Fn(f64) -> Vec<Evidence>>,
+    /// Services of whose primaries control wants to be told.
+    evidence_wanted: RefCell<Vec<String>>,
+}
+
+/// What a message from control calls for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    /// It answers a call: the next one is sent when it is time.
+    Answered,
+    /// Control waits to hear that the news is known here, or what is known of a primary.
+    Tell { answered: bool },
 }
 
 impl Session {
@@ -55,6 +69,7 @@
             nodes: RefCell::default(),
             untold: RefCell::default(),
             evidence: Box::new(evidence),
+            evidence_wanted: RefCell::default(),
         })
     }
 
@@ -102,25 +117,23 @@
         let to = SocketAddr::from((Ipv4Addr::from(node), self.port));
         let stream = frames::connect(to, frames::CONNECT, self.spans.suspect * 2.0).await?;
         let (news, told) = async_channel::bounded(64);
+        let heard = Cell::new(clock::now());
         let read = async {
-            let mut reader = io::BufReader::with_capacity(1024, &stream);
+            let mut reader = io::BufReader::with_capacity(1024, Heard { stream: &stream, at: &heard });
             loop {
-                match frames::read(&mut reader).await {
-                    Ok(Frame::News(one)) => {
-                        if news.send(Ok(one)).await.is_err() {
-                            return Ok(None);
-                        }
-                    }
-                    Ok(_) => return Err(io::ErrorKind::InvalidData.into()),
-                    Err(e) => return Err(e),
+                let Frame::News(one) = frames::read(&mut reader).await? else {
+                    return Err(io::ErrorKind::InvalidData.into());
+                };
+                if news.send(Rc::unwrap_or_clone(one)).await.is_err() {
+                    return Ok(None);
                 }
             }
         };
-        future::or(read, self.talk(&stream, &told)).await
+        future::or(read, self.talk(&stream, &told, &heard)).await
     }
 
     async fn talk(
-        &self, stream: &Async<TcpStream>, told: &async_channel::Receiver<io::Result<ToRouter>>,
+        &self, stream: &Async<TcpStream>, told: &async_channel::Receiver<ToRouter>, heard: &Cell<f64>,
     ) -> io::Result<Option<Node>> {
         self.renew(stream).await?;
         let mut renewed = clock::now();
@@ -128,32 +141,29 @@
         let mut unanswered = Some(renewed);
         loop {
             let now = clock::now();
-            if unanswered.is_some_and(|asked| now - asked > self.spans.suspect) {
+            let silent_since = unanswered.map(|asked| asked.max(heard.get()));
+            if silent_since.is_some_and(|since| now - since > self.spans.suspect) {
                 return Err(io::ErrorKind::TimedOut.into());
             }
-            let late = unanswered.map_or(f64::INFINITY, |asked| asked + self.spans.suspect);
+            let late = silent_since.map_or(f64::INFINITY, |since| since + self.spans.suspect);
             let until = (late.min(renewed + self.spans.renew) - now).max(0.001);
             let one = future::or(async { told.recv().await.ok() }, async {
                 Timer::after(Duration::from_secs_f64(until)).await;
                 None
             });
             match one.await {
-                Some(Ok(ToRouter::Elsewhere { leader, voters })) => {
+                Some(ToRouter::Elsewhere { leader, voters }) => {
                     *self.nodes.borrow_mut() = voters;
                     return Ok(leader);
                 }
-                Some(Ok(news)) => {
-                    let asked = self.take(news);
-                    if asked {
-                        unanswered = None;
-                    } else {
-                        // News that nobody asked for: control waits to hear that it is known here.
+                Some(news) => match self.take(news) {
+                    Next::Answered => unanswered = None,
+                    Next::Tell { answered } => {
                         self.renew(stream).await?;
                         renewed = clock::now();
-                        unanswered.get_or_insert(renewed);
+                        unanswered = Some(unanswered.filter(|_| !answered).unwrap_or(renewed));
                     }
-                }
-                Some(Err(e)) => return Err(e),
+                },
                 None => {
                     if clock::now() - renewed >= self.spans.renew {
                         self.renew(stream).await?;
@@ -174,36 +184,64 @@
             sent: now,
             known: self.known.get(),
             epoch,
-            evidence: (self.evidence)(now),
+            evidence: self.wanted_evidence(now),
         };
         let mut writer = stream;
         within(self.spans.suspect, frames::write(&mut writer, &Frame::Renew(call))).await
     }
 
-    /// Takes news into the view; true if it answers a call of ours.
-    fn take(&self, news: ToRouter) -> bool {
-        let ToRouter::News { known, sent, lease, whole, grants, members, config, voters, routers } = news
+    /// What is known of the primaries that control asked about.
+    fn wanted_evidence(&self, now: f64) -> Vec<Evidence> {
+        let wanted = self.evidence_wanted.borrow();
+        if wanted.is_empty() {
+            return Vec::new();
+        }
+        let all = (self.evidence)(now).into_iter();
+        all.filter(|seen| wanted.contains(&seen.service)).collect()
+    }
+
+    /// Takes news into the view.
+    fn take(&self, news: ToRouter) -> Next {
+        let ToRouter::News {
+            known,
+            sent,
+            lease,
+            whole,
+            grants,
+            members,
+            config,
+            voters,
+            routers,
+            evidence_wanted,
+        } = news
         else {
-            return false;
+            return Next::Answered;
         };
         let now = clock::now();
         let mut view = self.shared.view.borrow_mut();
         let mut changed = !grants.is_empty() || !members.is_empty();
         if known.0 < self.known.get().0 {
             // A leader that is no longer one: a newer one has spoken.
-            return sent.is_some();
+            return if sent.is_some() { Next::Answered } else { Next::Tell { answered: false } };
         }
         if whole {
             let until = view.lease_until;
             let old: Vec<(String, Grant)> = view.grants.drain().filter(|(_, g)| !g.closing).collect();
-            view.fading = old.into_iter().map(|(service, grant)| (service, (grant, until))).collect();
+            view.fading.retain(|_, (_, until)| now < *until);
+            if now < until {
+                view.fading.extend(old.into_iter().map(|(service, grant)| (service, (grant, until))));
+            }
             // The lease of the leader before goes on only for what it granted.
             view.lease_until = f64::NEG_INFINITY;
             *self.untold.borrow_mut() = view.servers.keys().map(|id| (id.clone(), now)).collect();
             changed = true;
         }
         for GrantNews { service, id, term, closing } in grants {
-            view.fading.remove(&service);
+            // Under the old lease the same primary may be used until the new one is there.
+            let same = view.fading.get(&service).is_some_and(|(old, _)| old.id == id && old.term == term);
+            if closing || !same {
+                view.fading.remove(&service);
+            }
             view.grants.insert(service, Grant { id, term, closing });
         }
         for member in members {
@@ -237,7 +275,8 @@
             changed |= view.lease_until < now;
             view.lease_until = view.lease_until.max(sent + lease);
         }
-        self.known.set(known);
+        // An answer may tell less than is known by now: news that came before it was on its way then.
+        self.known.set(self.known.get().max(known));
         if routers > 0 {
             view.routers = routers as usize;
         }
@@ -249,7 +288,27 @@
             drop(view);
             self.shared.changed.ring();
         }
-        sent.is_some()
+        let wanted_before = self.evidence_wanted.replace(evidence_wanted);
+        let wants_more = self.evidence_wanted.borrow().iter().any(|service| !wanted_before.contains(service));
+        if sent.is_none() || wants_more { Next::Tell { answered: sent.is_some() } } else { Next::Answered }
+    }
+}
+
+/// A connection, and when something came on it last.
+struct Heard<'a> {
+    stream: &'a Async<TcpStream>,
+    at: &'a Cell<f64>,
+}
+
+impl AsyncRead for Heard<'_> {
+    fn poll_read(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let read = Pin::new(&mut self.stream).poll_read(cx, bytes);
+        if read.is_ready() {
+            self.at.set(clock::now());
+        }
+        read
     }
 }
 
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -46,7 +46,8 @@
     pub grants: HashMap<String, Grant>,
     /// The lease on all grants runs until then, in seconds of the steady clock; nothing may be sent to a primary after.
     pub lease_until: f64,
-    /// Grants of a leader that is gone, each until the lease that it gave ends; a new leader has said nothing of these yet.
+    /// Grants of a leader that is gone, each until the lease that it gave ends: the new leader has said nothing of these yet, or
+    /// grants the same.
     pub fading: HashMap<String, (Grant, f64)>,
     /// How many routers share the servers' connections and slots; 0 while that isn't known.
     pub routers: usize,
@@ -57,10 +58,13 @@
 impl View {
     /// The primary of this service, if it may be used now.
     pub fn primary(&self, service: &str, now: f64) -> Option<&Grant> {
-        match self.grants.get(service) {
-            Some(grant) => (now < self.lease_until && !grant.closing).then_some(grant),
-            None => self.fading.get(service).filter(|(_, until)| now < *until).map(|(grant, _)| grant),
-        }
+        let granted = self.grants.get(service).filter(|grant| now < self.lease_until && !grant.closing);
+        granted.or_else(|| self.fading.get(service).filter(|(_, until)| now < *until).map(|(grant, _)| grant))
+    }
+
+    /// When the last lease ends, of the leader that is there or of the one before.
+    pub fn leased_until(&self) -> f64 {
+        self.fading.values().map(|(_, until)| *until).fold(self.lease_until, f64::max)
     }
 }
 
--- a/crates/scale/src/decisions.rs
+++ b/crates/scale/src/decisions.rs
@@ -12,6 +12,7 @@
 use rustix::time::{ClockId, clock_gettime};
 use std::collections::{HashMap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 
 /// A step of time, in seconds: the leader's pause between two ticks.
 const STEP: f64 = 0.02;
@@ -61,6 +62,7 @@
     known: (badgerstream_control::Ballot, u64),
     epoch: u64,
     holds: bool,
+    evidence_wanted: Vec<String>,
 }
 
 /// Three control machines, the servers and the routers.
@@ -105,7 +107,8 @@
             (*me, Controller::new(*me, record, true, 0.0, 7 + n as u64, timing()))
         };
         let servers = plan.servers();
-        let router = |_| Router { known: Default::default(), epoch: 0, holds: false };
+        let router =
+            |_| Router { known: Default::default(), epoch: 0, holds: false, evidence_wanted: Vec::new() };
         Decisions {
             now: 0.0,
             controllers: nodes.iter().enumerate().map(one).collect(),
@@ -157,6 +160,7 @@
         let me = self.controllers[of].0;
         let leads = self.leader() == Some(of);
         let mut asked = Vec::new();
+        let mut encoded: Vec<(Rc<ToRouter>, u64)> = Vec::new();
         for one in out {
             match one {
                 Output::Save | Output::Promote { .. } => {}
@@ -167,16 +171,22 @@
                     self.queue.push_back((me, to, message));
                 }
                 Output::Router(session, message) => {
-                    let began = spent();
-                    let frame = Frame::News(message);
-                    let bytes = frames::bytes(&frame).len() as u64;
-                    let took = spent() - began;
+                    let news = Rc::new(message);
+                    let (_, took) = self.frame(&news);
                     framed += took;
-                    add(&mut self.costs.frames, took);
-                    self.costs.frame_bytes += bytes;
-                    if let Frame::News(news) = frame {
-                        self.take(session, news);
+                    self.take(session, &news);
+                }
+                Output::News(session, news) => {
+                    // Encoded once for all sessions that are told the same.
+                    let known = encoded.iter().find(|(of, _)| Rc::ptr_eq(of, &news));
+                    if let Some((_, bytes)) = known {
+                        self.costs.frame_bytes += bytes;
+                    } else {
+                        let (bytes, took) = self.frame(&news);
+                        framed += took;
+                        encoded.push((news.clone(), bytes));
                     }
+                    self.take(session, &news);
                 }
                 Output::Ask { id, service, statement, .. } => asked.push((id, service, statement)),
                 Output::Reply(call, answer) => {
@@ -202,15 +212,26 @@
         framed
     }
 
-    fn take(&mut self, session: u64, news: ToRouter) {
+    /// Writes a frame to memory; its bytes and the time that it took.
+    fn frame(&mut self, news: &Rc<ToRouter>) -> (u64, f64) {
+        let began = spent();
+        let bytes = frames::bytes(&Frame::News(news.clone())).len() as u64;
+        let took = spent() - began;
+        add(&mut self.costs.frames, took);
+        self.costs.frame_bytes += bytes;
+        (bytes, took)
+    }
+
+    fn take(&mut self, session: u64, news: &ToRouter) {
         let at = session as usize % 10_000;
-        let ToRouter::News { known, sent, lease, config, .. } = news else { return };
+        let ToRouter::News { known, sent, lease, config, evidence_wanted, .. } = news else { return };
         let Some(router) = self.routers.get_mut(at) else { return };
-        router.known = known;
+        router.known = router.known.max(*known);
+        router.evidence_wanted.clone_from(evidence_wanted);
         if let Some(epoch) = config.as_deref().and_then(crate::routers::epoch) {
             router.epoch = epoch;
         }
-        router.holds |= sent.is_some() && lease > 0.0;
+        router.holds |= sent.is_some() && *lease > 0.0;
         if sent.is_none() {
             let renew = self.renew(at);
             self.renews.push(renew);
@@ -220,13 +241,15 @@
     fn renew(&self, at: usize) -> ToControl {
         let router = &self.routers[at];
         let seen = |s: &ServerSpec| Evidence { service: s.service.clone(), id: s.id.clone(), answered: 0.05 };
+        let wanted = |s: &&ServerSpec| s.leads && router.evidence_wanted.contains(&s.service);
+        let asked_about = self.servers.iter().filter(wanted);
         ToControl {
             router: format!("edge-local-{at}"),
             life: 1 + at as u64,
             sent: self.now,
             known: router.known,
             epoch: router.epoch,
-            evidence: self.servers.iter().filter(|s| s.leads).take(self.evidence).map(seen).collect(),
+            evidence: asked_about.take(self.evidence).map(seen).collect(),
         }
     }
 
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -104,7 +104,14 @@
                 program.or_else(|| Some(std::env::current_exe().ok()?.with_file_name("badgerpool")));
             let Some(program) = program else { return fail("tell --program") };
             let evidence = evidence.unwrap_or(services);
-            let wanted = Wanted { evidence, seconds, changes, crashes, limit, link: link.map(|mbps| mbps * 1e6 / 8.0) };
+            let wanted = Wanted {
+                evidence,
+                seconds,
+                changes,
+                crashes,
+                limit,
+                link: link.map(|mbps| mbps * 1e6 / 8.0),
+            };
             let plan = Plan::new(net, routers, services, own).map_err(|e| e.to_string());
             plan.and_then(|plan| {
                 run::run(&plan, wanted, &folder.unwrap_or_else(new), &program, &mut |line| println!("{line}"))
--- a/crates/scale/src/routers.rs
+++ b/crates/scale/src/routers.rs
@@ -18,8 +18,9 @@
 
 /// Between two renewals, in seconds: the default of routers.
 const RENEW: f64 = 0.3;
-/// Without an answer for so long another machine is tried, in seconds: the default of routers.
-const SUSPECT: f64 = 0.6;
+/// Without an answer, and without anything else that comes, for so long another machine is tried, in seconds: the default of
+/// routers.
+const SUSPECT: f64 = 0.4;
 /// What the kernel may hold for a router whose link is limited, in bytes: the rest waits at control's side.
 const RECEIVE_BUFFER: usize = 8 << 10;
 /// What is read at once from a limited link, in bytes.
@@ -52,6 +53,8 @@
     leased: Cell<(Ballot, f64)>,
     /// By service: server and term, and since when; none while a change is under way.
     grants: RefCell<HashMap<String, (GrantNews, f64)>>,
+    /// Services of whose primaries control wants to be told.
+    evidence_wanted: RefCell<Vec<String>>,
 }
 
 impl Router {
@@ -82,7 +85,9 @@
     }
 
     fn take(&self, news: ToRouter) -> bool {
-        let ToRouter::News { known, sent, lease, whole, grants, config, .. } = news else { return false };
+        let ToRouter::News { known, sent, lease, whole, grants, config, evidence_wanted, .. } = news else {
+            return false;
+        };
         let now = clock::now();
         if known.0 < self.known.get().0 {
             return sent.is_some();
@@ -108,7 +113,8 @@
                 self.leased.set((known.0, now));
             }
         }
-        self.known.set(known);
+        self.known.set(self.known.get().max(known));
+        *self.evidence_wanted.borrow_mut() = evidence_wanted;
         sent.is_some()
     }
 }
@@ -130,7 +136,7 @@
 
 struct Common {
     controls: Vec<Node>,
-    /// Of how many primaries each tells what it saw.
+    /// Of how many primaries each tells what it saw, at most; it tells only of those that control asks about.
     evidence: usize,
     /// Bytes a second that a router's link carries from control; none is as fast as loopback.
     link: Option<f64>,
@@ -165,6 +171,7 @@
                 lease_until: Cell::new(f64::NEG_INFINITY),
                 leased: Cell::default(),
                 grants: RefCell::default(),
+                evidence_wanted: RefCell::default(),
             })
         };
         let all: Vec<Rc<Router>> = (0..count).map(one).collect();
@@ -207,38 +214,42 @@
 async fn with(router: &Router, common: &Common, node: Node) -> io::Result<Option<Node>> {
     common.count(|t| t.connects += 1);
     let to = SocketAddr::from((Ipv4Addr::from(node), PEERS));
-    let stream = frames::connect(to, SUSPECT.min(0.4), SUSPECT * 2.0).await?;
+    let stream = frames::connect(to, frames::CONNECT, SUSPECT * 2.0).await?;
     if common.link.is_some() {
         let _ = rustix::net::sockopt::set_socket_recv_buffer_size(&stream, RECEIVE_BUFFER);
     }
     let (news, told) = async_channel::bounded(64);
+    let heard = Cell::new(clock::now());
     let read = async {
-        let mut reader = io::BufReader::with_capacity(1024, Counted::new(&stream, common));
+        let mut reader = io::BufReader::with_capacity(1024, Counted::new(&stream, common, &heard));
         loop {
             let Frame::News(one) = frames::read(&mut reader).await? else {
                 return Err(io::ErrorKind::InvalidData.into());
             };
             common.count(|t| t.told += 1);
-            if news.send(one).await.is_err() {
+            if news.send(Rc::unwrap_or_clone(one)).await.is_err() {
                 return Ok(None);
             }
         }
     };
-    future::or(read, talk(router, common, &stream, &told)).await
+    future::or(read, talk(router, common, &stream, &told, &heard)).await
 }
 
 async fn talk(
-    router: &Router, common: &Common, stream: &Async<TcpStream>, told: &Receiver<ToRouter>,
+    router: &Router, common: &Common, stream: &Async<TcpStream>, told: &Receiver<ToRouter>, heard: &Cell<f64>,
 ) -> io::Result<Option<Node>> {
     renew(router, common, stream).await?;
     let mut renewed = clock::now();
-    let mut answered = renewed;
+    // The oldest call that has no answer yet.
+    let mut unanswered = Some(renewed);
     loop {
         let now = clock::now();
-        if now - answered > SUSPECT && renewed > answered {
+        let silent_since = unanswered.map(|asked: f64| asked.max(heard.get()));
+        if silent_since.is_some_and(|since| now - since > SUSPECT) {
             return Err(io::ErrorKind::TimedOut.into());
         }
-        let until = (renewed + RENEW - now).max(0.001);
+        let late = silent_since.map_or(f64::INFINITY, |since| since + SUSPECT);
+        let until = (late.min(renewed + RENEW) - now).max(0.001);
         let one = future::or(async { told.recv().await.ok() }, async {
             Timer::after(Duration::from_secs_f64(until)).await;
             None
@@ -247,15 +258,17 @@
             Some(ToRouter::Elsewhere { leader, .. }) => return Ok(leader),
             Some(news) => {
                 if router.take(news) {
-                    answered = clock::now();
+                    unanswered = None;
                 } else {
                     renew(router, common, stream).await?;
                     renewed = clock::now();
+                    unanswered.get_or_insert(renewed);
                 }
             }
             None if clock::now() - renewed >= RENEW => {
                 renew(router, common, stream).await?;
                 renewed = clock::now();
+                unanswered.get_or_insert(renewed);
             }
             None => {}
         }
@@ -268,7 +281,10 @@
         id: grant.id.clone(),
         answered: 0.05,
     };
-    let evidence = router.grants.borrow().values().take(common.evidence).map(seen).collect();
+    let wanted = router.evidence_wanted.borrow();
+    let grants = router.grants.borrow();
+    let asked_about = grants.values().filter(|(grant, _)| wanted.contains(&grant.service));
+    let evidence = asked_about.take(common.evidence).map(seen).collect();
     let call = ToControl {
         router: router.name.clone(),
         life: router.life,
@@ -277,6 +293,7 @@
         epoch: router.epoch.get().0,
         evidence,
     };
+    drop((wanted, grants));
     let bytes = frames::bytes(&Frame::Renew(call));
     common.count(|t| {
         t.asked += 1;
@@ -290,14 +307,16 @@
 struct Counted<'a> {
     stream: &'a Async<TcpStream>,
     common: &'a Common,
+    /// When something came last.
+    heard: &'a Cell<f64>,
     /// When the link has carried what was read so far, in seconds.
     free_at: f64,
     pause: Option<Timer>,
 }
 
 impl<'a> Counted<'a> {
-    fn new(stream: &'a Async<TcpStream>, common: &'a Common) -> Self {
-        Counted { stream, common, free_at: 0.0, pause: None }
+    fn new(stream: &'a Async<TcpStream>, common: &'a Common, heard: &'a Cell<f64>) -> Self {
+        Counted { stream, common, heard, free_at: 0.0, pause: None }
     }
 
     /// Waits until the link is free again.
@@ -330,6 +349,7 @@
         let read = Pin::new(&mut self.stream).poll_read(cx, &mut bytes[..most]);
         if let Poll::Ready(Ok(count)) = &read {
             self.common.count(|t| t.into += *count as u64);
+            self.heard.set(clock::now());
             if let Some(link) = self.common.link {
                 self.free_at = self.free_at.max(clock::now()) + *count as f64 / link;
             }
