--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -62,7 +62,7 @@
     clock::now();
     let settings = read(&path)?;
     let tasks = Rc::new(LocalExecutor::new());
-    future::block_on(tasks.run(serve(tasks.clone(), path, settings)))
+    async_io::block_on(tasks.run(serve(tasks.clone(), path, settings)))
 }
 
 async fn serve(tasks: Rc<LocalExecutor<'static>>, path: PathBuf, settings: Settings) -> Result<(), String> {
