Control: questions, steps and connections to servers in bounded numbers, and less of them while late

Connections to servers take two fifths of the descriptors; replicas of primaries in use are asked so seldom that 700 connections to them stay open. A service's wait for a primary begins with its first step under this leader. A tick that comes late does less of what can wait (news, questions). While nobody leads, routers ask the more seldom the more they are.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -152,8 +152,13 @@
     news_due: bool,
     /// Beats that told nothing new, for the other control machines.
     refreshed: Refreshed,
+    /// When it was last looked for members that are silent.
+    swept: f64,
 }
 
+/// Between two looks for members that are silent, in seconds.
+const SWEEP: f64 = 0.1;
+
 impl Controller {
     /// A machine that starts with this on its disk. See [`Consensus::new`].
     pub fn new(
@@ -171,6 +176,7 @@
             held: VecDeque::new(),
             news_due: false,
             refreshed: Refreshed::default(),
+            swept: f64::NEG_INFINITY,
         }
     }
 
@@ -326,8 +332,9 @@
         self.settle(now, outs, &mut out);
         self.spread_refreshed(now, &mut out);
         let number = self.lead.as_ref().map_or(0, |l| l.number + 1);
-        if self.members.sweep(now, self.timing.forget, number) {
-            self.news_due = true;
+        if now - self.swept >= SWEEP {
+            self.swept = now;
+            self.news_due |= self.members.sweep(now, self.timing.forget, number);
         }
         let late: Vec<u64> =
             self.passed.iter().filter(|(_, (_, until))| now > *until).map(|(id, _)| *id).collect();
@@ -337,7 +344,8 @@
             }
         }
         self.retry_held(now, &mut out);
-        if self.lead.is_some() {
+        if let Some(lead) = &mut self.lead {
+            lead.turns.begin_tick(now);
             if now < self.consensus.authority() {
                 self.step(now, &mut out);
             }
--- a/crates/control/src/controller/news.rs
+++ b/crates/control/src/controller/news.rs
@@ -227,5 +227,5 @@
     let behind = lead.sessions.range(last + 1..).chain(lead.sessions.range(..=last));
     let lacks = |s: &Session| s.told < lead.number || s.epoch < epoch;
     let due = behind.filter(|(_, s)| !s.is_under_way() && lacks(s));
-    due.map(|(id, _)| *id).take(SESSIONS_A_TICK).collect()
+    due.map(|(id, _)| *id).take(lead.turns.share(SESSIONS_A_TICK)).collect()
 }
--- a/crates/control/src/controller/services.rs
+++ b/crates/control/src/controller/services.rs
@@ -12,6 +12,14 @@
 pub(crate) const EVIDENCE_WANTED: usize = 32;
 /// Each primary is asked so seldom that no more than so many are asked a second.
 const PRIMARIES_A_SECOND: f64 = 1250.0;
+/// Replicas of primaries in use are asked so seldom that no more than so many connections to them stay open.
+const REPLICAS_KEPT: f64 = 700.0;
+/// Replicas of a service that are reckoned with.
+const REPLICAS: f64 = 2.0;
+/// For so many seconds a connection to a server stays open without a question.
+const IDLE: f64 = 6.0;
+/// Ticks that come this far apart, in seconds, have all that one tick may do; later ones have less each.
+const PUNCTUAL: f64 = 0.04;
 /// Which services are stepped next.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Turns {
@@ -19,14 +27,34 @@
     last: String,
     /// The changes of members after which the services were last looked through.
     members_seen: Option<u64>,
+    ticked: f64,
+    /// The pause before this tick, in seconds.
+    pause: f64,
+}
+
+impl Turns {
+    pub(super) fn begin_tick(&mut self, now: f64) {
+        self.pause = now - self.ticked;
+        self.ticked = now;
+    }
+
+    /// What this tick may do of something of which a punctual one does this much: a machine that is late does less of what can
+    /// wait, so that leases and agreement have their time.
+    pub(super) fn share(&self, most: usize) -> usize {
+        let share = (PUNCTUAL / self.pause.max(PUNCTUAL)).max(0.25);
+        (most as f64 * share) as usize
+    }
 }
 
 /// The spans that go with so many services: with many, servers are asked less often, and a silence is longer.
 fn paced(timing: Timing, services: usize) -> Timing {
-    let slower = (services as f64 / PRIMARIES_A_SECOND / timing.ask).max(1.0);
+    let services = services as f64;
+    let slower = (services / PRIMARIES_A_SECOND / timing.ask).max(1.0);
+    let replicas = REPLICAS * services;
+    let closed = if replicas > REPLICAS_KEPT { IDLE * replicas / REPLICAS_KEPT } else { 0.0 };
     Timing {
         ask: timing.ask * slower,
-        ask_replica: timing.ask_replica * slower,
+        ask_replica: (timing.ask_replica * slower).max(closed),
         silence: timing.silence * slower,
         ..timing
     }
@@ -80,9 +108,10 @@
         let Some(lead) = &mut self.lead else { return };
         let timing = paced(self.timing.service, lead.services.len());
         let services = next_turns(lead);
+        let most_questions = lead.turns.share(QUESTIONS_A_TICK);
         let asked_before = out.len();
         for service in services {
-            if questions(&out[asked_before..]) >= QUESTIONS_A_TICK {
+            if questions(&out[asked_before..]) >= most_questions {
                 break;
             }
             self.step_of(now, &service, timing, out);
--- a/crates/control/src/failover.rs
+++ b/crates/control/src/failover.rs
@@ -456,7 +456,7 @@
             return;
         }
         // Nobody leads whom we may use: after a while somebody is to be promoted. Beats of all must have had their time.
-        let waited = now - around.since > self.timing.silence.max(2.5 * self.timing.heartbeat);
+        let waited = now - self.asked_since(around) > self.timing.silence.max(2.5 * self.timing.heartbeat);
         if waited && now > around.not_before && now > self.retry {
             if self.primary.is_none() && self.closed.is_none() {
                 // Nothing is granted by us, and the grants of those before us have ended.
@@ -481,7 +481,7 @@
             // Nobody was promoted by us: whoever leads is the primary, once all that are known were asked.
             None => {
                 let told = |m: &Candidate| self.seen.get(&m.id).is_some_and(|s| s.row.is_some());
-                around.members.iter().all(told) || around.now - around.since > 1.0
+                around.members.iter().all(told) || around.now - self.asked_since(around) > 1.0
             }
         };
         of_record.then_some((id, term))
--- a/crates/control/src/failover/load.rs
+++ b/crates/control/src/failover/load.rs
@@ -11,6 +11,7 @@
 /// How regularly the steps come.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pace {
+    began: f64,
     stepped: Option<f64>,
     /// The longest pause between two steps of late, and when it ended.
     longest: f64,
@@ -18,8 +19,11 @@
 }
 
 impl Pace {
-    /// A step begins; by how much a silence is longer because of steps that came late.
+    /// A step begins: by how much a silence is longer because of steps that came late.
     fn step(&mut self, now: f64) -> f64 {
+        if self.stepped.is_none() {
+            self.began = now;
+        }
         let pause = self.stepped.replace(now).map_or(0.0, |last| now - last);
         if pause >= self.longest || now - self.ended > LATE_COUNTS {
             (self.longest, self.ended) = (pause, now);
@@ -29,6 +33,11 @@
 }
 
 impl Failover {
+    /// Since when this machine leads and this service has been stepped: its servers were asked from then on.
+    pub(super) fn asked_since(&self, around: &Around<'_>) -> f64 {
+        around.since.max(self.pace.began)
+    }
+
     /// The next step goes by these spans. What wasn't heard while steps came late is nobody's silence.
     pub fn pace(&mut self, now: f64, timing: Timing) {
         let late = self.pace.step(now);
--- a/crates/node/src/asker.rs
+++ b/crates/node/src/asker.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// A connection that nobody needs any more is closed after so many seconds.
-const IDLE: f64 = 6.0;
+pub const IDLE: f64 = 6.0;
 
 /// Whom to ask.
 #[derive(Clone, Debug)]
@@ -29,12 +29,14 @@
     lines: LineBuffer,
 }
 
-/// Asks what comes, until nothing has come for a while; each answer, or its want, is told.
-pub async fn ask(whom: Whom, questions: Receiver<Statement>, answer_s: f64, told: impl Fn(Asked)) {
+/// Asks what comes, until nothing has come for `idle_s`; each answer, or its want, is told.
+pub async fn ask(
+    whom: Whom, questions: Receiver<Statement>, answer_s: f64, idle_s: f64, told: impl Fn(Asked),
+) {
     let mut connection = None;
     loop {
         let idle = async {
-            Timer::after(Duration::from_secs_f64(IDLE)).await;
+            Timer::after(Duration::from_secs_f64(idle_s)).await;
             None
         };
         let Some(statement) = future::or(async { questions.recv().await.ok() }, idle).await else { return };
--- a/crates/node/src/control/duties.rs
+++ b/crates/node/src/control/duties.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 
+/// The share of the descriptors that connections to servers may keep while nothing is asked there; beyond it a connection is
+/// closed with its answer, as sessions and calls need the rest.
+const KEPT_SHARE: f64 = 0.4;
+
 impl Control {
     pub(super) fn ask(self: &Rc<Self>, id: String, endpoint: &str, service: String, statement: Statement) {
         let Ok(endpoint) = endpoint.parse::<SocketAddr>() else { return };
@@ -11,6 +15,8 @@
         if fits {
             return;
         }
+        let kept = (KEPT_SHARE * self.settings.limits.file_limit as f64) as usize;
+        let idle = if askers.len() < kept { asker::IDLE } else { 0.0 };
         let (sender, receiver) = async_channel::bounded(4);
         let _ = sender.try_send(statement);
         askers.insert(key.clone(), sender);
@@ -19,7 +25,7 @@
         let answer = timing(&self.settings).service.answer;
         let ask = async move {
             let told = |asked| this.controller.borrow_mut().asked(clock::now(), &service, &id, asked);
-            asker::ask(whom, receiver, answer, told).await;
+            asker::ask(whom, receiver, answer, idle, told).await;
             let mut askers = this.askers.borrow_mut();
             if askers.get(&key).is_some_and(Sender::is_closed) {
                 askers.remove(&key);
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -14,7 +14,7 @@
 const IDLE: f64 = 30.0;
 
 /// Connections at a time, at most: more are closed at once.
-const MOST: usize = 512;
+const MOST: usize = 1024;
 
 /// What answers requests.
 pub trait Handler {
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -19,6 +19,17 @@
 /// A server that a new leader says nothing of is kept for so many seconds: it may not have heard of it yet.
 const UNTOLD: f64 = 6.0;
 
+/// While nobody leads, the first pause before the next machine is asked, and by how much each pause grows, in seconds.
+const PAUSE: f64 = 0.04;
+const PAUSE_GROWS: f64 = 1.5;
+/// Its bound, by the number of routers that ask as well: together they ask this often a second.
+const ASKED_A_SECOND: f64 = 1500.0;
+/// So many routers are reckoned with before control has told how many there are.
+const ROUTERS: usize = 300;
+
+/// A connection that lasted for so many seconds was a session with a leader.
+const HELD: f64 = 1.0;
+
 /// The spans of a session, in seconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Spans {
@@ -89,6 +100,7 @@
     pub async fn run(self: Rc<Self>) {
         let mut hint = None;
         let mut turn = self.life as usize;
+        let mut pause = PAUSE;
         loop {
             let nodes = self.nodes.borrow().clone();
             let node = hint.take().or_else(|| nodes.get(turn % nodes.len().max(1)).copied());
@@ -97,11 +109,20 @@
                 Timer::after(Duration::from_millis(100)).await;
                 continue;
             };
-            match self.with(node).await {
+            let began = clock::now();
+            let ended = self.with(node).await;
+            if clock::now() - began > HELD {
+                pause = PAUSE;
+            }
+            match ended {
                 Ok(leader) => {
                     hint = leader.filter(|l| *l != node);
                     if hint.is_none() {
-                        Timer::after(Duration::from_millis(40)).await;
+                        let lot = 0.75 + 0.5 * fastrand::f64();
+                        Timer::after(Duration::from_secs_f64(pause * lot)).await;
+                        pause = (pause * PAUSE_GROWS).min(self.longest_pause());
+                    } else {
+                        pause = PAUSE;
                     }
                 }
                 Err(e) => {
@@ -112,6 +133,15 @@
         }
     }
 
+    /// Between two machines that know of no leader: all routers ask at that time.
+    fn longest_pause(&self) -> f64 {
+        let routers = match self.shared.view.borrow().routers {
+            0 => ROUTERS,
+            routers => routers,
+        };
+        (routers as f64 / ASKED_A_SECOND).max(PAUSE)
+    }
+
     /// One connection, until it breaks or another machine leads.
     async fn with(&self, node: Node) -> io::Result<Option<Node>> {
         let to = SocketAddr::from((Ipv4Addr::from(node), self.port));
