Control: a primary that the leader doesn't hear is asked about at once; tests of many at once

The evidence of one router alone has to come before a silence of 0.6 s is over, and its next renewal may be 0.3 s away: who wasn't told yet of which primaries evidence is wanted is asked out of turn. Tests in a fleet of one control machine, routers and servers: each bound of a tick, one news under way, leases meanwhile, turns of services, late ticks, evidence, gathered beats.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -7,8 +7,12 @@
 use crate::message::{GrantNews, MemberNews, Node, PeerMessage, ToControl, ToRouter};
 use crate::state::{Primary, State, Taken};
 use beats::Refreshed;
+#[cfg(test)]
+pub(crate) use news::SESSIONS_A_TICK;
 use news::{Session, Telling};
 use services::Turns;
+#[cfg(test)]
+pub(crate) use services::{EVIDENCE_WANTED, QUESTIONS_A_TICK, SERVICES_A_TICK};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 
--- a/crates/control/src/controller/news.rs
+++ b/crates/control/src/controller/news.rs
@@ -14,6 +14,8 @@
 /// All there is to tell is put together this often at most, in seconds: a session that is told an older whole is told the rest
 /// with its next news.
 const WHOLE_KEPT: f64 = 0.25;
+/// A router is asked for evidence out of turn this often at most, in seconds.
+const EVIDENCE_AGAIN: f64 = 0.2;
 /// News that is kept to be shared, at most.
 const SHARED: usize = 8;
 
@@ -31,6 +33,9 @@
     told_at: f64,
     /// News counts as lost after so many seconds.
     patience: f64,
+    /// Which want of evidence it was told of, and when that was out of turn.
+    wants_told: u64,
+    asked_at: f64,
 }
 
 impl Session {
@@ -42,6 +47,8 @@
             epoch,
             told_at: f64::NEG_INFINITY,
             patience: PATIENCE,
+            wants_told: 0,
+            asked_at: f64::NEG_INFINITY,
         }
     }
 
@@ -73,7 +80,18 @@
     /// How many routers there are; 0 while that isn't known.
     routers: u32,
     /// Services of whose primary routers are to tell what they saw.
-    pub(super) evidence_wanted: Vec<String>,
+    evidence_wanted: Vec<String>,
+    /// Counts how often others were added to these.
+    wants: u64,
+}
+
+impl Telling {
+    /// Routers are to tell what they saw of the primaries of these services.
+    pub(super) fn want_evidence(&mut self, services: Vec<String>) {
+        let added = services.iter().any(|service| !self.evidence_wanted.contains(service));
+        self.wants += u64::from(added);
+        self.evidence_wanted = services;
+    }
 }
 
 /// News for all sessions that lack the same.
@@ -115,9 +133,36 @@
             let news = self.tell(now, &mut lead, id);
             out.extend(news.map(|news| Output::News(id, news)));
         }
+        self.ask_for_evidence(now, &mut lead, out);
         self.lead = Some(lead);
     }
 
+    /// Whoever wasn't told yet of which primaries evidence is wanted is asked at once: its next renewal may come too late.
+    fn ask_for_evidence(&self, now: f64, lead: &mut Lead, out: &mut Vec<Output>) {
+        let (most, wants) = (lead.turns.share(SESSIONS_A_TICK), lead.telling.wants);
+        let due = |s: &Session| s.wants_told < wants && now - s.asked_at > EVIDENCE_AGAIN;
+        if lead.telling.evidence_wanted.is_empty() || !lead.sessions.values().any(due) {
+            return;
+        }
+        let question = Rc::new(ToRouter::News {
+            known: (crate::Ballot(lead.fence), 0),
+            sent: None,
+            lease: 0.0,
+            whole: false,
+            grants: Vec::new(),
+            members: Vec::new(),
+            config: None,
+            voters: Vec::new(),
+            routers: 0,
+            evidence_wanted: lead.telling.evidence_wanted.clone(),
+        });
+        let due = lead.sessions.iter_mut().filter(|(_, s)| due(s) && !s.is_under_way());
+        for (id, session) in due.take(most) {
+            (session.wants_told, session.asked_at) = (wants, now);
+            out.push(Output::News(*id, question.clone()));
+        }
+    }
+
     /// What this session lacks, which counts as told from now on.
     fn tell(&self, now: f64, lead: &mut Lead, id: u64) -> Option<Rc<ToRouter>> {
         let session = lead.sessions.get(&id)?;
@@ -190,6 +235,7 @@
             .entry(session)
             .or_insert_with(|| Session::new(call.router.clone(), known, call.epoch));
         of.confirm(now, known, call.epoch);
+        of.wants_told = lead.telling.wants;
         // Whoever was told nothing by this leader has no grants that a lease could cover.
         let leased = now < authority && of.confirmed > 0;
         let lease = if leased { self.timing.lease } else { 0.0 };
--- a/crates/control/src/controller/services.rs
+++ b/crates/control/src/controller/services.rs
@@ -127,7 +127,8 @@
             }
         }
         if let Some(lead) = &mut self.lead {
-            lead.telling.evidence_wanted = evidence_wanted(now, lead);
+            let wanted = evidence_wanted(now, lead);
+            lead.telling.want_evidence(wanted);
         }
     }
 
--- a/crates/control/src/failover/load.rs
+++ b/crates/control/src/failover/load.rs
@@ -49,7 +49,8 @@
         self.phase == Phase::Steady
     }
 
-    /// For how long nobody had an answer of the primary in use, if routers are to tell what they saw of it.
+    /// If this machine had no answer of the primary in use for so long that routers are to tell what they saw of it: for how
+    /// long nobody had one.
     pub fn unheard(&self, now: f64) -> Option<f64> {
         if !matches!(self.phase, Phase::Steady | Phase::Handing { .. }) {
             return None;
@@ -57,6 +58,6 @@
         let (primary, _) = self.primary.as_ref()?;
         let answered = self.seen.get(primary).map_or(f64::NEG_INFINITY, |s| s.answered);
         let unheard = now - answered.max(self.evidence);
-        (unheard > 0.5 * self.timing.silence).then_some(unheard)
+        (now - answered > 0.5 * self.timing.silence).then_some(unheard)
     }
 }
--- /dev/null
+++ b/crates/control/src/tests/fleet.rs
@@ -0,0 +1,240 @@
+//! One leading control machine beside many routers and many services, in a time that the test moves: what it says to whom is
+//! counted, and any of it can be held up.
+
+use crate::controller::{Call, Controller, Output};
+use crate::tests::world::timing;
+use crate::{
+    Asked, Ballot, Beat, Evidence, GrantNews, Phase, Record, Row, State, Statement, ToControl, ToRouter,
+};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
+
+/// Between two ticks, in seconds, unless a test says otherwise.
+pub const TICK: f64 = 0.02;
+const RENEW: f64 = 0.3;
+const HEARTBEAT: f64 = 1.2;
+
+/// A router as far as its session goes.
+#[derive(Default)]
+pub struct Router {
+    pub known: (Ballot, u64),
+    epoch: u64,
+    pub lease_until: f64,
+    pub grants: HashMap<String, GrantNews>,
+    pub members: BTreeSet<String>,
+    /// News counts from then on: its link is slow.
+    pub reads_from: f64,
+    /// News that it hasn't taken yet.
+    pub unread: Vec<Rc<ToRouter>>,
+    renewed: f64,
+    /// Answers of control, newest last.
+    pub answers: Vec<ToRouter>,
+    /// What it could tell of primaries; it tells what is wanted.
+    pub evidence: Vec<Evidence>,
+    pub evidence_wanted: Vec<String>,
+}
+
+/// All that a tick and the renewals behind it led to.
+#[derive(Default)]
+pub struct Said {
+    pub news: Vec<(usize, Rc<ToRouter>)>,
+    pub questions: Vec<(String, Statement)>,
+    pub promotions: usize,
+}
+
+/// The machine and all round it.
+pub struct Fleet {
+    pub now: f64,
+    pub controller: Controller,
+    pub routers: Vec<Router>,
+    /// Servers by id, with their service; the first of each service leads.
+    servers: BTreeMap<String, String>,
+    /// These answer nothing.
+    pub dark: BTreeSet<String>,
+    calls: u64,
+    beaten: f64,
+}
+
+impl Fleet {
+    /// It leads, and all servers have sent a beat.
+    pub fn new(routers: usize, services: usize) -> Fleet {
+        let state = State::first(vec![1]);
+        let record = Record { promised: Ballot(0), accepted: Ballot(0), state };
+        let server = |n: usize| (format!("server-{n}"), format!("service-{:04}", n / 3));
+        let mut fleet = Fleet {
+            now: 0.0,
+            controller: Controller::new(1, record, true, 0.0, 7, timing()),
+            routers: (0..routers).map(|_| Router::default()).collect(),
+            servers: (0..3 * services).map(server).collect(),
+            dark: BTreeSet::new(),
+            calls: 0,
+            beaten: f64::NEG_INFINITY,
+        };
+        while !fleet.controller.leads() {
+            fleet.now += TICK;
+            fleet.controller.tick(fleet.now);
+        }
+        fleet.beat_all();
+        fleet
+    }
+
+    fn beat_all(&mut self) {
+        self.beaten = self.now;
+        for id in self.servers.keys().cloned().collect::<Vec<_>>() {
+            self.beat(&id, Phase::Ready);
+        }
+    }
+
+    /// A server says how it is; what control does with that.
+    pub fn beat(&mut self, id: &str, phase: Phase) -> Vec<Output> {
+        self.calls += 1;
+        let beat = Beat {
+            service: self.servers[id].clone(),
+            endpoint: "10.0.0.9:5432".to_owned(),
+            zone: "a".to_owned(),
+            slots: 4,
+            phase,
+            call_seq: self.calls,
+        };
+        self.controller.call(self.now, self.calls, Call::Beat { id: id.to_owned(), beat })
+    }
+
+    /// A configuration is sent; one machine alone agrees on it at once.
+    pub fn configure(&mut self, epoch: u64, body: &[u8]) -> Said {
+        self.calls += 1;
+        let call = Call::Replace { base: self.controller.config().0, epoch, body: body.to_vec() };
+        let out = self.controller.call(self.now, self.calls, call);
+        self.perform(out)
+    }
+
+    fn leads(id: &str) -> bool {
+        id.trim_start_matches("server-").parse::<usize>().is_ok_and(|n| n % 3 == 0)
+    }
+
+    fn perform(&mut self, out: Vec<Output>) -> Said {
+        let mut said = Said::default();
+        for one in out {
+            match one {
+                Output::News(session, news) => {
+                    let router = session as usize - 1;
+                    self.routers[router].unread.push(news.clone());
+                    said.news.push((router, news));
+                }
+                Output::Router(session, answer) => self.routers[session as usize - 1].take(&answer),
+                Output::Ask { id, statement, .. } => said.questions.push((id, statement)),
+                Output::Promote { .. } => said.promotions += 1,
+                Output::Save | Output::Peer(..) | Output::Reply(..) => {}
+            }
+        }
+        said
+    }
+
+    /// A tick after so many seconds, the answers of servers, and what routers say.
+    pub fn tick_after(&mut self, seconds: f64) -> Said {
+        self.now += seconds;
+        if self.now - self.beaten >= HEARTBEAT {
+            self.beat_all();
+        }
+        let out = self.controller.tick(self.now);
+        let said = self.perform(out);
+        for (id, statement) in &said.questions {
+            let (service, leader) = (self.servers[id].clone(), Self::leads(id));
+            let row = Row { leader, term: 1, received: (1, 5), held: 1 };
+            let answer = match self.dark.contains(id) {
+                true => Asked::Silent,
+                false => Asked::Row { statement: *statement, row, asked: self.now },
+            };
+            self.controller.asked(self.now, &service, id, answer);
+        }
+        for router in 0..self.routers.len() {
+            self.read(router);
+        }
+        said
+    }
+
+    pub fn tick(&mut self) -> Said {
+        self.tick_after(TICK)
+    }
+
+    /// The router takes what has come, and renews if that or the time calls for it.
+    fn read(&mut self, router: usize) {
+        let it = &mut self.routers[router];
+        let mut due = self.now - it.renewed >= RENEW;
+        if self.now >= it.reads_from {
+            for news in std::mem::take(&mut it.unread) {
+                it.take(&news);
+                due = true;
+            }
+        }
+        if due {
+            self.renew(router);
+        }
+    }
+
+    /// The router asks for its lease.
+    pub fn renew(&mut self, router: usize) {
+        let it = &mut self.routers[router];
+        it.renewed = self.now;
+        let evidence = it.evidence.iter().filter(|seen| it.evidence_wanted.contains(&seen.service));
+        let call = ToControl {
+            router: format!("router-{router}"),
+            life: 1,
+            sent: self.now,
+            known: it.known,
+            epoch: it.epoch,
+            evidence: evidence.cloned().collect(),
+        };
+        let out = self.controller.router(self.now, router as u64 + 1, call);
+        let said = self.perform(out);
+        assert!(said.news.is_empty(), "an answer brings no news with it");
+    }
+
+    /// Ticks until this is so, for so many seconds at most; what was said meanwhile.
+    pub fn until(&mut self, seconds: f64, what: &str, so: impl Fn(&Fleet) -> bool) -> Said {
+        let end = self.now + seconds;
+        let mut all = Said::default();
+        while !so(self) {
+            assert!(self.now < end, "{what} within {seconds} s");
+            let said = self.tick();
+            all.news.extend(said.news);
+            all.questions.extend(said.questions);
+            all.promotions += said.promotions;
+        }
+        all
+    }
+
+    /// Routers that hold a lease and know of so many primaries.
+    pub fn served(&self, services: usize) -> usize {
+        let serves = |r: &&Router| {
+            self.now < r.lease_until && r.grants.values().filter(|g| !g.closing).count() == services
+        };
+        self.routers.iter().filter(serves).count()
+    }
+}
+
+impl Router {
+    fn take(&mut self, news: &ToRouter) {
+        let ToRouter::News { known, sent, lease, whole, grants, members, config, evidence_wanted, .. } = news
+        else {
+            return;
+        };
+        self.evidence_wanted.clone_from(evidence_wanted);
+        if *whole {
+            self.grants.clear();
+            self.members.clear();
+            self.lease_until = f64::NEG_INFINITY;
+        }
+        self.grants.extend(grants.iter().map(|g| (g.service.clone(), g.clone())));
+        self.members.extend(members.iter().map(|m| m.id.clone()));
+        if let Some(body) = config {
+            self.epoch = body.len() as u64;
+        }
+        self.known = self.known.max(*known);
+        if let Some(sent) = sent {
+            self.answers.push(news.clone());
+            if *lease > 0.0 {
+                self.lease_until = self.lease_until.max(sent + lease);
+            }
+        }
+    }
+}
--- a/crates/control/src/tests/mod.rs
+++ b/crates/control/src/tests/mod.rs
@@ -1,7 +1,9 @@
 mod agreement;
 mod calls;
 mod failover;
+mod fleet;
 mod members;
+mod storm;
 mod voters;
 mod world;
 
--- /dev/null
+++ b/crates/control/src/tests/storm.rs
@@ -0,0 +1,260 @@
+//! Many at once: routers that come all together, routers that are slow, hundreds of services, a machine that is late. What the
+//! leader does of it in one tick is bounded, and leases go before all else.
+
+use super::fleet::{Fleet, TICK};
+use crate::controller::{EVIDENCE_WANTED, Output, QUESTIONS_A_TICK, SERVICES_A_TICK, SESSIONS_A_TICK};
+use crate::{Controller, Evidence, PeerMessage, Phase, Record, State, ToRouter};
+use std::collections::HashSet;
+use std::rc::Rc;
+
+fn is_lease(answer: &ToRouter) -> bool {
+    matches!(answer, ToRouter::News { sent: Some(_), lease, .. } if *lease > 0.0)
+}
+
+/// An answer is as small for a router that lacks everything as for one that lacks nothing.
+#[test]
+fn an_answer_carries_the_lease_and_no_news() {
+    let mut fleet = Fleet::new(1, 20);
+    fleet.configure(1, b"x");
+    fleet.until(5.0, "primaries", |f| f.served(20) == 1);
+    for _ in 0..50 {
+        fleet.tick();
+    }
+    let it = &fleet.routers[0];
+    assert!(it.answers.len() > 2 && it.answers.iter().any(is_lease));
+    for answer in &it.answers {
+        let ToRouter::News { grants, members, config, whole, .. } = answer else { panic!("{answer:?}") };
+        assert!(grants.is_empty() && members.is_empty() && config.is_none() && !whole);
+    }
+}
+
+/// Whoever was told nothing by this leader is given no lease: it would cover what another one granted.
+#[test]
+fn the_first_lease_comes_once_the_whole_is_known() {
+    let mut fleet = Fleet::new(1, 2);
+    fleet.routers[0].reads_from = fleet.now + 1.0;
+    for _ in 0..45 {
+        fleet.tick();
+    }
+    assert!(fleet.routers[0].answers.len() > 1 && !fleet.routers[0].answers.iter().any(is_lease));
+    fleet.until(1.0, "a lease", |f| f.served(2) == 1);
+}
+
+/// A new leader's first moment: five hundred routers ask at once. Each is told once, in turn, and all share what they are told.
+#[test]
+fn a_crowd_is_told_in_turns_and_shares_what_it_is_told() {
+    let mut fleet = Fleet::new(530, 20);
+    fleet
+        .until(2.0, "primaries", |f| f.controller.primaries().iter().all(|(_, phase, _)| *phase == "steady"));
+    // All connections break: every router is a new one.
+    for router in 0..530 {
+        fleet.controller.gone(router as u64 + 1);
+        fleet.routers[router] = Default::default();
+        fleet.renew(router);
+    }
+    let (mut told, mut shared) = (Vec::new(), HashSet::new());
+    for _ in 0..530usize.div_ceil(SESSIONS_A_TICK) {
+        let said = fleet.tick();
+        assert!(said.news.len() <= SESSIONS_A_TICK, "{} in one tick", said.news.len());
+        told.extend(said.news.iter().map(|(router, _)| *router));
+        shared.extend(said.news.iter().map(|(_, news)| Rc::as_ptr(news)));
+    }
+    told.sort_unstable();
+    assert_eq!(told, (0..530).collect::<Vec<_>>(), "each is told once");
+    assert!(shared.len() <= 2, "{} different wholes", shared.len());
+    fleet.until(0.1, "leases", |f| f.served(20) == 530);
+}
+
+/// A router that takes no news for three seconds, while a hundred things change, is told at most its last news again after a
+/// second and after two more. It keeps its lease, and is told the rest in one.
+#[test]
+fn a_slow_router_has_one_news_under_way() {
+    let mut fleet = Fleet::new(2, 5);
+    fleet.until(2.0, "primaries", |f| f.served(5) == 2);
+    fleet.routers[0].reads_from = fleet.now + 3.0;
+    let mut told = [0, 0];
+    for change in 0..150 {
+        let phase = if change % 2 == 0 { Phase::Draining } else { Phase::Ready };
+        fleet.beat("server-1", phase);
+        for (router, _) in fleet.tick().news {
+            told[router] += 1;
+        }
+        assert!(fleet.now < fleet.routers[0].lease_until, "it lost its lease");
+    }
+    assert!(told[1] > 100, "the other was told each change: {told:?}");
+    assert!((1..=3).contains(&told[0]), "{told:?}");
+    let last = fleet.routers[1].known;
+    fleet.until(1.0, "the rest", |f| f.routers[0].known >= last);
+}
+
+/// A session whose configuration is under way gets its leases meanwhile, and the configuration only once.
+#[test]
+fn leases_go_on_while_a_configuration_is_under_way() {
+    let mut fleet = Fleet::new(1, 2);
+    fleet.until(2.0, "primaries", |f| f.served(2) == 1);
+    fleet.routers[0].reads_from = fleet.now + 0.8;
+    fleet.routers[0].answers.clear();
+    let mut told = fleet.configure(1, &[b'x'; 9]).news.len();
+    for _ in 0..39 {
+        told += fleet.tick().news.len();
+    }
+    assert_eq!(told, 1);
+    assert!(fleet.routers[0].answers.len() >= 2 && fleet.routers[0].answers.iter().all(is_lease));
+}
+
+/// What is taken back counts as known only once the router has said so, though its lease is renewed meanwhile.
+#[test]
+fn a_lease_that_is_renewed_proves_nothing_of_news_under_way() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.until(2.0, "primaries", |f| f.served(1) == 1);
+    fleet.routers[0].reads_from = fleet.now + 1.0;
+    // The primary dies: its grant is taken back, and nobody is chosen before the router knows.
+    fleet.dark.insert("server-0".to_owned());
+    let mut promotions = 0;
+    while fleet.now < fleet.routers[0].reads_from - TICK {
+        promotions += fleet.tick().promotions;
+    }
+    assert!(!fleet.routers[0].unread.is_empty() && promotions == 0);
+    assert!(fleet.routers[0].answers.iter().rev().take(2).all(is_lease));
+}
+
+/// Four hundred services under a leader that has just begun: their servers are asked in bounded numbers, also where each tick
+/// comes late, and no service counts as without a primary before its servers were asked.
+#[test]
+fn many_services_are_asked_in_turns() {
+    const SERVICES: usize = 400;
+    for tick in [TICK, 0.2] {
+        let mut fleet = Fleet::new(1, SERVICES);
+        let began = fleet.now;
+        let mut promotions = 0;
+        while fleet.served(SERVICES) == 0 {
+            let said = fleet.tick_after(tick);
+            // The last service that had its turn asks all of its servers.
+            assert!(said.questions.len() <= QUESTIONS_A_TICK + 2, "{} questions", said.questions.len());
+            promotions += said.promotions;
+            assert!(fleet.now - began < 12.0, "{} primaries", fleet.routers[0].grants.len());
+        }
+        assert_eq!(promotions, 0);
+    }
+}
+
+/// Four hundred services, calm: no more questions than are planned for, and no primary is missed for that.
+#[test]
+fn many_services_are_asked_seldom() {
+    let mut fleet = Fleet::new(1, 400);
+    fleet.until(3.0, "primaries", |f| f.served(400) == 1);
+    let mut questions = 0;
+    for _ in 0..(5.0 / TICK) as usize {
+        questions += fleet.tick().questions.len();
+        assert_eq!(fleet.served(400), 1);
+    }
+    assert!((5_000..8_000).contains(&questions), "{questions} in five seconds");
+}
+
+/// A tick of few services steps all of them: nothing waits for a turn.
+#[test]
+fn few_services_wait_for_no_turn() {
+    let services = SERVICES_A_TICK / 4;
+    let mut fleet = Fleet::new(1, services);
+    let asked: usize = (0..10).map(|_| fleet.tick().questions.len()).sum();
+    assert!(asked >= 3 * services, "{asked}");
+    fleet.until(0.5, "primaries", |f| f.served(services) == 1);
+}
+
+/// A leader that didn't run for two seconds asked nobody meanwhile: no primary is dead for that.
+#[test]
+fn a_late_leader_takes_nobody_for_dead() {
+    let mut fleet = Fleet::new(1, 10);
+    fleet.until(2.0, "primaries", |f| f.served(10) == 1);
+    fleet.tick_after(2.0);
+    for _ in 0..10 {
+        fleet.tick();
+    }
+    let steady = fleet.controller.primaries().iter().filter(|(_, phase, _)| *phase == "steady").count();
+    assert_eq!(steady, 10);
+    // A silence of their own counts as before, once the leader is punctual again.
+    for _ in 0..60 {
+        fleet.tick();
+    }
+    fleet.dark.insert("server-0".to_owned());
+    let began = fleet.now;
+    fleet.until(0.8, "one is given up", |f| f.controller.primaries()[0].1 != "steady");
+    assert!(fleet.now - began > 0.4);
+}
+
+/// Routers are asked for evidence only of primaries that the leader doesn't hear, and their evidence keeps these in use.
+#[test]
+fn evidence_is_asked_for_where_it_is_wanted() {
+    let mut fleet = Fleet::new(1, 3);
+    fleet.until(2.0, "primaries", |f| f.served(3) == 1);
+    let seen = |n: usize| Evidence {
+        service: format!("service-000{n}"),
+        id: format!("server-{}", 3 * n),
+        answered: 0.01,
+    };
+    fleet.routers[0].evidence = vec![seen(0), seen(1), seen(2)];
+    for _ in 0..50 {
+        fleet.tick();
+        assert!(fleet.routers[0].evidence_wanted.is_empty());
+    }
+    fleet.dark.insert("server-3".to_owned());
+    fleet.until(0.5, "it is asked about", |f| f.routers[0].evidence_wanted == ["service-0001"]);
+    for _ in 0..150 {
+        fleet.tick();
+        assert_eq!(fleet.controller.primaries()[1].1, "steady");
+    }
+    fleet.routers[0].evidence.clear();
+    fleet.until(1.0, "it is given up", |f| f.controller.primaries()[1].1 != "steady");
+}
+
+/// However many primaries fall silent, an answer names a bounded number of them.
+#[test]
+fn an_answer_asks_about_so_many_primaries_at_most() {
+    let services = 2 * EVIDENCE_WANTED;
+    let mut fleet = Fleet::new(1, services);
+    fleet.until(3.0, "primaries", |f| f.served(services) == 1);
+    fleet.dark = (0..services).map(|n| format!("server-{}", 3 * n)).collect();
+    fleet.until(1.0, "they are asked about", |f| f.routers[0].evidence_wanted.len() == EVIDENCE_WANTED);
+}
+
+/// Beats that tell nothing new go to the other machines together, four times a second; a server that leaves is told at once.
+#[test]
+fn beats_are_gathered() {
+    let record = Record { state: State::first(vec![1, 2, 3]), ..Record::default() };
+    let mut controller = Controller::new(1, record, true, 0.0, 7, super::world::timing());
+    let members = |out: &[Output]| {
+        let to = out.iter().filter_map(|o| match o {
+            Output::Peer(2, PeerMessage::Members(news)) => Some(news.len()),
+            _ => None,
+        });
+        to.collect::<Vec<usize>>()
+    };
+    let mut seq = 0;
+    let mut beat = |controller: &mut Controller, now: f64, id: usize, phase: Phase| {
+        seq += 1;
+        let beat = crate::Beat {
+            service: "s".to_owned(),
+            endpoint: "10.0.0.9:5432".to_owned(),
+            zone: "a".to_owned(),
+            slots: 4,
+            phase,
+            call_seq: seq,
+        };
+        controller.call(now, seq, crate::controller::Call::Beat { id: format!("server-{id}"), beat })
+    };
+    let (mut frames, mut told) = (0, 0);
+    for tick in 0..100 {
+        let now = tick as f64 * TICK;
+        for id in 0..10 {
+            let out = beat(&mut controller, now, id, Phase::Ready);
+            assert!(members(&out).is_empty(), "a server that is there goes with the others");
+        }
+        let out = members(&controller.tick(now));
+        frames += out.len();
+        told += out.iter().sum::<usize>();
+    }
+    // Two seconds; the first tick tells that they are new.
+    assert!((8..=10).contains(&frames) && told > 800, "{frames} frames with {told}");
+    let out = beat(&mut controller, 2.0, 4, Phase::Draining);
+    assert_eq!(members(&out), [1]);
+}
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -55,15 +55,6 @@
     evidence_wanted: RefCell<Vec<String>>,
 }
 
-/// What a message from control calls for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Next {
-    /// It answers a call: the next one is sent when it is time.
-    Answered,
-    /// Control waits to hear that the news is known here, or what is known of a primary.
-    Tell { answered: bool },
-}
-
 impl Session {
     /// A router of this name, in a life that was drawn at its start.
     pub fn new(
@@ -186,14 +177,16 @@
                     *self.nodes.borrow_mut() = voters;
                     return Ok(leader);
                 }
-                Some(news) => match self.take(news) {
-                    Next::Answered => unanswered = None,
-                    Next::Tell { answered } => {
+                Some(news) => {
+                    if self.take(news) {
+                        unanswered = None;
+                    } else {
+                        // Nobody asked for it: control waits to hear what is known here.
                         self.renew(stream).await?;
                         renewed = clock::now();
-                        unanswered = Some(unanswered.filter(|_| !answered).unwrap_or(renewed));
+                        unanswered.get_or_insert(renewed);
                     }
-                },
+                }
                 None => {
                     if clock::now() - renewed >= self.spans.renew {
                         self.renew(stream).await?;
@@ -230,8 +223,8 @@
         all.filter(|seen| wanted.contains(&seen.service)).collect()
     }
 
-    /// Takes news into the view.
-    fn take(&self, news: ToRouter) -> Next {
+    /// Takes news into the view; true if it answers a call of ours.
+    fn take(&self, news: ToRouter) -> bool {
         let ToRouter::News {
             known,
             sent,
@@ -245,14 +238,14 @@
             evidence_wanted,
         } = news
         else {
-            return Next::Answered;
+            return false;
         };
         let now = clock::now();
         let mut view = self.shared.view.borrow_mut();
         let mut changed = !grants.is_empty() || !members.is_empty();
         if known.0 < self.known.get().0 {
             // A leader that is no longer one: a newer one has spoken.
-            return if sent.is_some() { Next::Answered } else { Next::Tell { answered: false } };
+            return sent.is_some();
         }
         if whole {
             let until = view.lease_until;
@@ -318,9 +311,8 @@
             drop(view);
             self.shared.changed.ring();
         }
-        let wanted_before = self.evidence_wanted.replace(evidence_wanted);
-        let wants_more = self.evidence_wanted.borrow().iter().any(|service| !wanted_before.contains(service));
-        if sent.is_none() || wants_more { Next::Tell { answered: sent.is_some() } } else { Next::Answered }
+        *self.evidence_wanted.borrow_mut() = evidence_wanted;
+        sent.is_some()
     }
 }
 
