--- a/crates/node/src/control/sessions.rs
+++ b/crates/node/src/control/sessions.rs
@@ -113,3 +113,7 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+#[path = "../tests/sessions.rs"]
+mod tests;
--- /dev/null
+++ b/crates/node/src/tests/frames.rs
@@ -0,0 +1,49 @@
+//! Frames, long and short.
+
+use crate::frames::{self, Frame, MOST};
+use badgerstream_control::{Ballot, MemberNews, PeerMessage};
+use futures_lite::{future, io::Cursor};
+
+fn members(count: usize) -> Frame {
+    let member = |n: usize| MemberNews {
+        id: format!("i-{:010x}", n * 2_654_435),
+        service: format!("catalog-{}", n / 3),
+        endpoint: format!("10.0.{}.{}:5432", n / 200, n % 200),
+        zone: "lima-a".to_owned(),
+        slots: 4,
+        draining: false,
+        gone: false,
+        call_seq: n as u64,
+    };
+    Frame::Peer(PeerMessage::Members((0..count).map(member).collect()))
+}
+
+fn read(bytes: &[u8]) -> std::io::Result<Frame> {
+    future::block_on(frames::read(&mut Cursor::new(bytes)))
+}
+
+#[test]
+fn what_is_written_is_read() {
+    for frame in [Frame::Control { node: 7 }, members(1), members(15), members(1000)] {
+        assert_eq!(read(&frames::bytes(&frame)).unwrap(), frame);
+    }
+}
+
+/// A thousand servers take some 50 KB as they are; their names and addresses repeat themselves.
+#[test]
+fn long_frames_are_compressed() {
+    let length = frames::bytes(&members(1000)).len();
+    assert!(length < 25_000, "{length} bytes");
+    let short = Frame::Peer(PeerMessage::Lead { ballot: Ballot(1), sent: 1.0 });
+    assert!(frames::bytes(&short).len() < 32);
+}
+
+/// A few bytes that stand for more than any frame may hold are refused.
+#[test]
+fn what_would_grow_beyond_bounds_is_refused() {
+    let body = miniz_oxide::deflate::compress_to_vec(&vec![0; 2 * MOST], 6);
+    let mut bytes = (body.len() as u32 | 1 << 31).to_be_bytes().to_vec();
+    bytes.extend_from_slice(&body);
+    assert!(bytes.len() < 64 << 10 && read(&bytes).is_err());
+    assert!(read(&[0x80, 0, 0, 2, 1, 2]).is_err());
+}
--- a/crates/node/src/tests/mod.rs
+++ b/crates/node/src/tests/mod.rs
@@ -1,1 +1,4 @@
+mod asker;
 mod cli;
+mod frames;
+mod session;
--- /dev/null
+++ b/crates/node/src/tests/session.rs
@@ -0,0 +1,255 @@
+//! A router's session beside a scripted control machine on loopback.
+
+use crate::clock;
+use crate::frames::{self, Frame};
+use crate::session::{Session, Spans};
+use crate::view::Shared;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use badgerstream_control::{Ballot, Evidence, GrantNews, MemberNews, ToControl, ToRouter};
+use futures_lite::{AsyncWriteExt, future};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+const SPANS: Spans = Spans { renew: 0.3, suspect: 0.4 };
+const OLD: Ballot = Ballot(1 << 32);
+const NEW: Ballot = Ballot(2 << 32);
+
+/// A router's session, and the machine that it asks.
+struct Rig {
+    listener: Async<TcpListener>,
+    shared: Shared,
+}
+
+impl Rig {
+    fn play<T>(at: Ipv4Addr, test: impl AsyncFnOnce(&Rig) -> T) -> T {
+        let tasks = Rc::new(LocalExecutor::new());
+        let listener = Async::<TcpListener>::bind(SocketAddr::from((at, 0))).unwrap();
+        let address = listener.get_ref().local_addr().unwrap();
+        let shared = Shared::default();
+        let seen = |_: f64| {
+            let seen = |service: &str| Evidence {
+                service: service.to_owned(),
+                id: format!("{service}-primary"),
+                answered: 0.1,
+            };
+            vec![seen("a"), seen("b")]
+        };
+        let session = Session::new("edge-1".to_owned(), 7, address.port(), SPANS, shared.clone(), seen);
+        session.seeds(&[address]);
+        tasks.spawn(session.run()).detach();
+        let rig = Rig { listener, shared };
+        async_io::block_on(tasks.run(test(&rig)))
+    }
+
+    async fn accept(&self) -> Async<TcpStream> {
+        self.listener.accept().await.unwrap().0
+    }
+
+    /// Whether this service's primary may be used now.
+    fn may_use(&self, id: &str) -> bool {
+        self.shared.view.borrow().primary("a", clock::now()).is_some_and(|grant| grant.id == id)
+    }
+}
+
+async fn renewal(stream: &mut Async<TcpStream>) -> ToControl {
+    match frames::read(stream).await.unwrap() {
+        Frame::Renew(call) => call,
+        other => panic!("{other:?}"),
+    }
+}
+
+async fn say(stream: &mut Async<TcpStream>, news: ToRouter) {
+    frames::write(stream, &Frame::News(Rc::new(news))).await.unwrap();
+}
+
+fn news(known: (Ballot, u64), whole: bool) -> ToRouter {
+    ToRouter::News {
+        known,
+        sent: None,
+        lease: 0.0,
+        whole,
+        grants: Vec::new(),
+        members: Vec::new(),
+        config: None,
+        voters: Vec::new(),
+        routers: 1,
+        evidence_wanted: Vec::new(),
+    }
+}
+
+fn granting(known: (Ballot, u64), id: &str, closing: bool) -> ToRouter {
+    let mut granting = news(known, true);
+    if let ToRouter::News { grants, .. } = &mut granting {
+        grants.push(GrantNews { service: "a".to_owned(), id: id.to_owned(), term: 1, closing });
+    }
+    granting
+}
+
+fn answer(call: &ToControl, known: (Ballot, u64), given: f64, wanted: &[&str]) -> ToRouter {
+    let mut answer = news(known, false);
+    if let ToRouter::News { sent, lease, evidence_wanted, .. } = &mut answer {
+        (*sent, *lease) = (Some(call.sent), given);
+        evidence_wanted.extend(wanted.iter().map(|service| (*service).to_owned()));
+    }
+    answer
+}
+
+/// Whoever still receives something stays with its leader, though it has had no answer for three times as long as would make it
+/// leave otherwise.
+#[test]
+fn a_leader_that_still_sends_is_not_left() {
+    Rig::play(Ipv4Addr::new(127, 0, 0, 51), async |rig| {
+        let mut stream = rig.accept().await;
+        renewal(&mut stream).await;
+        let mut whole = news((OLD, 1), true);
+        if let ToRouter::News { members, .. } = &mut whole {
+            members.extend((0..200).map(|n| MemberNews {
+                id: format!("server-{n}-{:x}", fastrand::u64(..)),
+                service: "a".to_owned(),
+                endpoint: "10.0.0.1:5432".to_owned(),
+                zone: "z".to_owned(),
+                slots: 4,
+                draining: false,
+                gone: false,
+                call_seq: n,
+            }));
+        }
+        let bytes = frames::bytes(&Frame::News(Rc::new(whole)));
+        let trickle = async {
+            for part in bytes.chunks(bytes.len().div_ceil(12)) {
+                Timer::after(Duration::from_millis(100)).await;
+                stream.write_all(part).await.unwrap();
+            }
+            while rig.shared.view.borrow().servers.is_empty() {
+                Timer::after(Duration::from_millis(5)).await;
+            }
+        };
+        let left = async {
+            rig.accept().await;
+            panic!("it came again on another connection");
+        };
+        future::or(trickle, left).await;
+        assert_eq!(rig.shared.view.borrow().servers.len(), 200);
+    });
+}
+
+/// An answer that was on its way while news came tells less than is known by now: nothing of that is forgotten.
+#[test]
+fn an_answer_takes_nothing_back() {
+    Rig::play(Ipv4Addr::new(127, 0, 0, 52), async |rig| {
+        let mut stream = rig.accept().await;
+        let first = renewal(&mut stream).await;
+        say(&mut stream, granting((OLD, 5), "x", false)).await;
+        say(&mut stream, answer(&first, (OLD, 3), 1.0, &[])).await;
+        assert_eq!(renewal(&mut stream).await.known, (OLD, 5), "in answer to the news");
+        assert_eq!(renewal(&mut stream).await.known, (OLD, 5), "in its time");
+        assert!(rig.may_use("x"));
+    });
+}
+
+/// Between the whole of a new leader and its first lease a primary that both grant is used under the old lease, to its end and
+/// no longer.
+#[test]
+fn a_primary_that_both_leaders_grant_is_used_without_a_gap() {
+    Rig::play(Ipv4Addr::new(127, 0, 0, 53), async |rig| {
+        let mut stream = rig.accept().await;
+        let call = renewal(&mut stream).await;
+        say(&mut stream, granting((OLD, 1), "x", false)).await;
+        let told = renewal(&mut stream).await;
+        say(&mut stream, answer(&told, (OLD, 1), 0.5, &[])).await;
+        let until = told.sent + 0.5;
+        say(&mut stream, answer(&call, (NEW, 0), 0.0, &[])).await;
+        say(&mut stream, granting((NEW, 1), "x", false)).await;
+        while renewal(&mut stream).await.known != (NEW, 1) {}
+        assert!(clock::now() < until, "the machine is too slow for this test");
+        assert!(rig.may_use("x"));
+        let mut call = renewal(&mut stream).await;
+        while call.sent < until {
+            say(&mut stream, answer(&call, (NEW, 1), 0.0, &[])).await;
+            call = renewal(&mut stream).await;
+        }
+        assert!(!rig.may_use("x"));
+        say(&mut stream, answer(&call, (NEW, 1), 1.0, &[])).await;
+        renewal(&mut stream).await;
+        assert!(rig.may_use("x"));
+    });
+}
+
+/// What the new leader takes back, or grants to another server, is not used under the old lease.
+#[test]
+fn what_a_new_leader_takes_back_is_not_used() {
+    for (n, (id, closing)) in [("x", true), ("y", false)].into_iter().enumerate() {
+        Rig::play(Ipv4Addr::new(127, 0, 0, 54 + n as u8), async |rig| {
+            let mut stream = rig.accept().await;
+            renewal(&mut stream).await;
+            say(&mut stream, granting((OLD, 1), "x", false)).await;
+            let told = renewal(&mut stream).await;
+            say(&mut stream, answer(&told, (OLD, 1), 5.0, &[])).await;
+            say(&mut stream, granting((NEW, 1), id, closing)).await;
+            while renewal(&mut stream).await.known != (NEW, 1) {}
+            assert!(!rig.may_use("x") && !rig.may_use("y"));
+        });
+    }
+}
+
+/// A lease of a leader that has told nothing yet covers nothing that another one granted.
+#[test]
+fn an_answer_of_a_new_leader_prolongs_no_old_grant() {
+    Rig::play(Ipv4Addr::new(127, 0, 0, 56), async |rig| {
+        let mut stream = rig.accept().await;
+        renewal(&mut stream).await;
+        say(&mut stream, granting((OLD, 1), "x", false)).await;
+        let told = renewal(&mut stream).await;
+        say(&mut stream, answer(&told, (OLD, 1), 0.4, &[])).await;
+        let mut call = renewal(&mut stream).await;
+        while call.sent < told.sent + 0.5 {
+            say(&mut stream, answer(&call, (NEW, 0), 0.0, &[])).await;
+            call = renewal(&mut stream).await;
+        }
+        assert_eq!(call.known, (NEW, 0));
+        assert!(!rig.may_use("x"));
+    });
+}
+
+/// A renewal tells what was seen of the primaries that control asked about, and of no others.
+#[test]
+fn evidence_is_told_where_it_is_wanted() {
+    Rig::play(Ipv4Addr::new(127, 0, 0, 57), async |rig| {
+        let mut stream = rig.accept().await;
+        let call = renewal(&mut stream).await;
+        assert!(call.evidence.is_empty());
+        say(&mut stream, answer(&call, (OLD, 0), 0.0, &["b"])).await;
+        let call = renewal(&mut stream).await;
+        let told: Vec<&str> = call.evidence.iter().map(|seen| seen.service.as_str()).collect();
+        assert_eq!(told, ["b"]);
+        say(&mut stream, answer(&call, (OLD, 0), 0.0, &[])).await;
+        assert!(renewal(&mut stream).await.evidence.is_empty());
+    });
+}
+
+/// While nobody leads, all routers ask around: each does so more and more seldom.
+#[test]
+fn while_nobody_leads_it_asks_more_and_more_seldom() {
+    Rig::play(Ipv4Addr::new(127, 0, 0, 58), async |rig| {
+        let asked = async {
+            let mut streams = Vec::new();
+            while streams.len() < 40 {
+                let mut stream = rig.accept().await;
+                renewal(&mut stream).await;
+                let voters = vec![u32::from(Ipv4Addr::new(127, 0, 0, 58))];
+                say(&mut stream, ToRouter::Elsewhere { leader: None, voters }).await;
+                streams.push(stream);
+            }
+        };
+        let began = clock::now();
+        future::or(asked, async {
+            Timer::after(Duration::from_secs(20)).await;
+        })
+        .await;
+        let took = clock::now() - began;
+        // At 40 ms each it would be 1.6 s.
+        assert!((4.0..20.0).contains(&took), "forty times in {took:.2} s");
+    });
+}
--- /dev/null
+++ b/crates/node/src/tests/sessions.rs
@@ -0,0 +1,100 @@
+//! What waits for one router, and in which order it goes.
+
+use super::*;
+use futures_lite::future::poll_once;
+
+fn answer(sent: f64) -> ToRouter {
+    ToRouter::News {
+        known: (Ballot(1), 1),
+        sent: Some(sent),
+        lease: 1.0,
+        whole: false,
+        grants: Vec::new(),
+        members: Vec::new(),
+        config: None,
+        voters: Vec::new(),
+        routers: 1,
+        evidence_wanted: Vec::new(),
+    }
+}
+
+fn news(number: u64) -> Rc<ToRouter> {
+    let mut news = answer(0.0);
+    if let ToRouter::News { known, sent, config, .. } = &mut news {
+        (*known, *sent, *config) = ((Ballot(1), number), None, Some(fastrand_bytes(100_000)));
+    }
+    Rc::new(news)
+}
+
+/// Bytes that don't compress.
+fn fastrand_bytes(count: usize) -> Vec<u8> {
+    (0..count).map(|_| fastrand::u8(..)).collect()
+}
+
+fn open(sessions: &Sessions, id: u64) -> Rc<Outbox> {
+    let outbox = Rc::new(Outbox::default());
+    sessions.all.borrow_mut().insert(id, outbox.clone());
+    outbox
+}
+
+/// However much is said to a router that reads nothing, its newest answer and one news wait for it.
+#[test]
+fn nothing_queues_up_for_a_router_that_does_not_read() {
+    let sessions = Sessions::default();
+    let outbox = open(&sessions, 1);
+    let first = news(1);
+    sessions.tell(1, first.clone());
+    for n in 2..100 {
+        sessions.answer(1, answer(n as f64));
+        sessions.tell(1, news(n));
+    }
+    assert_eq!(*outbox.answer.borrow(), Some(answer(99.0)));
+    let waits = outbox.news.borrow().clone().unwrap();
+    assert_eq!(&*waits, &frames::bytes(&Frame::News(first))[..]);
+}
+
+/// What several are told is encoded once and held once, and no longer than it may be told again.
+#[test]
+fn what_several_are_told_is_held_once() {
+    let sessions = Sessions::default();
+    let (a, b, c) = (open(&sessions, 1), open(&sessions, 2), open(&sessions, 3));
+    let shared = news(1);
+    sessions.tell(1, shared.clone());
+    sessions.tell(2, shared.clone());
+    let bytes = |outbox: &Outbox| outbox.news.borrow().clone().unwrap();
+    assert!(Rc::ptr_eq(&bytes(&a), &bytes(&b)));
+    assert_eq!(sessions.encoded.borrow().len(), 1);
+    drop(shared);
+    sessions.tell(3, news(2));
+    assert_eq!(sessions.encoded.borrow().len(), 1);
+    assert!(!Rc::ptr_eq(&bytes(&a), &bytes(&c)));
+}
+
+/// An answer goes before news that waits as well, and a router that reads slowly gets all of it.
+#[test]
+fn answers_go_before_news() {
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+    let at = listener.get_ref().local_addr().unwrap();
+    async_io::block_on(async {
+        let (near, far) = future::zip(Async::<TcpStream>::connect(at), listener.accept()).await;
+        let (near, mut far) = (Rc::new(near.unwrap()), far.unwrap().0);
+        let sessions = Sessions::default();
+        let outbox = open(&sessions, 1);
+        sessions.tell(1, news(7));
+        sessions.answer(1, answer(3.0));
+        let mut writer = Box::pin(write(near, outbox.clone()));
+        let read = async {
+            let first = frames::read(&mut far).await.unwrap();
+            assert_eq!(first, Frame::News(Rc::new(answer(3.0))));
+            let Frame::News(second) = frames::read(&mut far).await.unwrap() else { panic!() };
+            assert!(matches!(&*second, ToRouter::News { known: (Ballot(1), 7), .. }));
+        };
+        future::or(read, async {
+            writer.as_mut().await;
+            panic!("the writer ended");
+        })
+        .await;
+        poll_once(writer).await;
+        assert!(outbox.news.borrow().is_none());
+    });
+}
