--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -7,11 +7,19 @@
 use crate::membership::{Node, Voter};
 use crate::message::{GrantNews, MemberNews, PeerMessage, ToRouter};
 use crate::state::State;
+use beats::Refreshed;
 use members_news::{Rosters, Rounds};
+#[cfg(test)]
+pub(crate) use news::SESSIONS_A_TICK;
+use news::{Session, Telling};
 use orders::{Origin, Passed, Waiting, Wanted, reply};
+use services::Turns;
+#[cfg(test)]
+pub(crate) use services::{EVIDENCE_WANTED, QUESTIONS_A_TICK, SERVICES_A_TICK};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 
+mod beats;
 mod members_news;
 mod news;
 mod orders;
@@ -84,8 +92,10 @@
     Save,
     /// To another control machine.
     Peer(Recipient, PeerMessage),
-    /// To the router on this session.
+    /// To the router on this session: an answer, or where else to ask.
     Router(u64, ToRouter),
+    /// News to the router on this session, behind all that went there before. Sessions that lack the same share it.
+    News(u64, Rc<ToRouter>),
     /// To a database server. What changes it must be sent only while this machine may act under the ballot `fence`.
     Ask { id: String, endpoint: String, service: String, statement: Statement, fence: u64 },
     /// To the platform, if it can be sent before this second; `fence` rises with every holder of the duty.
@@ -94,14 +104,6 @@
     Reply(u64, Answer),
 }
 
-#[derive(Clone, Debug)]
-struct Session {
-    router: String,
-    /// What it was last told, so that nothing is sent twice.
-    told: u64,
-    epoch: u64,
-}
-
 #[derive(Clone, Debug)]
 struct Grant {
     news: GrantNews,
@@ -121,7 +123,9 @@
     leases: Leases,
     services: BTreeMap<String, Failover>,
     grants: BTreeMap<String, Grant>,
-    sessions: HashMap<u64, Session>,
+    sessions: BTreeMap<u64, Session>,
+    telling: Telling,
+    turns: Turns,
     /// Under way: what is being agreed on.
     proposed: Option<(u64, Waiting)>,
     queue: VecDeque<Waiting>,
@@ -151,8 +155,15 @@
     rounds: Rounds,
     /// Bodies of members that changed while leading, told under the next number.
     news_due: bool,
+    /// Beats that told nothing new, for the other control machines.
+    refreshed: Refreshed,
+    /// When it was last looked for members that are silent.
+    swept: f64,
 }
 
+/// Between two looks for members that are silent, in seconds.
+const SWEEP: f64 = 0.1;
+
 impl Controller {
     /// A machine that starts with this on its disk, in a life that was drawn for it. See [`Consensus::new`].
     pub fn new(me: Voter, record: Record, now: f64, life: u64, timing: ControlTiming) -> Controller {
@@ -170,6 +181,8 @@
             held: VecDeque::new(),
             rounds: Rounds::default(),
             news_due: false,
+            refreshed: Refreshed::default(),
+            swept: f64::NEG_INFINITY,
         }
     }
 
@@ -308,7 +321,9 @@
             leases: Leases::begin(before_us),
             services: BTreeMap::new(),
             grants: BTreeMap::new(),
-            sessions: HashMap::new(),
+            sessions: BTreeMap::new(),
+            telling: Telling::default(),
+            turns: Turns::default(),
             proposed: None,
             queue: VecDeque::new(),
             sync: HashMap::new(),
@@ -367,26 +382,23 @@
         let mut outs = Vec::new();
         self.consensus.tick(now, &mut outs);
         self.settle(now, outs, &mut out);
+        self.spread_refreshed(now, &mut out);
+        self.begin_next_round(now, &mut out);
         let number = self.lead.as_ref().map_or(0, |l| l.number + 1);
-        if self.members.sweep(now, self.timing.forget, number) {
-            self.news_due = true;
+        if now - self.swept >= SWEEP {
+            self.swept = now;
+            self.news_due |= self.members.sweep(now, self.timing.forget, number);
         }
         self.sweep_passed(now, &mut out);
         self.sweep_rounds(now, &mut out);
         self.retry_held(now, &mut out);
-        if self.lead.is_some() {
+        if let Some(lead) = &mut self.lead {
+            lead.turns.begin_tick(now);
             if now < self.consensus.authority() {
                 self.step(now, &mut out);
             }
             self.next(now, &mut out);
-            // What came in one step is told at once: changes come in crowds, and each telling is answered.
-            if self.news_due && now < self.consensus.authority() {
-                self.news_due = false;
-                if let Some(lead) = &mut self.lead {
-                    lead.number += 1;
-                }
-                self.tell_all(now, &mut out);
-            }
+            self.tell_all(now, &mut out);
             if let Some(lead) = &mut self.lead {
                 lead.leases.sweep(now);
             }
@@ -451,7 +463,7 @@
             return;
         }
         match news {
-            Some(news) => self.tell_voters(now, &news, call, out),
+            Some(news) => self.tell_voters(now, news, call, out),
             None => self.already_told(id, call, out),
         }
     }
--- a/crates/control/src/controller/members_news.rs
+++ b/crates/control/src/controller/members_news.rs
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug)]
 struct Round {
     calls: Vec<u64>,
-    news: MemberNews,
+    news: Vec<MemberNews>,
     kept: BTreeSet<Voter>,
     until: f64,
 }
@@ -30,6 +30,8 @@
 pub(super) struct Rounds {
     all: BTreeMap<u64, Round>,
     newest: u64,
+    /// What goes with the next tick: many servers are new at once when a machine starts.
+    next: Vec<(MemberNews, u64)>,
 }
 
 /// What a new leader has been told of servers by the others.
@@ -76,34 +78,59 @@
         }
     }
 
-    /// Tells the other voters; `call` is answered once the leader and a majority know it.
-    pub(super) fn tell_voters(&mut self, now: f64, news: &MemberNews, call: u64, out: &mut Vec<Output>) {
-        let round = (!self.members.is_confirmed(&news.id)).then(|| self.begin_round(now, news, call));
-        for voter in self.other_voters() {
-            let message = PeerMessage::Members { round, news: vec![news.clone()] };
-            out.push(Output::Peer(Recipient::Voter(voter), message));
+    /// Tells the other voters what is new; `call` is answered once the leader and a majority know it. That a server was merely
+    /// heard again is told to them later, and acknowledged at once.
+    pub(super) fn tell_voters(&mut self, now: f64, news: MemberNews, call: u64, out: &mut Vec<Output>) {
+        if self.members.is_confirmed(&news.id) {
+            self.refreshed.add(news);
+            out.push(Output::Reply(call, accepted()));
+            return;
         }
-        match round {
-            Some(round) => self.finish_round(round, out),
-            None => out.push(Output::Reply(call, accepted())),
+        if news.draining || news.gone {
+            self.begin_round(now, vec![(news, call)], out);
+        } else {
+            self.rounds.next.push((news, call));
         }
     }
 
-    /// A call that says nothing new is answered at once, or with the round in which that is told.
-    pub(super) fn already_told(&mut self, id: &str, call: u64, out: &mut Vec<Output>) {
-        let under_way = self.rounds.all.values_mut().rev().find(|round| round.news.id == id);
-        match under_way {
-            Some(round) if !self.members.is_confirmed(id) => round.calls.push(call),
-            _ => out.push(Output::Reply(call, accepted())),
+    /// Tells the other voters what is new since the last tick.
+    pub(super) fn begin_next_round(&mut self, now: f64, out: &mut Vec<Output>) {
+        let next = std::mem::take(&mut self.rounds.next);
+        if !next.is_empty() {
+            self.begin_round(now, next, out);
         }
     }
 
-    fn begin_round(&mut self, now: f64, news: &MemberNews, call: u64) -> u64 {
+    fn begin_round(&mut self, now: f64, told: Vec<(MemberNews, u64)>, out: &mut Vec<Output>) {
+        let (news, calls): (Vec<MemberNews>, Vec<u64>) = told.into_iter().unzip();
         self.rounds.newest += 1;
+        let round = self.rounds.newest;
+        for voter in self.other_voters() {
+            let message = PeerMessage::Members { round: Some(round), news: news.clone() };
+            out.push(Output::Peer(Recipient::Voter(voter), message));
+        }
         let kept = BTreeSet::from([self.consensus.me()]);
-        let round = Round { calls: vec![call], news: news.clone(), kept, until: now + KEEP_WITHIN };
-        self.rounds.all.insert(self.rounds.newest, round);
-        self.rounds.newest
+        self.rounds.all.insert(round, Round { calls, news, kept, until: now + KEEP_WITHIN });
+        self.finish_round(round, out);
+    }
+
+    /// A call that says nothing new is answered at once, or with the round in which that is told.
+    pub(super) fn already_told(&mut self, id: &str, call: u64, out: &mut Vec<Output>) {
+        if self.members.is_confirmed(id) {
+            out.push(Output::Reply(call, accepted()));
+            return;
+        }
+        if let Some(news) =
+            self.rounds.next.iter().find(|(news, _)| news.id == id).map(|(news, _)| news.clone())
+        {
+            self.rounds.next.push((news, call));
+            return;
+        }
+        let tells = |round: &&mut Round| round.news.iter().any(|news| news.id == id);
+        match self.rounds.all.values_mut().rev().find(tells) {
+            Some(round) => round.calls.push(call),
+            None => out.push(Output::Reply(call, accepted())),
+        }
     }
 
     pub(super) fn on_members_kept(&mut self, from: Voter, round: u64, out: &mut Vec<Output>) {
@@ -122,7 +149,7 @@
             return;
         }
         if let Some(under_way) = self.rounds.all.remove(&round) {
-            self.members.confirm(&under_way.news);
+            under_way.news.iter().for_each(|news| self.members.confirm(news));
             out.extend(under_way.calls.into_iter().map(|call| Output::Reply(call, accepted())));
         }
     }
@@ -178,7 +205,7 @@
         }
     }
 
-    fn other_voters(&self) -> Vec<Voter> {
+    pub(super) fn other_voters(&self) -> Vec<Voter> {
         let membership = &self.consensus.record().state.membership;
         membership.all().filter(|voter| *voter != self.consensus.me()).collect()
     }
--- a/crates/control/src/failover.rs
+++ b/crates/control/src/failover.rs
@@ -11,6 +11,7 @@
 mod finding;
 mod grant;
 mod handing_over;
+mod load;
 mod observation;
 mod promoting;
 mod switching;
@@ -96,6 +97,7 @@
     retry: f64,
     /// That a change is complete is told again after this.
     settle: f64,
+    pace: load::Pace,
     /// The calls to the platform that may still take effect.
     pending: PendingPromotion,
     /// Since when the grant is given back by all.
@@ -115,6 +117,7 @@
             trail: Vec::new(),
             retry: 0.0,
             settle: f64::NEG_INFINITY,
+            pace: load::Pace::default(),
             pending: PendingPromotion::default(),
             given_since: None,
         }
--- a/crates/control/src/tests/agreement.rs
+++ b/crates/control/src/tests/agreement.rs
@@ -1,11 +1,12 @@
 //! Agreement: every order of a few messages, and longer random ones; what was acknowledged is never lost or forked.
 
 use super::net::{Net, SUSPECT};
-use crate::consensus::ConsensusMessage;
-use crate::membership::Node;
+use crate::consensus::{Consensus, ConsensusMessage, ConsensusOutput, ConsensusTiming, Record};
+use crate::membership::{FOUNDING, Node, Voter};
 use crate::state::{REMEMBERED_ORDERS, State, Verdict};
 use arbtest::arbtest;
 use std::collections::HashSet;
+use std::rc::Rc;
 
 #[test]
 fn a_leader_is_there_soon() {
@@ -209,6 +210,57 @@
     assert_eq!((net.leader(), net.wins.len(), net.highest()), (Some(leader), wins, highest));
 }
 
+/// A machine that hears all but the leader, and is heard, is told by the others that they hear it: it raises no ballots.
+#[test]
+fn a_machine_that_hears_all_but_the_leader_does_not_disturb() {
+    let mut net = Net::new(5);
+    net.calm(1.0);
+    let leader = net.leader().unwrap();
+    let apart = 1 + leader % 3;
+    let (wins, highest) = (net.wins.len(), net.highest());
+    let until = net.now + 5.0;
+    while net.now < until {
+        net.now += 0.02;
+        net.tick_all();
+        while let Some(letter) = net.bag.first() {
+            if letter.from.node == leader && letter.to.node() == apart {
+                net.bag.remove(0);
+            } else {
+                net.deliver(0, false);
+            }
+        }
+    }
+    net.calm(2.0);
+    assert_eq!((net.leader(), net.wins.len(), net.highest()), (Some(leader), wins, highest));
+}
+
+/// One machine that decides alone has agreed on nothing before that is on its disk.
+#[test]
+fn one_alone_agrees_on_what_is_saved() {
+    let me = Voter { node: 1, incarnation: FOUNDING };
+    let record = Record { state: Rc::new(State::first(vec![1])), ..Record::default() };
+    let timing = ConsensusTiming { suspect: SUSPECT, contact: 1.0 };
+    let mut consensus = Consensus::new(me, record, 0.0, 7, timing);
+    let mut now = 0.0;
+    while consensus.leads().is_none() {
+        now += 0.02;
+        let mut outs = Vec::new();
+        consensus.tick(now, &mut outs);
+        while outs.contains(&ConsensusOutput::Save) {
+            outs.clear();
+            consensus.saved(now, &mut outs);
+        }
+        assert!(now < 5.0);
+    }
+    let mut outs = Vec::new();
+    let change = consensus.agreed().unwrap().change_config(3, &Rc::from(*b"x"));
+    assert!(consensus.propose(now, change, &mut outs).is_some());
+    assert_eq!(outs, [ConsensusOutput::Save]);
+    let mut then = Vec::new();
+    consensus.saved(now, &mut then);
+    assert_eq!(then, [ConsensusOutput::Agreed]);
+}
+
 /// An empty disk is another voter: it takes part in nothing before those who are left have taken it in.
 #[test]
 fn an_empty_disk_does_not_vote() {
--- a/crates/control/src/tests/mod.rs
+++ b/crates/control/src/tests/mod.rs
@@ -1,9 +1,11 @@
 mod agreement;
 mod answers;
 mod differences;
+mod fleet;
 mod members;
 mod net;
 mod promotions;
+mod storm;
 mod voters;
 
 /// Milliseconds for a random test; for hunts the variable of `arbtest` may give more.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -4,6 +4,7 @@
 mod disk;
 mod duties;
 mod links;
+mod sessions;
 mod status;
 
 use crate::frames::{self, Frame};
@@ -27,6 +28,7 @@
 };
 use disk::Disk;
 use futures_lite::{AsyncReadExt, future, io};
+use sessions::Sessions;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -35,8 +37,6 @@
 
 /// Messages that wait for a link or a session, at most; what is over is lost, and mended by what comes next.
 const WAITING: usize = 256;
-/// News that waits for one router, at most.
-const NEWS: usize = 16;
 
 /// The control part of a process.
 pub struct Control {
@@ -56,7 +56,7 @@
     /// The newest connection that each other control machine has opened to here.
     connections: RefCell<HashMap<Node, u64>>,
     heard: RefCell<HashMap<Node, Rc<Notify>>>,
-    sessions: RefCell<HashMap<u64, Sender<ToRouter>>>,
+    sessions: Sessions,
     /// What waits for the connection to each server.
     queries: RefCell<HashMap<String, Sender<Query>>>,
     calls: RefCell<HashMap<u64, Sender<Answer>>>,
@@ -151,7 +151,7 @@
             links: RefCell::default(),
             connections: RefCell::default(),
             heard: RefCell::default(),
-            sessions: RefCell::default(),
+            sessions: Sessions::default(),
             queries: RefCell::default(),
             calls: RefCell::default(),
             next: Cell::new(0),
@@ -208,16 +208,8 @@
                     waiting = then;
                 }
                 Output::Peer(to, message) => self.link(to, message),
-                Output::Router(session, message) => {
-                    let sent = self
-                        .sessions
-                        .borrow()
-                        .get(&session)
-                        .map(|s| s.try_send(message).is_err() && s.is_full());
-                    if sent == Some(true) {
-                        self.sessions.borrow_mut().remove(&session);
-                    }
-                }
+                Output::Router(session, message) => self.sessions.answer(session, message),
+                Output::News(session, news) => self.sessions.tell(session, news),
                 Output::Ask { id, endpoint, service, statement, fence } => {
                     if let Ok(endpoint) = endpoint.parse() {
                         self.ask(Target { id, service, endpoint }, Query { statement, fence });
--- a/crates/node/src/control/duties.rs
+++ b/crates/node/src/control/duties.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::exchange::{self, DutyLost, ExchangeError};
-use crate::server_queries::{self, Query, Target};
+use crate::server_queries::{self, Query, Target, Waits};
 use badgerstream_control::{Asked, PromotionOutcome};
 use badgerstream_wire::Verdict;
 
@@ -21,6 +21,10 @@
     pub before: f64,
 }
 
+/// The share of the descriptors that connections to servers may keep while nothing is asked there; beyond it a connection is
+/// closed with its answer, as sessions and calls need the rest.
+const KEPT_SHARE: f64 = 0.4;
+
 impl Control {
     pub(super) fn ask(self: &Rc<Self>, target: Target, query: Query) {
         let key = format!("{}@{}", target.id, target.endpoint);
@@ -31,15 +35,17 @@
             Some(Err(e)) if e.is_full() => return self.answered(&target, query, Asked::NotSent),
             _ => {}
         }
+        let kept = (KEPT_SHARE * self.settings.limits.file_limit as f64) as usize;
+        let idle_s = if queries.len() < kept { server_queries::IDLE_S } else { 0.0 };
         let (to_server, receiver) = async_channel::bounded(4);
         let _ = to_server.try_send(query);
         queries.insert(key.clone(), to_server);
+        let waits = Waits { answer_s: timing(&self.settings).service.answer, idle_s };
         let this = self.clone();
-        let answer_s = timing(&self.settings).service.answer;
         let run = async move {
             let may_act = |query: Query| this.controller.borrow().may_act_under(clock::now(), query.fence);
             let tell = |query: Query, asked| this.answered(&target, query, asked);
-            server_queries::run(target.clone(), receiver, answer_s, may_act, tell).await;
+            server_queries::run(target.clone(), receiver, waits, may_act, tell).await;
             let mut queries = this.queries.borrow_mut();
             if queries.get(&key).is_some_and(Sender::is_closed) {
                 queries.remove(&key);
--- a/crates/node/src/server_queries.rs
+++ b/crates/node/src/server_queries.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 /// A connection that nobody needs any more is closed after so many seconds.
-const IDLE_S: f64 = 6.0;
+pub const IDLE_S: f64 = 6.0;
 /// What is read at once, in bytes.
 const READ_BYTES: usize = 512;
 
@@ -58,14 +58,23 @@
     }
 }
 
+/// How long is waited, in seconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Waits {
+    /// For an answer.
+    pub answer_s: f64,
+    /// For the next query, before the connection is closed; with 0 it is closed with its answer.
+    pub idle_s: f64,
+}
+
 /// Sends the queries that come, until none has come for a while, and tells what became of each. `may_act` is asked just
 /// before a statement leaves that only the present leader may send.
 pub async fn run(
-    target: Target, queries: Receiver<Query>, answer_s: f64, may_act: impl Fn(Query) -> bool,
+    target: Target, queries: Receiver<Query>, waits: Waits, may_act: impl Fn(Query) -> bool,
     tell: impl Fn(Query, Asked),
 ) {
-    let mut session = Session { target, answer_s, connection: None };
-    while let Some(query) = next(&queries).await {
+    let mut session = Session { target, answer_s: waits.answer_s, connection: None };
+    while let Some(query) = next(&queries, waits.idle_s).await {
         let asked_at = clock::now();
         let asked = match session.ask(query, &may_act).await {
             Ok(Some(row)) => Asked::Row { statement: query.statement, row, asked: asked_at },
@@ -93,9 +102,9 @@
 }
 
 /// The next query; none when nobody will ask any more, or nobody has for a while.
-async fn next(queries: &Receiver<Query>) -> Option<Query> {
+async fn next(queries: &Receiver<Query>, idle_s: f64) -> Option<Query> {
     let idle = async {
-        Timer::after(Duration::from_secs_f64(IDLE_S)).await;
+        Timer::after(Duration::from_secs_f64(idle_s)).await;
         None
     };
     future::or(async { queries.recv().await.ok() }, idle).await
--- a/crates/node/src/tests/mod.rs
+++ b/crates/node/src/tests/mod.rs
@@ -1,2 +1,4 @@
 mod cli;
+mod frames;
 mod server_queries;
+mod session;
--- a/crates/node/src/tests/server_queries.rs
+++ b/crates/node/src/tests/server_queries.rs
@@ -1,8 +1,8 @@
 //! What is sent to a server, how often, and what is told of it, at a scripted server on loopback.
 
-use crate::server_queries::{Query, Target, run};
+use crate::server_queries::{IDLE_S, Query, Target, Waits, run};
 use async_executor::LocalExecutor;
-use async_io::Async;
+use async_io::{Async, Timer};
 use badgerstream_control::{Asked, Statement};
 use badgerstream_wire::LineBuffer;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
@@ -11,9 +11,10 @@
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// So long a query may take here, in seconds.
-const ANSWER_S: f64 = 0.3;
+const WAITS: Waits = Waits { answer_s: 0.3, idle_s: IDLE_S };
 const ROW: &str = "ROW follower 3 3.7 0 12 2 17\r\nCOMPLETE -\r\nIDLE I 3.7\r\n";
 
 /// What the server does with a statement.
@@ -130,7 +131,7 @@
         assert_eq!(query.fence, 5);
         answered.try_send(asked).unwrap();
     };
-    let all = future::zip(work, run(target, receiver, ANSWER_S, |_| may_act, tell));
+    let all = future::zip(work, run(target, receiver, WAITS, |_| may_act, tell));
     async_io::block_on(tasks.run(all));
     (server, told.into_inner())
 }
@@ -195,7 +196,7 @@
     let target = Target { id: "i-1".to_owned(), service: "db".to_owned(), endpoint };
     let (sender, receiver) = async_channel::bounded(2);
     let told = RefCell::new(Vec::new());
-    let ask = run(target, receiver, ANSWER_S, |_| true, |_, asked| told.borrow_mut().push(asked));
+    let ask = run(target, receiver, WAITS, |_| true, |_, asked| told.borrow_mut().push(asked));
     let work = async {
         sender.send(Query { statement: Statement::Resume, fence: 5 }).await.unwrap();
         server.until(|s| s.ends.borrow().len() == 1).await;
@@ -207,3 +208,38 @@
     assert_eq!(*server.got.borrow(), [(0, "RESUME".to_owned()), (1, "PAUSE 4".to_owned())]);
     assert!(matches!(told.borrow()[..], [Asked::Silent, Asked::Row { statement: Statement::Pause(4), .. }]));
 }
+
+/// Whether the connection is still open so many milliseconds after the answer to its one question.
+fn is_kept(idle_s: f64) -> bool {
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+    let endpoint = listener.get_ref().local_addr().unwrap();
+    let (sender, questions) = async_channel::bounded(4);
+    sender.try_send(Query { statement: Statement::Status, fence: 5 }).unwrap();
+    let target = Target { id: "i".to_owned(), service: "s".to_owned(), endpoint };
+    let told = |_, asked| assert!(matches!(asked, Asked::Row { .. }), "{asked:?}");
+    let asking = async {
+        run(target, questions, Waits { answer_s: 1.0, idle_s }, |_| true, told).await;
+        future::pending().await
+    };
+    let server = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = [0; 256];
+        assert!(stream.read(&mut bytes).await.unwrap() > 0);
+        stream.write_all(b"IDLE I -\r\n").await.unwrap();
+        assert!(stream.read(&mut bytes).await.unwrap() > 0);
+        stream.write_all(b"ROW leader 1 1.7 1 0 0 0\r\nCOMPLETE -\r\nIDLE I 1.7\r\n").await.unwrap();
+        let ended = async { stream.read(&mut bytes).await.unwrap_or(0) > 0 };
+        let kept = async {
+            Timer::after(Duration::from_millis(300)).await;
+            true
+        };
+        future::or(ended, kept).await
+    };
+    async_io::block_on(future::or(server, asking))
+}
+
+#[test]
+fn a_connection_is_kept_or_closed_with_its_answer() {
+    assert!(is_kept(IDLE_S));
+    assert!(!is_kept(0.0));
+}
--- a/crates/simulation/src/machine.rs
+++ b/crates/simulation/src/machine.rs
@@ -264,6 +264,7 @@
                 },
                 Output::Peer(to, message) => self.send(node, to, message),
                 Output::Router(connection, message) => self.send_news(node, connection, message),
+                Output::News(connection, news) => self.send_news(node, connection, (*news).clone()),
                 Output::Ask { id, endpoint, statement, .. } => {
                     self.ask_server(node, id, &endpoint, statement)
                 }
