--- a/crates/control/src/controller/news.rs
+++ b/crates/control/src/controller/news.rs
@@ -6,7 +6,8 @@
 
 use super::{Controller, Lead, Output, SETTLED};
 use crate::ballot::Ballot;
-use crate::message::{ToControl, ToRouter};
+use crate::difference::Difference;
+use crate::message::{ConfigNews, ToControl, ToRouter};
 use std::rc::Rc;
 
 /// To so many sessions news goes in one tick, at most.
@@ -59,11 +60,13 @@
         self.told > self.confirmed
     }
 
-    /// The router says up to where it knows the news.
+    /// The router says up to where it knows the news, and which configuration it goes by: 0 if it could make nothing of what
+    /// it was told.
     fn confirm(&mut self, now: f64, known: u64, epoch: u64) {
         self.confirmed = self.confirmed.max(known);
         if !self.is_under_way() {
             self.patience = PATIENCE;
+            self.epoch = epoch;
         } else if now - self.told_at > self.patience {
             self.patience = (2.0 * self.patience).min(MOST_PATIENCE);
             self.told = self.confirmed;
@@ -102,8 +105,8 @@
 struct Shared {
     /// The number after which it tells what changed; 0 for all there is.
     after: u64,
-    /// Whether the configuration is with it.
-    with_config: bool,
+    /// The configuration of those that lack the newest one, which is with it then.
+    config_since: Option<u64>,
     /// Up to which number, and which configuration, it tells.
     number: u64,
     epoch: u64,
@@ -169,7 +172,8 @@
     /// What this session lacks, which counts as told from now on.
     fn tell(&self, now: f64, lead: &mut Lead, id: u64) -> Option<Rc<ToRouter>> {
         let session = lead.sessions.get(&id)?;
-        let shared = self.shared(now, lead, session.told, session.epoch < self.current.epoch);
+        let lacks = session.epoch < self.current.epoch;
+        let shared = self.shared(now, lead, session.told, lacks.then_some(session.epoch));
         let session = lead.sessions.get_mut(&id)?;
         session.told = shared.number;
         session.epoch = session.epoch.max(shared.epoch);
@@ -178,17 +182,17 @@
         Some(shared.news)
     }
 
-    fn shared(&self, now: f64, lead: &mut Lead, after: u64, with_config: bool) -> Shared {
+    fn shared(&self, now: f64, lead: &mut Lead, after: u64, config_since: Option<u64>) -> Shared {
         let fits = |s: &&Shared| {
             let newest = s.number == lead.number && s.epoch == self.current.epoch;
-            s.after == after && s.with_config == with_config && (newest || after == 0)
+            s.after == after && s.config_since == config_since && (newest || after == 0)
         };
         if let Some(found) = lead.telling.shared.iter().find(fits) {
             return found.clone();
         }
-        let news = Rc::new(self.news(lead, after, with_config));
-        let epoch = if with_config { self.current.epoch } else { 0 };
-        let made = Shared { after, with_config, number: lead.number, epoch, made: now, news };
+        let news = Rc::new(self.news(lead, after, config_since));
+        let epoch = if config_since.is_some() { self.current.epoch } else { 0 };
+        let made = Shared { after, config_since, number: lead.number, epoch, made: now, news };
         if lead.telling.shared.len() >= SHARED {
             lead.telling.shared.remove(0);
         }
@@ -197,7 +201,7 @@
     }
 
     /// All that changed after this number.
-    fn news(&self, lead: &Lead, after: u64, with_config: bool) -> ToRouter {
+    fn news(&self, lead: &Lead, after: u64, config_since: Option<u64>) -> ToRouter {
         let whole = after == 0;
         let members = self.members.all().filter(|m| m.stamp > after && !(whole && m.news.gone));
         ToRouter::News {
@@ -207,13 +211,22 @@
             whole,
             grants: lead.grants.values().filter(|g| g.stamp > after).map(|g| g.news.clone()).collect(),
             members: members.map(|m| m.news.clone()).collect(),
-            config: with_config.then(|| self.current.config.clone()),
+            config: config_since.map(|epoch| self.config_news(epoch)),
             voters: self.voters(),
             routers: lead.telling.routers,
             evidence_wanted: lead.telling.evidence_wanted.clone(),
         }
     }
 
+    /// The configuration, for routers that go by the one of this epoch: the changes, where they are known and shorter.
+    fn config_news(&self, epoch: u64) -> ConfigNews {
+        let whole = || ConfigNews::Whole(self.current.config.clone());
+        let changes = self.consensus.history().configs_since(epoch);
+        let size = |changes: &[Rc<Difference>]| changes.iter().map(|change| change.size()).sum::<usize>();
+        let shorter = changes.filter(|changes| size(changes) < self.current.config.len());
+        shorter.map_or_else(whole, ConfigNews::Changes)
+    }
+
     /// A router asks for its lease on this session.
     pub fn router(&mut self, now: f64, session: u64, call: ToControl) -> Vec<Output> {
         let authority = self.consensus.authority();
--- a/crates/control/src/history.rs
+++ b/crates/control/src/history.rs
@@ -1,7 +1,8 @@
 //! The newest changes of the agreed state, so that whoever holds a state of a moment ago is sent only what changed since.
 
+use crate::difference::Difference;
 use crate::digest::Digest;
-use crate::state::{Change, State};
+use crate::state::{Change, State, Text};
 use std::collections::VecDeque;
 use std::rc::Rc;
 
@@ -50,11 +51,20 @@
         Some(self.entries.range(at..).map(|entry| entry.change.clone()).collect())
     }
 
-    /// The changes of the configuration since the one of this epoch; none if they are not all known.
-    pub fn configs_since(&self, epoch: u64) -> Option<Vec<Rc<Change>>> {
-        let is_config = |entry: &&Entry| matches!(*entry.change, Change::Config { .. });
-        let at = self.entries.iter().position(|entry| is_config(&entry) && entry.epoch_before == epoch)?;
-        Some(self.entries.range(at..).filter(is_config).map(|entry| entry.change.clone()).collect())
+    /// The changes of the configuration since the one of this epoch; none if they are not all known as differences.
+    pub fn configs_since(&self, epoch: u64) -> Option<Vec<Rc<Difference>>> {
+        let of = |entry: &Entry| match &*entry.change {
+            Change::Config { text, .. } => Some((entry.epoch_before, text.clone())),
+            _ => None,
+        };
+        let configs = self.entries.iter().filter_map(of);
+        let since: Vec<Text> =
+            configs.skip_while(|(before, _)| *before != epoch).map(|(_, text)| text).collect();
+        let difference = |text: Text| match text {
+            Text::Difference(difference) => Some(difference),
+            Text::Whole(_) => None,
+        };
+        if since.is_empty() { None } else { since.into_iter().map(difference).collect() }
     }
 
     /// About how many bytes these changes take.
@@ -64,7 +74,6 @@
 }
 
 fn size(change: &Change) -> usize {
-    use crate::state::Text;
     const FIELDS: usize = 64;
     match change {
         Change::Config { text: Text::Whole(text), .. } => FIELDS + text.len(),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,7 +29,9 @@
 pub use leases::Leases;
 pub use members::{Beat, Member, Members, Phase};
 pub use membership::{FOUNDING, Membership, Node, Voter};
-pub use message::{CallId, Evidence, GrantNews, LeaderCall, MemberNews, PeerMessage, ToControl, ToRouter};
+pub use message::{
+    CallId, ConfigNews, Evidence, GrantNews, LeaderCall, MemberNews, PeerMessage, ToControl, ToRouter,
+};
 pub use promotion::PromotionOutcome;
 pub use state::{Change, Order, Primary, REMEMBERED_ORDERS, State, Text, Verdict};
 
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -2,6 +2,7 @@
 
 use crate::ballot::Ballot;
 use crate::consensus::ConsensusMessage;
+use crate::difference::Difference;
 use crate::membership::Node;
 use crate::state::Text;
 use bincode::{Decode, Encode};
@@ -146,6 +147,31 @@
     pub evidence: Vec<Evidence>,
 }
 
+/// A newer configuration, for a router.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum ConfigNews {
+    /// All of it.
+    Whole(Rc<[u8]>),
+    /// What has changed since the one that the router goes by, one change after the other.
+    Changes(Vec<Rc<Difference>>),
+}
+
+impl ConfigNews {
+    /// The text, for a router that goes by `held`; none if the changes were not made for that.
+    pub fn resolve(&self, held: &[u8]) -> Option<Rc<[u8]>> {
+        match self {
+            ConfigNews::Whole(text) => Some(text.clone()),
+            ConfigNews::Changes(changes) => {
+                let mut text = held.to_vec();
+                for change in changes {
+                    text = change.apply(&text)?;
+                }
+                Some(text.into())
+            }
+        }
+    }
+}
+
 /// From control to a router.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum ToRouter {
@@ -167,7 +193,7 @@
         /// Servers that changed.
         members: Vec<MemberNews>,
         /// A newer configuration.
-        config: Option<Rc<[u8]>>,
+        config: Option<ConfigNews>,
         /// The machines that decide.
         voters: Vec<Node>,
         /// How many routers share the servers; 0 while the leader doesn't know yet.
--- a/crates/control/src/tests/differences.rs
+++ b/crates/control/src/tests/differences.rs
@@ -3,6 +3,7 @@
 use crate::difference::Difference;
 use crate::digest::Digest;
 use crate::history::History;
+use crate::message::ConfigNews;
 use crate::state::{Change, Primary, State, Text};
 use arbtest::arbtest;
 use std::rc::Rc;
@@ -76,8 +77,9 @@
         assert_eq!(made.as_ref(), Some(&newest));
     }
     assert_eq!(history.since(Digest::of(b"another")), None);
-    let configs = history.configs_since(states[3].epoch).expect("all are known");
-    assert!(configs.iter().all(|change| matches!(**change, Change::Config { .. })));
+    let changes = ConfigNews::Changes(history.configs_since(states[3].epoch).expect("all are known"));
+    assert_eq!(changes.resolve(&states[3].config).as_ref(), Some(&newest.config));
+    assert_eq!(changes.resolve(&states[4].config), None, "made for another one");
     assert_eq!(history.configs_since(999), None);
     // Another state's changes lead nowhere from this one.
     let other = State { epoch: 5, config: config(5, 50, 1), ..State::default() };
--- a/crates/control/src/tests/fleet.rs
+++ b/crates/control/src/tests/fleet.rs
@@ -26,7 +26,8 @@
 #[derive(Default)]
 pub struct Router {
     pub known: (Ballot, u64),
-    epoch: u64,
+    pub epoch: u64,
+    config_text: Vec<u8>,
     pub lease_until: f64,
     pub grants: HashMap<String, GrantNews>,
     pub members: BTreeSet<String>,
@@ -223,6 +224,11 @@
 }
 
 impl Router {
+    /// It can make nothing of its configuration any more.
+    pub fn forget_config(&mut self) {
+        (self.epoch, self.config_text) = (0, Vec::new());
+    }
+
     fn take(&mut self, news: &ToRouter) {
         let ToRouter::News { known, sent, lease, whole, grants, members, config, evidence_wanted, .. } = news
         else {
@@ -236,8 +242,9 @@
         }
         self.grants.extend(grants.iter().map(|g| (g.service.clone(), g.clone())));
         self.members.extend(members.iter().map(|m| m.id.clone()));
-        if let Some(body) = config {
-            self.epoch = body.len() as u64;
+        if let Some(text) = config.as_ref().and_then(|news| news.resolve(&self.config_text)) {
+            self.epoch = text.len() as u64;
+            self.config_text = text.to_vec();
         }
         self.known = self.known.max(*known);
         if let Some(sent) = sent {
--- a/crates/control/src/tests/storm.rs
+++ b/crates/control/src/tests/storm.rs
@@ -4,8 +4,8 @@
 use super::fleet::{Fleet, TICK, timing};
 use crate::controller::{EVIDENCE_WANTED, Output, QUESTIONS_A_TICK, SERVICES_A_TICK, SESSIONS_A_TICK};
 use crate::{
-    Ballot, ConsensusMessage, Controller, Evidence, FOUNDING, PeerMessage, Phase, Recipient, Record, State,
-    ToRouter, Voter,
+    Ballot, ConfigNews, ConsensusMessage, Controller, Evidence, FOUNDING, PeerMessage, Phase, Recipient,
+    Record, State, ToRouter, Voter,
 };
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -105,6 +105,48 @@
     assert!(fleet.routers[0].answers.len() >= 2 && fleet.routers[0].answers.iter().all(is_lease));
 }
 
+/// A text of so many bytes, whose length these tests take for its epoch.
+fn text(epoch: u64) -> Vec<u8> {
+    let mut text: Vec<u8> =
+        (0..).flat_map(|n: u32| format!("{n},").into_bytes()).take(epoch as usize - 1).collect();
+    text.push(b'}');
+    text
+}
+
+/// Routers that go by the configuration before are told the change, all by the same news; one that goes by none, or could
+/// make nothing of what it was told, is told all of it.
+#[test]
+fn a_changed_configuration_goes_as_its_change() {
+    let mut fleet = Fleet::new(30, 2);
+    let configs = |said: &[(usize, Rc<ToRouter>)]| {
+        let of = |(router, news): &(usize, Rc<ToRouter>)| match &**news {
+            ToRouter::News { config: Some(config), .. } => Some((*router, config.clone())),
+            _ => None,
+        };
+        said.iter().filter_map(of).collect::<Vec<(usize, ConfigNews)>>()
+    };
+    fleet.configure(5000, &text(5000));
+    let first = configs(&fleet.until(3.0, "the first", |f| f.routers.iter().all(|r| r.epoch == 5000)).news);
+    assert!(first.len() == 30 && first.iter().all(|(_, config)| matches!(config, ConfigNews::Whole(_))));
+    // One has lost what it had.
+    fleet.routers[7].forget_config();
+    fleet.until(0.5, "it says so", |f| f.routers[7].epoch == 5000);
+    let mut bytes = 0;
+    for epoch in 5001..5004 {
+        let mut said = fleet.configure(epoch, &text(epoch)).news;
+        said.extend(fleet.until(3.0, "the next", |f| f.routers.iter().all(|r| r.epoch == epoch)).news);
+        let told = configs(&said);
+        assert_eq!(told.len(), 30, "each is told once");
+        assert!(told.iter().all(|(_, config)| matches!(config, ConfigNews::Changes(_))));
+        bytes += said.iter().map(|(_, news)| bincode_length(news)).max().unwrap_or(0);
+    }
+    assert!(bytes < 3 * 400, "{bytes} bytes for three changes of 5000");
+}
+
+fn bincode_length(news: &ToRouter) -> usize {
+    bincode::encode_to_vec(news, bincode::config::standard()).map_or(0, |bytes| bytes.len())
+}
+
 /// What is taken back counts as known only once the router has said so, though its lease is renewed meanwhile.
 #[test]
 fn a_lease_that_is_renewed_proves_nothing_of_news_under_way() {
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -6,7 +6,7 @@
 use crate::{clock, frames::within};
 use async_io::{Async, Timer};
 use badgerstream_calls::config::Config;
-use badgerstream_control::{Ballot, Evidence, GrantNews, MemberNews, Node, ToControl, ToRouter};
+use badgerstream_control::{Ballot, ConfigNews, Evidence, GrantNews, MemberNews, Node, ToControl, ToRouter};
 use futures_lite::{AsyncRead, future, io};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -51,6 +51,8 @@
     /// Servers that the newest leader has not told of, and since when.
     untold: RefCell<HashMap<String, f64>>,
     evidence: Box<dyn Fn(f64) -> Vec<Evidence>>,
+    /// The text of the configuration in force, against which changes are told; empty if it has to be told whole.
+    config_text: RefCell<Rc<[u8]>>,
     /// Services of whose primaries control wants to be told.
     evidence_wanted: RefCell<Vec<String>>,
 }
@@ -71,6 +73,7 @@
             nodes: RefCell::default(),
             untold: RefCell::default(),
             evidence: Box::new(evidence),
+            config_text: RefCell::new(Rc::from([])),
             evidence_wanted: RefCell::default(),
         })
     }
@@ -200,7 +203,8 @@
 
     async fn renew(&self, stream: &Async<TcpStream>) -> io::Result<()> {
         let now = clock::now();
-        let epoch = self.shared.view.borrow().config.as_ref().map_or(0, |c| c.epoch);
+        let known = self.shared.view.borrow().config.as_ref().map_or(0, |c| c.epoch);
+        let epoch = if self.config_text.borrow().is_empty() { 0 } else { known };
         let call = ToControl {
             router: self.router.clone(),
             life: self.life,
@@ -213,6 +217,17 @@
         within(self.spans.suspect, frames::write(&mut writer, &Frame::Renew(call))).await
     }
 
+    /// The configuration that control tells, against the text that is held. What can't be read is asked for whole.
+    fn read_config(&self, news: &ConfigNews) -> Option<Config> {
+        let text = news.resolve(&self.config_text.borrow());
+        let config = text.as_ref().and_then(|text| Config::read(text).ok());
+        if config.is_none() {
+            log::warn!("event=config_not_read");
+        }
+        *self.config_text.borrow_mut() = text.filter(|_| config.is_some()).unwrap_or_else(|| Rc::from([]));
+        config
+    }
+
     /// What is known of the primaries that control asked about.
     fn wanted_evidence(&self, now: f64) -> Vec<Evidence> {
         let wanted = self.evidence_wanted.borrow();
@@ -283,8 +298,7 @@
             }
             kept
         });
-        if let Some(body) = config
-            && let Ok(config) = Config::read(&body)
+        if let Some(config) = config.and_then(|news| self.read_config(&news))
             && view.config.as_ref().is_none_or(|c| c.epoch < config.epoch)
         {
             log::info!("event=config_in_force epoch={}", config.epoch);
--- a/crates/node/src/tests/session.rs
+++ b/crates/node/src/tests/session.rs
@@ -6,7 +6,9 @@
 use crate::view::Shared;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use badgerstream_control::{Ballot, Evidence, GrantNews, MemberNews, ToControl, ToRouter};
+use badgerstream_control::{
+    Ballot, ConfigNews, Difference, Evidence, GrantNews, MemberNews, ToControl, ToRouter,
+};
 use futures_lite::{AsyncWriteExt, future};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -253,3 +255,49 @@
         assert!((4.0..20.0).contains(&took), "forty times in {took:.2} s");
     });
 }
+
+fn config(epoch: u64, deadline_ms: u64) -> Rc<[u8]> {
+    let route = |n: u64| {
+        format!(
+            "{{\"name\":\"r{n}\",\"authority\":\"db{n}\",\"mode\":\"leader\",\"deadline_ms\":{deadline_ms},\"backend\":\"s\"}}"
+        )
+    };
+    let routes: Vec<String> = (0..9).map(route).collect();
+    let text = format!(
+        "{{\"epoch\":{epoch},\"routes\":[{}],\"backends\":[{{\"name\":\"s\",\"max_conns\":9}}],\"limits\":{{}}}}",
+        routes.join(",")
+    );
+    text.into_bytes().into()
+}
+
+fn telling(known: (Ballot, u64), told: ConfigNews) -> ToRouter {
+    let mut telling = news(known, false);
+    if let ToRouter::News { config, .. } = &mut telling {
+        *config = Some(told);
+    }
+    telling
+}
+
+/// A change is put to the text that is held. One that was made for another text changes nothing, and the router asks for all
+/// of it, while it goes on by what it has.
+#[test]
+fn a_change_of_the_configuration_fits_or_is_asked_for_whole() {
+    Rig::play(Ipv4Addr::new(127, 0, 0, 55), async |rig| {
+        let mut stream = rig.accept().await;
+        assert_eq!(renewal(&mut stream).await.epoch, 0);
+        let in_force = || rig.shared.view.borrow().config.as_ref().map(|config| config.epoch);
+        say(&mut stream, telling((OLD, 1), ConfigNews::Whole(config(3, 500)))).await;
+        assert_eq!((renewal(&mut stream).await.epoch, in_force()), (3, Some(3)));
+        let step = |from: (u64, u64), to: (u64, u64)| {
+            Rc::new(Difference::between(&config(from.0, from.1), &config(to.0, to.1)).unwrap())
+        };
+        let two = vec![step((3, 500), (5, 500)), step((5, 500), (6, 700))];
+        say(&mut stream, telling((OLD, 2), ConfigNews::Changes(two))).await;
+        assert_eq!((renewal(&mut stream).await.epoch, in_force()), (6, Some(6)));
+        let other = ConfigNews::Changes(vec![step((7, 500), (8, 500))]);
+        say(&mut stream, telling((OLD, 3), other)).await;
+        assert_eq!((renewal(&mut stream).await.epoch, in_force()), (0, Some(6)));
+        say(&mut stream, telling((OLD, 4), ConfigNews::Whole(config(8, 500)))).await;
+        assert_eq!((renewal(&mut stream).await.epoch, in_force()), (8, Some(8)));
+    });
+}
--- a/crates/node/src/tests/sessions.rs
+++ b/crates/node/src/tests/sessions.rs
@@ -1,7 +1,7 @@
 //! What waits for one router, and in which order it goes.
 
 use super::*;
-use badgerstream_control::Ballot;
+use badgerstream_control::{Ballot, ConfigNews};
 use futures_lite::future::poll_once;
 
 fn answer(sent: f64) -> ToRouter {
@@ -22,7 +22,8 @@
 fn news(number: u64) -> Rc<ToRouter> {
     let mut news = answer(0.0);
     if let ToRouter::News { known, sent, config, .. } = &mut news {
-        (*known, *sent, *config) = ((Ballot(1), number), None, Some(fastrand_bytes(100_000).into()));
+        (*known, *sent, *config) =
+            ((Ballot(1), number), None, Some(ConfigNews::Whole(fastrand_bytes(100_000).into())));
     }
     Rc::new(news)
 }
--- a/crates/scale/src/decisions.rs
+++ b/crates/scale/src/decisions.rs
@@ -61,6 +61,7 @@
 struct Router {
     known: (badgerstream_control::Ballot, u64),
     epoch: u64,
+    config_text: Rc<[u8]>,
     holds: bool,
     evidence_wanted: Vec<String>,
 }
@@ -120,8 +121,13 @@
             (*me, Controller::new(founder(*me), record, 0.0, 7 + n as u64, timing()))
         };
         let servers = plan.servers();
-        let router =
-            |_| Router { known: Default::default(), epoch: 0, holds: false, evidence_wanted: Vec::new() };
+        let router = |_| Router {
+            known: Default::default(),
+            epoch: 0,
+            config_text: Rc::from([]),
+            holds: false,
+            evidence_wanted: Vec::new(),
+        };
         Decisions {
             now: 0.0,
             controllers: nodes.iter().enumerate().map(one).collect(),
@@ -247,8 +253,9 @@
         let Some(router) = self.routers.get_mut(at) else { return };
         router.known = router.known.max(*known);
         router.evidence_wanted.clone_from(evidence_wanted);
-        if let Some(epoch) = config.as_deref().and_then(crate::routers::epoch) {
-            router.epoch = epoch;
+        if let Some(text) = config.as_ref().and_then(|news| news.resolve(&router.config_text)) {
+            router.epoch = crate::routers::epoch(&text).unwrap_or(router.epoch);
+            router.config_text = text;
         }
         router.holds |= sent.is_some() && *lease > 0.0;
         if sent.is_none() {
--- a/crates/scale/src/routers.rs
+++ b/crates/scale/src/routers.rs
@@ -48,6 +48,8 @@
     known: Cell<(Ballot, u64)>,
     /// The configuration that it knows, and since when.
     epoch: Cell<(u64, f64)>,
+    /// Its text, against which changes are told.
+    config_text: RefCell<Rc<[u8]>>,
     lease_until: Cell<f64>,
     /// Since when it holds a lease of the leader in `known`.
     leased: Cell<(Ballot, f64)>,
@@ -99,11 +101,12 @@
         for grant in grants {
             self.grants.borrow_mut().insert(grant.service.clone(), (grant, now));
         }
-        // Routers read it whole; here only its epoch counts, as one process stands for all of them.
-        if let Some(epoch) = config.as_deref().and_then(epoch)
+        if let Some(text) = config.and_then(|news| news.resolve(&self.config_text.borrow()))
+            && let Some(epoch) = epoch(&text)
             && epoch > self.epoch.get().0
         {
             self.epoch.set((epoch, now));
+            *self.config_text.borrow_mut() = text;
         }
         if let Some(sent) = sent
             && lease > 0.0
@@ -168,6 +171,7 @@
                 life: 1 + n as u64,
                 known: Cell::default(),
                 epoch: Cell::default(),
+                config_text: RefCell::new(Rc::from([])),
                 lease_until: Cell::new(f64::NEG_INFINITY),
                 leased: Cell::default(),
                 grants: RefCell::default(),
@@ -275,7 +279,8 @@
     }
 }
 
-async fn renew(router: &Router, common: &Common, stream: &Async<TcpStream>) -> io::Result<()> {
+/// What this router tells of the primaries that it was asked about.
+fn evidence(router: &Router, most: usize) -> Vec<Evidence> {
     let seen = |(grant, _): &(GrantNews, f64)| Evidence {
         service: grant.service.clone(),
         id: grant.id.clone(),
@@ -284,16 +289,18 @@
     let wanted = router.evidence_wanted.borrow();
     let grants = router.grants.borrow();
     let asked_about = grants.values().filter(|(grant, _)| wanted.contains(&grant.service));
-    let evidence = asked_about.take(common.evidence).map(seen).collect();
+    asked_about.take(most).map(seen).collect()
+}
+
+async fn renew(router: &Router, common: &Common, stream: &Async<TcpStream>) -> io::Result<()> {
     let call = ToControl {
         router: router.name.clone(),
         life: router.life,
         sent: clock::now(),
         known: router.known.get(),
         epoch: router.epoch.get().0,
-        evidence,
+        evidence: evidence(router, common.evidence),
     };
-    drop((wanted, grants));
     let bytes = frames::bytes(&Frame::Renew(call));
     common.count(|t| {
         t.asked += 1;
