Control: a lease that ran out is given again only to a router that knows all grants

A question about evidence takes no waiting lease's place; whole news that is told a second time is never older than what the router said that it knew.

--- a/crates/control/src/controller/news.rs
+++ b/crates/control/src/controller/news.rs
@@ -27,6 +27,8 @@
     told: u64,
     /// Up to which number it said that it knows.
     confirmed: u64,
+    /// The router knew news up to this number on a session before: what it is told is never older.
+    floor: u64,
     /// The configuration that it was told.
     epoch: u64,
     /// When it was last told something.
@@ -39,11 +41,12 @@
 }
 
 impl Session {
-    fn new(router: String, known: u64, epoch: u64) -> Session {
+    fn new(router: String, known: u64, floor: u64, epoch: u64) -> Session {
         Session {
             router,
             told: known,
             confirmed: known,
+            floor,
             epoch,
             told_at: f64::NEG_INFINITY,
             patience: PATIENCE,
@@ -144,29 +147,31 @@
         if lead.telling.evidence_wanted.is_empty() || !lead.sessions.values().any(due) {
             return;
         }
-        let question = Rc::new(ToRouter::News {
-            known: (crate::Ballot(lead.fence), 0),
-            sent: None,
-            lease: 0.0,
-            whole: false,
-            grants: Vec::new(),
-            members: Vec::new(),
-            config: None,
-            voters: Vec::new(),
-            routers: 0,
-            evidence_wanted: lead.telling.evidence_wanted.clone(),
-        });
+        let ballot = crate::Ballot(lead.fence);
         let due = lead.sessions.iter_mut().filter(|(_, s)| due(s) && !s.is_under_way());
         for (id, session) in due.take(most) {
             (session.wants_told, session.asked_at) = (wants, now);
-            out.push(Output::News(*id, question.clone()));
+            let question = ToRouter::News {
+                known: (ballot, session.confirmed),
+                sent: None,
+                lease: 0.0,
+                whole: false,
+                grants: Vec::new(),
+                members: Vec::new(),
+                config: None,
+                voters: Vec::new(),
+                routers: 0,
+                evidence_wanted: lead.telling.evidence_wanted.clone(),
+            };
+            out.push(Output::Router(*id, question));
         }
     }
 
     /// What this session lacks, which counts as told from now on.
     fn tell(&self, now: f64, lead: &mut Lead, id: u64) -> Option<Rc<ToRouter>> {
         let session = lead.sessions.get(&id)?;
-        let shared = self.shared(now, lead, session.told, session.epoch < self.current.epoch);
+        let (after, floor) = (session.told, session.floor);
+        let shared = self.shared(now, lead, after, floor, session.epoch < self.current.epoch);
         let session = lead.sessions.get_mut(&id)?;
         session.told = shared.number;
         session.epoch = session.epoch.max(shared.epoch);
@@ -175,10 +180,11 @@
         Some(shared.news)
     }
 
-    fn shared(&self, now: f64, lead: &mut Lead, after: u64, with_config: bool) -> Shared {
+    /// What changed after this number, or all there is. An older whole does as well where the router never knew more.
+    fn shared(&self, now: f64, lead: &mut Lead, after: u64, floor: u64, with_config: bool) -> Shared {
         let fits = |s: &&Shared| {
-            let newest = s.number == lead.number && s.epoch == self.current.epoch;
-            s.after == after && s.with_config == with_config && (newest || after == 0)
+            let enough = s.number == lead.number || after == 0 && s.number >= floor;
+            s.after == after && s.with_config == with_config && enough
         };
         if let Some(found) = lead.telling.shared.iter().find(fits) {
             return found.clone();
@@ -230,14 +236,16 @@
         }
         let ballot = crate::Ballot(lead.fence);
         let known = if call.known.0 == ballot { call.known.1 } else { 0 };
+        let floor = lead.leases.known(&call.router, call.life);
         let of = lead
             .sessions
             .entry(session)
-            .or_insert_with(|| Session::new(call.router.clone(), known, call.epoch));
+            .or_insert_with(|| Session::new(call.router.clone(), known, floor, call.epoch));
         of.confirm(now, known, call.epoch);
         of.wants_told = lead.telling.wants;
         // Whoever was told nothing by this leader has no grants that a lease could cover.
-        let leased = now < authority && of.confirmed > 0;
+        let may_hold = of.confirmed > 0 && lead.leases.may_hold(now, &call.router, call.life, known);
+        let leased = now < authority && may_hold;
         let lease = if leased { self.timing.lease } else { 0.0 };
         if now < authority {
             lead.leases.renew(now, &call.router, call.life, known, lease);
--- a/crates/control/src/controller/services.rs
+++ b/crates/control/src/controller/services.rs
@@ -190,6 +190,7 @@
                     let Some(lead) = &mut self.lead else { return };
                     log::info!("event=grant service={service} id={id} term={term} closing={closing}");
                     lead.number += 1;
+                    lead.leases.grant_changed(lead.number);
                     let news = GrantNews { service: service.to_owned(), id, term, closing };
                     lead.grants.insert(service.to_owned(), Grant { news, stamp: lead.number });
                     let number = lead.number;
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -1,7 +1,9 @@
 //! The routers' sessions with the leading control machine, and the leases that they hold.
 //!
 //! A router uses a primary only under a lease, which covers all grants that it was told of. Whoever takes a grant back
-//! tells all routers and waits until each has said that it knows, or can hold no lease any more.
+//! tells all routers and waits until each has said that it knows, or can hold no lease any more. A lease that runs may be
+//! prolonged meanwhile, as it is waited for; one that has run out may have been relied on, and is given again only to a router
+//! that knows all grants as they are.
 
 use std::collections::HashMap;
 
@@ -21,12 +23,14 @@
     all: HashMap<String, Session>,
     /// Leases that leaders before us gave may run until then.
     before_us: f64,
+    /// The number of the newest change of a grant.
+    changed: u64,
 }
 
 impl Leases {
     /// A machine begins to lead: leases of those before it may run until `before_us`.
     pub fn begin(before_us: f64) -> Leases {
-        Leases { all: HashMap::new(), before_us }
+        Leases { all: HashMap::new(), before_us, changed: 0 }
     }
 
     /// A router asks and is given the lease for so many seconds, 0 for none; it knows all news up to `known`.
@@ -46,6 +50,23 @@
         }
     }
 
+    /// A grant is changed, or taken back, with news of this number.
+    pub fn grant_changed(&mut self, number: u64) {
+        self.changed = self.changed.max(number);
+    }
+
+    /// Whether this router, in this life, may be given a lease: the one that it has runs, or it knows all grants as they are.
+    pub fn may_hold(&self, now: f64, router: &str, life: u64, known: u64) -> bool {
+        let session = self.all.get(router).filter(|session| session.life == life);
+        let runs = session.is_some_and(|session| now < session.until);
+        runs || known.max(self.known(router, life)) >= self.changed
+    }
+
+    /// Up to which number this router has said, in this life, that it knows the news.
+    pub fn known(&self, router: &str, life: u64) -> u64 {
+        self.all.get(router).filter(|session| session.life == life).map_or(0, |session| session.known)
+    }
+
     /// Whether no router can act on anything older than this number.
     pub fn all_know(&self, now: f64, number: u64) -> bool {
         now >= self.before_us && self.all.values().all(|s| s.known >= number || now >= s.until)
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -109,7 +109,7 @@
     Elsewhere { leader: Option<Node>, voters: Vec<Node> },
     /// News, or the answer to a renewal: an answer carries the lease and no news.
     News {
-        /// Who tells it, and up to which number the router knows the news once it has taken this.
+        /// Who tells it, and up to which number the router knows the news once it has taken this; it may know more already.
         known: (Ballot, u64),
         /// The call that this answers, as it was sent; none for news.
         sent: Option<f64>,
--- a/crates/control/src/tests/fleet.rs
+++ b/crates/control/src/tests/fleet.rs
@@ -22,8 +22,10 @@
     pub lease_until: f64,
     pub grants: HashMap<String, GrantNews>,
     pub members: BTreeSet<String>,
-    /// News counts from then on: its link is slow.
+    /// It takes news from then on: its link is slow.
     pub reads_from: f64,
+    /// It neither takes news nor renews.
+    pub silent: bool,
     /// News that it hasn't taken yet.
     pub unread: Vec<Rc<ToRouter>>,
     renewed: f64,
@@ -51,6 +53,8 @@
     servers: BTreeMap<String, String>,
     /// These answer nothing.
     pub dark: BTreeSet<String>,
+    /// Calls to the platform so far; none is answered.
+    pub promoted: usize,
     calls: u64,
     beaten: f64,
 }
@@ -67,6 +71,7 @@
             routers: (0..routers).map(|_| Router::default()).collect(),
             servers: (0..3 * services).map(server).collect(),
             dark: BTreeSet::new(),
+            promoted: 0,
             calls: 0,
             beaten: f64::NEG_INFINITY,
         };
@@ -122,7 +127,10 @@
                 }
                 Output::Router(session, answer) => self.routers[session as usize - 1].take(&answer),
                 Output::Ask { id, statement, .. } => said.questions.push((id, statement)),
-                Output::Promote { .. } => said.promotions += 1,
+                Output::Promote { .. } => {
+                    said.promotions += 1;
+                    self.promoted += 1;
+                }
                 Output::Save | Output::Peer(..) | Output::Reply(..) => {}
             }
         }
@@ -159,6 +167,9 @@
     /// The router takes what has come, and renews if that or the time calls for it.
     fn read(&mut self, router: usize) {
         let it = &mut self.routers[router];
+        if it.silent {
+            return;
+        }
         let mut due = self.now - it.renewed >= RENEW;
         if self.now >= it.reads_from {
             for news in std::mem::take(&mut it.unread) {
@@ -213,7 +224,7 @@
 }
 
 impl Router {
-    fn take(&mut self, news: &ToRouter) {
+    pub fn take(&mut self, news: &ToRouter) {
         let ToRouter::News { known, sent, lease, whole, grants, members, config, evidence_wanted, .. } = news
         else {
             return;
--- a/crates/control/src/tests/storm.rs
+++ b/crates/control/src/tests/storm.rs
@@ -107,7 +107,7 @@
 fn a_lease_that_is_renewed_proves_nothing_of_news_under_way() {
     let mut fleet = Fleet::new(1, 1);
     fleet.until(2.0, "primaries", |f| f.served(1) == 1);
-    fleet.routers[0].reads_from = fleet.now + 1.0;
+    fleet.routers[0].reads_from = fleet.now + 2.0;
     // The primary dies: its grant is taken back, and nobody is chosen before the router knows.
     fleet.dark.insert("server-0".to_owned());
     let mut promotions = 0;
@@ -118,6 +118,35 @@
     assert!(fleet.routers[0].answers.iter().rev().take(2).all(is_lease));
 }
 
+/// A router that could hold no lease any more when a primary was replaced gets none before it knows of that, though its session
+/// goes on with older news.
+#[test]
+fn a_lease_that_ran_out_is_given_again_to_whom_knows_all_grants() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.until(2.0, "primaries", |f| f.served(1) == 2);
+    // One router says nothing and takes nothing for a while; it is told of a member before the grant is taken back.
+    fleet.routers[0].silent = true;
+    fleet.beat("server-1", Phase::Draining);
+    for _ in 0..20 {
+        fleet.tick();
+    }
+    fleet.dark.insert("server-0".to_owned());
+    fleet.until(5.0, "the primary is given up", |f| f.promoted > 0);
+    assert!(fleet.now > fleet.routers[0].lease_until);
+    let before = fleet.routers[0].unread.remove(0);
+    let later = std::mem::take(&mut fleet.routers[0].unread);
+    fleet.routers[0].take(&before);
+    fleet.routers[0].silent = false;
+    fleet.renew(0);
+    let it = &fleet.routers[0];
+    assert!(!it.grants["service-0000"].closing, "it knows the grant as it was");
+    assert!(it.answers.last().is_some_and(|answer| !is_lease(answer)) && it.lease_until < fleet.now);
+    // Told the rest, it gets one.
+    fleet.routers[0].unread = later;
+    fleet.until(3.0, "a lease", |f| f.now < f.routers[0].lease_until);
+    assert!(fleet.routers[0].grants["service-0000"].closing);
+}
+
 /// Four hundred services under a leader that has just begun: their servers are asked in bounded numbers, also where each tick
 /// comes late, and no service counts as without a primary before its servers were asked.
 #[test]
@@ -126,15 +155,14 @@
     for tick in [TICK, 0.2] {
         let mut fleet = Fleet::new(1, SERVICES);
         let began = fleet.now;
-        let mut promotions = 0;
         while fleet.served(SERVICES) == 0 {
             let said = fleet.tick_after(tick);
             // The last service that had its turn asks all of its servers.
             assert!(said.questions.len() <= QUESTIONS_A_TICK + 2, "{} questions", said.questions.len());
-            promotions += said.promotions;
+            let given_up = fleet.controller.primaries().into_iter().find(|(_, phase, _)| *phase == "closing");
+            assert_eq!(given_up, None, "{:.2} s after the beginning", fleet.now - began);
             assert!(fleet.now - began < 12.0, "{} primaries", fleet.routers[0].grants.len());
         }
-        assert_eq!(promotions, 0);
     }
 }
 
@@ -148,7 +176,8 @@
         questions += fleet.tick().questions.len();
         assert_eq!(fleet.served(400), 1);
     }
-    assert!((5_000..8_000).contains(&questions), "{questions} in five seconds");
+    // Each primary each 0.4 s at its turn, each replica each 7 s; with replicas as often as with few services it would be 7,500.
+    assert!((5_000..6_500).contains(&questions), "{questions} in five seconds");
 }
 
 /// A tick of few services steps all of them: nothing waits for a turn.
--- a/crates/node/src/control/sessions.rs
+++ b/crates/node/src/control/sessions.rs
@@ -14,7 +14,12 @@
 pub(super) struct Sessions {
     all: RefCell<HashMap<u64, Rc<Outbox>>>,
     /// News that is told to several, as the bytes of its frame; for as long as the controller may tell it again.
-    encoded: RefCell<Vec<(Rc<ToRouter>, Rc<[u8]>)>>,
+    encoded: RefCell<Vec<Encoded>>,
+}
+
+struct Encoded {
+    news: Rc<ToRouter>,
+    bytes: Rc<[u8]>,
 }
 
 /// What waits to be written to one router.
@@ -34,12 +39,12 @@
 }
 
 impl Sessions {
-    /// An answer to this router, in place of one that still waits.
+    /// An answer to this router, in place of one that still waits; a question that answers nothing takes no lease's place.
     pub(super) fn answer(&self, session: u64, answer: ToRouter) {
-        if let Some(outbox) = self.all.borrow().get(&session) {
-            *outbox.answer.borrow_mut() = Some(answer);
-            outbox.filled.ring();
-        }
+        let Some(outbox) = self.all.borrow().get(&session).cloned() else { return };
+        let waiting = outbox.answer.take();
+        outbox.answer.replace(Some(merged(waiting, answer)));
+        outbox.filled.ring();
     }
 
     /// News to this router. While the last is still being written it is left out: the controller tells it again.
@@ -52,13 +57,13 @@
 
     fn encode(&self, news: Rc<ToRouter>) -> Rc<[u8]> {
         let mut encoded = self.encoded.borrow_mut();
-        if let Some((_, bytes)) = encoded.iter().find(|(of, _)| Rc::ptr_eq(of, &news)) {
-            return bytes.clone();
+        if let Some(found) = encoded.iter().find(|e| Rc::ptr_eq(&e.news, &news)) {
+            return found.bytes.clone();
         }
         // What only this list still holds is not told any more.
-        encoded.retain(|(of, _)| Rc::strong_count(of) > 1);
+        encoded.retain(|e| Rc::strong_count(&e.news) > 1);
         let bytes: Rc<[u8]> = frames::bytes(&Frame::News(news.clone())).into();
-        encoded.push((news, bytes.clone()));
+        encoded.push(Encoded { news, bytes: bytes.clone() });
         bytes
     }
 }
@@ -82,6 +87,19 @@
     }
 }
 
+/// What goes to a router for which an answer waits when another is to be sent.
+fn merged(waiting: Option<ToRouter>, answer: ToRouter) -> ToRouter {
+    let (Some(mut waiting), ToRouter::News { sent: None, evidence_wanted: wanted, .. }) = (waiting, &answer)
+    else {
+        return answer;
+    };
+    if let ToRouter::News { sent: Some(_), evidence_wanted, .. } = &mut waiting {
+        evidence_wanted.clone_from(wanted);
+        return waiting;
+    }
+    answer
+}
+
 /// Writes what there is, answers first, until the connection ends.
 async fn write(stream: Rc<Async<TcpStream>>, outbox: Rc<Outbox>) {
     while write_next(&stream, &outbox).await.is_ok() {}
--- a/crates/node/src/tests/sessions.rs
+++ b/crates/node/src/tests/sessions.rs
@@ -21,13 +21,13 @@
 fn news(number: u64) -> Rc<ToRouter> {
     let mut news = answer(0.0);
     if let ToRouter::News { known, sent, config, .. } = &mut news {
-        (*known, *sent, *config) = ((Ballot(1), number), None, Some(fastrand_bytes(100_000)));
+        (*known, *sent, *config) = ((Ballot(1), number), None, Some(random_bytes(100_000)));
     }
     Rc::new(news)
 }
 
 /// Bytes that don't compress.
-fn fastrand_bytes(count: usize) -> Vec<u8> {
+fn random_bytes(count: usize) -> Vec<u8> {
     (0..count).map(|_| fastrand::u8(..)).collect()
 }
 
@@ -53,6 +53,26 @@
     assert_eq!(&*waits, &frames::bytes(&Frame::News(first))[..]);
 }
 
+/// A question goes along with a lease that waits, not in its place; whoever is sent elsewhere needs neither.
+#[test]
+fn a_question_takes_no_leases_place() {
+    let sessions = Sessions::default();
+    let outbox = open(&sessions, 1);
+    let mut question = answer(0.0);
+    if let ToRouter::News { sent, lease, evidence_wanted, .. } = &mut question {
+        (*sent, *lease, *evidence_wanted) = (None, 0.0, vec!["catalog".to_owned()]);
+    }
+    sessions.answer(1, answer(5.0));
+    sessions.answer(1, question.clone());
+    let Some(ToRouter::News { sent, lease, evidence_wanted, .. }) = outbox.answer.borrow().clone() else {
+        panic!();
+    };
+    assert_eq!((sent, lease, evidence_wanted), (Some(5.0), 1.0, vec!["catalog".to_owned()]));
+    let elsewhere = ToRouter::Elsewhere { leader: None, voters: Vec::new() };
+    sessions.answer(1, elsewhere.clone());
+    assert_eq!(*outbox.answer.borrow(), Some(elsewhere));
+}
+
 /// What several are told is encoded once and held once, and no longer than it may be told again.
 #[test]
 fn what_several_are_told_is_held_once() {
