--- a/crates/scale/src/routers.rs
+++ b/crates/scale/src/routers.rs
@@ -84,6 +84,19 @@
         self.grants.borrow().values().filter(|(g, _)| !g.closing).count()
     }
 
+    /// What it tells of the primaries that control asked about, of so many at most.
+    fn evidence(&self, most: usize) -> Vec<Evidence> {
+        let seen = |(grant, _): &(GrantNews, f64)| Evidence {
+            service: grant.service.clone(),
+            id: grant.id.clone(),
+            answered: 0.05,
+        };
+        let wanted = self.evidence_wanted.borrow();
+        let grants = self.grants.borrow();
+        let asked_about = grants.values().filter(|(grant, _)| wanted.contains(&grant.service));
+        asked_about.take(most).map(seen).collect()
+    }
+
     fn take(&self, news: ToRouter) -> bool {
         let ToRouter::News { known, sent, lease, whole, grants, config, evidence_wanted, .. } = news else {
             return false;
@@ -276,24 +289,14 @@
 }
 
 async fn renew(router: &Router, common: &Common, stream: &Async<TcpStream>) -> io::Result<()> {
-    let seen = |(grant, _): &(GrantNews, f64)| Evidence {
-        service: grant.service.clone(),
-        id: grant.id.clone(),
-        answered: 0.05,
-    };
-    let wanted = router.evidence_wanted.borrow();
-    let grants = router.grants.borrow();
-    let asked_about = grants.values().filter(|(grant, _)| wanted.contains(&grant.service));
-    let evidence = asked_about.take(common.evidence).map(seen).collect();
     let call = ToControl {
         router: router.name.clone(),
         life: router.life,
         sent: clock::now(),
         known: router.known.get(),
         epoch: router.epoch.get().0,
-        evidence,
+        evidence: router.evidence(common.evidence),
     };
-    drop((wanted, grants));
     let bytes = frames::bytes(&Frame::Renew(call));
     common.count(|t| {
         t.asked += 1;
