--- a/crates/control/src/controller/news.rs
+++ b/crates/control/src/controller/news.rs
@@ -61,10 +61,12 @@
 
     /// The router says up to where it knows the news.
     fn confirm(&mut self, now: f64, known: u64, epoch: u64) {
-        self.confirmed = self.confirmed.max(known);
-        if !self.is_under_way() {
+        if known > self.confirmed {
+            // Something came through: what was told after that is not waited for any longer than at first.
+            self.confirmed = known;
             self.patience = PATIENCE;
-        } else if now - self.told_at > self.patience {
+        }
+        if self.is_under_way() && now - self.told_at > self.patience {
             self.patience = (2.0 * self.patience).min(MOST_PATIENCE);
             self.told = self.confirmed;
             self.epoch = epoch;
