--- a/crates/node/src/control/sessions.rs
+++ b/crates/node/src/control/sessions.rs
@@ -41,12 +41,12 @@
 }
 
 impl Sessions {
-    /// An answer to this router, in place of one that still waits.
+    /// An answer to this router, in place of one that still waits; a question that answers nothing takes no lease's place.
     pub(super) fn answer(&self, session: u64, answer: ToRouter) {
-        if let Some(outbox) = self.all.borrow().get(&session) {
-            *outbox.answer.borrow_mut() = Some(answer);
-            outbox.filled.notify_waiters();
-        }
+        let Some(outbox) = self.all.borrow().get(&session).cloned() else { return };
+        let waiting = outbox.answer.take();
+        outbox.answer.replace(Some(merged(waiting, answer)));
+        outbox.filled.notify_waiters();
     }
 
     /// News to this router. While the last is still being written it is left out: the controller tells it again.
@@ -89,6 +89,19 @@
     }
 }
 
+/// What goes to a router for which an answer waits when another is to be sent.
+fn merged(waiting: Option<ToRouter>, answer: ToRouter) -> ToRouter {
+    let (Some(mut waiting), ToRouter::News { sent: None, evidence_wanted: wanted, .. }) = (waiting, &answer)
+    else {
+        return answer;
+    };
+    if let ToRouter::News { sent: Some(_), evidence_wanted, .. } = &mut waiting {
+        evidence_wanted.clone_from(wanted);
+        return waiting;
+    }
+    answer
+}
+
 /// Writes what there is, answers first, until the connection ends.
 async fn write(stream: Rc<Async<TcpStream>>, outbox: Rc<Outbox>) {
     while write_next(&stream, &outbox).await.is_ok() {}
--- a/crates/scale/src/routers.rs
+++ b/crates/scale/src/routers.rs
@@ -86,6 +86,19 @@
         self.grants.borrow().values().filter(|(g, _)| !g.closing).count()
     }
 
+    /// What it tells of the primaries that control asked about, of so many at most.
+    fn evidence(&self, most: usize) -> Vec<Evidence> {
+        let seen = |(grant, _): &(GrantNews, f64)| Evidence {
+            service: grant.service.clone(),
+            id: grant.id.clone(),
+            answered: 0.05,
+        };
+        let wanted = self.evidence_wanted.borrow();
+        let grants = self.grants.borrow();
+        let asked_about = grants.values().filter(|(grant, _)| wanted.contains(&grant.service));
+        asked_about.take(most).map(seen).collect()
+    }
+
     fn take(&self, news: ToRouter) -> bool {
         let ToRouter::News { known, sent, lease, whole, grants, config, evidence_wanted, .. } = news else {
             return false;
@@ -279,19 +292,6 @@
     }
 }
 
-/// What this router tells of the primaries that it was asked about.
-fn evidence(router: &Router, most: usize) -> Vec<Evidence> {
-    let seen = |(grant, _): &(GrantNews, f64)| Evidence {
-        service: grant.service.clone(),
-        id: grant.id.clone(),
-        answered: 0.05,
-    };
-    let wanted = router.evidence_wanted.borrow();
-    let grants = router.grants.borrow();
-    let asked_about = grants.values().filter(|(grant, _)| wanted.contains(&grant.service));
-    asked_about.take(most).map(seen).collect()
-}
-
 async fn renew(router: &Router, common: &Common, stream: &Async<TcpStream>) -> io::Result<()> {
     let call = ToControl {
         router: router.name.clone(),
@@ -299,7 +299,7 @@
         sent: clock::now(),
         known: router.known.get(),
         epoch: router.epoch.get().0,
-        evidence: evidence(router, common.evidence),
+        evidence: router.evidence(common.evidence),
     };
     let bytes = frames::bytes(&Frame::Renew(call));
     common.count(|t| {
