--- a/days/play.sh
+++ b/days/play.sh
@@ -46,10 +46,10 @@
       (.short[]? | "gate: \(.)"),
       (.missed[]? | "missed: \(.)"),
       (if .exits_n > 0 then "ended by itself: \(.exits_n)" else empty end) ] as $broken
-    | reduce .windows[] as $window ({ now: 0, most: 0 };
+    | (reduce .windows[] as $window ({ now: 0, most: 0 };
         if $window.n > 50 and $window.worth < 0.6
         then .now += 2 | .most = ([.most, .now] | max)
-        else .now = 0 end) as $gap
+        else .now = 0 end)) as $gap
     | [ (if $broken == [] then "holds" else "BROKEN: " + ($broken | join("; ")) end), .G, $gap.most ]
     | @tsv'
 
