--- a/crates/control/src/consensus/replication.rs
+++ b/crates/control/src/consensus/replication.rs
@@ -221,7 +221,20 @@
         out.push(if first { ConsensusOutput::Won } else { ConsensusOutput::Agreed });
     }
 
+    /// A leader that is heard and hears no majority would keep the others from having another one.
+    fn has_lost_its_majority(&self, now: f64) -> bool {
+        let Role::Leader(leading) = &self.role else { return false };
+        let authority = self.authority().max(leading.since + self.timing.suspect);
+        now > authority + self.timing.suspect
+    }
+
     pub(super) fn send_heartbeats(&mut self, now: f64, out: &mut Vec<ConsensusOutput>) {
+        if self.has_lost_its_majority(now) {
+            log::info!("event=majority_lost");
+            self.follow(out);
+            self.heard = now;
+            return;
+        }
         let in_contact = self.authority() > now;
         let replicas = self.replicas();
         let Role::Leader(leading) = &mut self.role else { return };
--- a/crates/control/src/controller/services.rs
+++ b/crates/control/src/controller/services.rs
@@ -1,10 +1,93 @@
 //! The leader's duty for each service: a step of its failover, and what that asks for.
 
-use super::{Controller, Grant, Origin, Output, Waiting, Wanted};
-use crate::failover::{Act, Around, Asked, Candidate, Failover};
+use super::{Controller, Grant, Lead, Origin, Output, Waiting, Wanted};
+use crate::failover::{Act, Around, Asked, Candidate, Failover, Timing};
 use crate::members::Member;
 use crate::message::GrantNews;
-use std::collections::HashMap;
+use crate::promotion::PromotionOutcome;
+use std::collections::{BTreeSet, HashMap};
+
+/// So many services are stepped in one tick, at most.
+pub(crate) const SERVICES_A_TICK: usize = 128;
+/// Of these so many at most are such whose primary isn't settled, while there are others.
+const UNSETTLED_A_TICK: usize = 96;
+/// So many questions go to servers in one tick, at most; the services that had no turn have theirs in the next.
+pub(crate) const QUESTIONS_A_TICK: usize = 64;
+/// Routers are asked about so many primaries at a time, at most.
+pub(crate) const EVIDENCE_WANTED: usize = 32;
+/// Each primary is asked so seldom that no more than so many are asked a second.
+const PRIMARIES_A_SECOND: f64 = 1250.0;
+/// Replicas of primaries in use are asked so seldom that no more than so many connections to them stay open.
+const REPLICAS_KEPT: f64 = 700.0;
+/// Replicas of a service that are reckoned with.
+const REPLICAS: f64 = 2.0;
+/// For so many seconds a connection to a server stays open without a question.
+const IDLE: f64 = 6.0;
+/// Ticks that come this far apart, in seconds, have all that one tick may do; later ones have less each.
+const PUNCTUAL: f64 = 0.1;
+/// Which services are stepped next.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Turns {
+    /// The service that was stepped last in its turn: the next turn begins behind it.
+    last: String,
+    /// Services whose primary isn't settled and that had an answer since their last step: these don't wait for their turn.
+    answered: BTreeSet<String>,
+    /// The changes of members after which the services were last looked through.
+    members_seen: Option<u64>,
+    ticked: f64,
+    /// The pause before this tick, in seconds.
+    pause: f64,
+}
+
+impl Turns {
+    pub(super) fn begin_tick(&mut self, now: f64) {
+        self.pause = now - self.ticked;
+        self.ticked = now;
+    }
+
+    /// What this tick may do of something of which a punctual one does this much: a machine that is late does less of what can
+    /// wait, so that leases and agreement have their time.
+    pub(super) fn share(&self, most: usize) -> usize {
+        let share = (PUNCTUAL / self.pause.max(PUNCTUAL)).max(0.25);
+        (most as f64 * share) as usize
+    }
+}
+
+/// The spans that go with so many services: with many, servers are asked less often, and a silence is longer.
+fn paced(timing: Timing, services: usize) -> Timing {
+    let services = services as f64;
+    let slower = (services / PRIMARIES_A_SECOND / timing.ask).max(1.0);
+    let replicas = REPLICAS * services;
+    let closed = if replicas > REPLICAS_KEPT { IDLE * replicas / REPLICAS_KEPT } else { 0.0 };
+    Timing {
+        ask: timing.ask * slower,
+        ask_replica: (timing.ask_replica * slower).max(closed),
+        silence: timing.silence * slower,
+        ..timing
+    }
+}
+
+/// The services that are stepped in this tick.
+fn next_turns(lead: &Lead) -> Vec<String> {
+    let from = (std::ops::Bound::Excluded(lead.turns.last.clone()), std::ops::Bound::Unbounded);
+    let behind = lead.services.range(from).chain(lead.services.range(..=lead.turns.last.clone()));
+    let (steady, unsettled): (Vec<_>, Vec<_>) = behind.partition(|(_, f)| f.is_watching());
+    let first = unsettled.len().min(UNSETTLED_A_TICK.max(SERVICES_A_TICK.saturating_sub(steady.len())));
+    let turns = unsettled.into_iter().take(first).chain(steady);
+    turns.map(|(service, _)| service.clone()).take(SERVICES_A_TICK).collect()
+}
+
+/// The services that routers are to tell evidence of: those whose primary nobody heard for the longest.
+fn evidence_wanted(now: f64, lead: &Lead) -> Vec<String> {
+    let silent = |(service, failover): (_, &Failover)| Some((failover.unheard(now)?, service));
+    let mut wanted: Vec<(f64, &String)> = lead.services.iter().filter_map(silent).collect();
+    wanted.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+    wanted.into_iter().take(EVIDENCE_WANTED).map(|(_, service)| service.clone()).collect()
+}
+
+fn questions(out: &[Output]) -> usize {
+    out.iter().filter(|o| matches!(o, Output::Ask { .. })).count()
+}
 
 impl Controller {
     /// How many replicas each service waits for: the driver tells it with each configuration that it has read.
@@ -14,51 +97,73 @@
         }
     }
 
+    /// Services of which a server was heard for the first time get their failover.
     pub(super) fn know_services(&mut self) {
         let timing = self.timing.service;
-        let services = self.members.services();
-        if let Some(lead) = &mut self.lead {
-            for service in services {
-                lead.services.entry(service).or_insert_with(|| Failover::new(timing));
-            }
+        let Some(lead) = &mut self.lead else { return };
+        if lead.turns.members_seen == Some(self.members.changes()) {
+            return;
+        }
+        lead.turns.members_seen = Some(self.members.changes());
+        for service in self.members.services() {
+            lead.services.entry(service).or_insert_with(|| Failover::new(timing));
         }
     }
 
-    /// One step of every service.
+    /// One step of the services that have their turn: those whose primary isn't settled go first.
     pub(super) fn step(&mut self, now: f64, out: &mut Vec<Output>) {
-        let services: Vec<String> = match &self.lead {
-            Some(lead) => lead.services.keys().cloned().collect(),
-            None => return,
-        };
-        let informed = self.informed();
+        let Some(lead) = &mut self.lead else { return };
+        let timing = paced(self.timing.service, lead.services.len());
+        let answered: Vec<String> = std::mem::take(&mut lead.turns.answered).into_iter().collect();
+        let services = next_turns(lead);
+        let most_questions = lead.turns.share(QUESTIONS_A_TICK);
+        let asked_before = out.len();
+        for service in answered {
+            self.step_of(now, &service, timing, out);
+        }
         for service in services {
-            let members: Vec<Candidate> = self.members.of(&service).map(candidate).collect();
-            let Some(lead) = &mut self.lead else { return };
-            let Some(mut failover) = lead.services.remove(&service) else { continue };
-            let lost = self.members.lost(&service, self.timing.service.heartbeat);
-            let record = self.current.primaries.get(&service);
-            let leases = &lead.leases;
-            let all_know = |number: u64| leases.all_know(now, number);
-            // What another leader granted or asked for may hold until then, and what it knew must be known here.
-            let not_before = match informed {
-                true => lead.leases.before_us() + self.timing.platform,
-                false => f64::INFINITY,
-            };
-            let acts = failover.tick(&Around {
-                now,
-                members: &members,
-                lost: &lost,
-                record: record.map(|p| (p.id.as_str(), p.above)),
-                all_know: &all_know,
-                since: lead.since,
-                not_before,
-                sync: lead.sync.get(&service).copied().unwrap_or(1),
-            });
-            lead.services.insert(service.clone(), failover);
-            self.act(now, &service, acts, out);
+            if questions(&out[asked_before..]) >= most_questions {
+                break;
+            }
+            self.step_of(now, &service, timing, out);
+            if let Some(lead) = &mut self.lead {
+                lead.turns.last = service;
+            }
+        }
+        if let Some(lead) = &mut self.lead {
+            let wanted = evidence_wanted(now, lead);
+            lead.telling.want_evidence(wanted);
         }
     }
 
+    fn step_of(&mut self, now: f64, service: &str, timing: Timing, out: &mut Vec<Output>) {
+        let members: Vec<Candidate> = self.members.of(service).map(candidate).collect();
+        let informed = self.informed();
+        let Some(lead) = &mut self.lead else { return };
+        let Some(failover) = lead.services.get_mut(service) else { return };
+        failover.pace(now, timing);
+        let lost = self.members.lost(service, self.timing.service.heartbeat);
+        let record = self.current.primaries.get(service);
+        let leases = &lead.leases;
+        let all_know = |number: u64| leases.all_know(now, number);
+        // What another leader granted or asked for may hold until then, and what it knew must be known here.
+        let not_before = match informed {
+            true => leases.before_us() + self.timing.platform,
+            false => f64::INFINITY,
+        };
+        let acts = failover.tick(&Around {
+            now,
+            members: &members,
+            lost: &lost,
+            record: record.map(|p| (p.id.as_str(), p.above)),
+            all_know: &all_know,
+            since: lead.since,
+            not_before,
+            sync: lead.sync.get(service).copied().unwrap_or(1),
+        });
+        self.act(now, service, acts, out);
+    }
+
     pub(super) fn act(&mut self, now: f64, service: &str, acts: Vec<Act>, out: &mut Vec<Output>) {
         for act in acts {
             match act {
@@ -68,7 +173,8 @@
                         continue;
                     };
                     let endpoint = member.news.endpoint.clone();
-                    out.push(Output::Ask { id, endpoint, service: service.to_owned(), statement });
+                    let fence = self.lead.as_ref().map_or(0, |l| l.fence);
+                    out.push(Output::Ask { id, endpoint, service: service.to_owned(), statement, fence });
                 }
                 Act::Agree { to, above } => {
                     let wanted = Wanted::Primary { service: service.to_owned(), to, above, settled: false };
@@ -107,21 +213,34 @@
         }
     }
 
+    /// Whether this machine leads under this ballot: nothing that was asked under another one counts any more.
+    pub fn leads_under(&self, fence: u64) -> bool {
+        self.lead.as_ref().is_some_and(|l| l.fence == fence)
+    }
+
+    /// Whether this machine leads under this ballot and knows that nobody else does: to be looked at just before a call
+    /// leaves that a former leader must not make.
+    pub fn may_act_under(&self, now: f64, fence: u64) -> bool {
+        self.leads_under(fence) && self.acts(now)
+    }
+
     /// What a question to a server came to.
     pub fn asked(&mut self, now: f64, service: &str, id: &str, asked: Asked) {
         if matches!(asked, Asked::Row { .. } | Asked::Busy) {
             self.members.answered(now, id);
         }
-        if let Some(failover) = self.lead.as_mut().and_then(|l| l.services.get_mut(service)) {
-            failover.asked(now, id, asked);
+        let Some(lead) = &mut self.lead else { return };
+        let Some(failover) = lead.services.get_mut(service) else { return };
+        failover.asked(now, id, asked);
+        if !failover.is_watching() && !lead.turns.answered.contains(service) {
+            lead.turns.answered.insert(service.to_owned());
         }
     }
 
-    /// What a call to the platform came to; none if nothing came in time.
-    pub fn promoted(&mut self, now: f64, service: &str, status: Option<u16>) {
-        log::info!("event=promotion_answered service={service} status={}", status.unwrap_or(0));
+    /// How a call to the platform that names this server has ended.
+    pub fn promoted(&mut self, now: f64, service: &str, id: &str, outcome: PromotionOutcome) {
         if let Some(failover) = self.lead.as_mut().and_then(|l| l.services.get_mut(service)) {
-            failover.promoted(now, status);
+            failover.promoted(now, id, outcome);
         }
     }
 }
--- a/crates/control/src/failover/closing.rs
+++ b/crates/control/src/failover/closing.rs
@@ -6,6 +6,8 @@
 const ASK_PRIMARY_S: f64 = 0.1;
 /// Between two pauses of a copy, in seconds.
 const PAUSE_AGAIN_S: f64 = 0.05;
+/// Between two questions to a copy that was paused, until one confirms it, in seconds.
+const CONFIRM_AGAIN_S: f64 = 0.02;
 /// A primary is back if it answered no longer ago than this, in seconds.
 const BACK_ANSWERED_S: f64 = 0.3;
 /// The same, from when it was asked.
@@ -41,6 +43,7 @@
             self.use_primary(around.now, found, acts);
             return;
         }
+        self.given_since = if given_back { self.given_since.or(Some(around.now)) } else { None };
         let pausing = self.pause_copies(around, old.as_deref(), term, given_back, acts);
         if pausing.outrun {
             self.phase = Phase::Closing { term: self.highest_term() + 1 };
@@ -84,14 +87,18 @@
         for member in around.members.iter().filter(|m| Some(m.id.as_str()) != old) {
             let seen = self.observed(&member.id);
             if seen.paused.is_some_and(|(at, _)| at >= term) {
-                self.ask(now, &member.id, self.timing.ask, Statement::Status, acts);
+                // What the old primary acknowledged to any router before it let go must be at those who are asked.
+                let confirmed = given_back && seen.pause_confirmed > self.given_since;
+                pausing.complete &= confirmed;
+                let every = if given_back && !confirmed { CONFIRM_AGAIN_S } else { self.timing.ask };
+                self.ask(now, &member.id, every, Statement::Status, acts);
                 continue;
             }
             pausing.complete &= is_excused(around, member, &seen);
             pausing.outrun |= seen.failing.is_none() && seen.row.is_some_and(|r| r.term.max(r.held) >= term);
             let statement = match seen.leads() {
                 // A primary can't be paused: once nobody uses it, it becomes a replica.
-                true if given_back => Statement::StepDown(term),
+                true if given_back => Statement::StepDown(seen.row.map_or(term, |r| r.term + 1)),
                 true => Statement::Status,
                 false if seen.busy => Statement::Status,
                 false => Statement::Pause(term),
--- a/crates/control/src/failover/finding.rs
+++ b/crates/control/src/failover/finding.rs
@@ -24,7 +24,7 @@
         }
         // Nobody leads whom we may use: after a while somebody is to be promoted. Beats of all must have had their time.
         let patience = self.timing.silence.max(HEARTBEATS * self.timing.heartbeat);
-        let waited = now - around.since > patience;
+        let waited = now - self.asked_since(around) > patience;
         if waited && now > around.not_before && now > self.retry {
             if self.primary.is_none() && self.revocation == Revocation::None {
                 // Nothing is granted by us, and the grants of those before us have ended.
@@ -69,7 +69,7 @@
             // Nobody was promoted by us: whoever leads is the primary, once all that are known were asked.
             None => {
                 let known = around.members.iter().all(|m| self.observed(&m.id).row.is_some());
-                known || around.now - around.since > UNKNOWN_S
+                known || around.now - self.asked_since(around) > UNKNOWN_S
             }
         };
         of_record.then_some(found)
--- a/crates/control/src/tests/net.rs
+++ b/crates/control/src/tests/net.rs
@@ -171,7 +171,9 @@
         let state = self.at(node).consensus.record().state.clone();
         let newest = self.agreed.keys().max().copied().unwrap_or(0);
         assert!(state.seq >= newest, "{node} won with {} after {newest}\n{}", state.seq, self.tale());
-        let other = self.agreed.get(&state.seq).copied();
+        // What a leader finds and has agreed on is as good as proposed by it; the state of the first start isn't counted.
+        let one = (state.digest(), state.epoch);
+        let other = if state.seq > 0 { self.agreed.insert(state.seq, one) } else { None };
         assert!(
             other.is_none_or(|(digest, _)| digest == state.digest()),
             "{node} won with another {}\n{}",
--- /dev/null
+++ b/crates/control/src/tests/promotions.rs
@@ -0,0 +1,170 @@
+//! Calls that change servers, and what becomes of them when they come late: `POST /promotions`, `PAUSE`, `RESUME` and
+//! `STEPDOWN`. The table that these tests hold to is in `docs/design/calls.md`.
+
+use crate::failover::{Act, Around, Candidate, Failover};
+use crate::promotion::{PendingPromotion, PromotionOutcome};
+use crate::{Asked, Row, Statement, Timing};
+use badgerstream_wire::Verdict;
+
+const TIMING: Timing =
+    Timing { ask: 0.2, ask_replica: 1.0, silence: 0.6, answer: 0.6, heartbeat: 1.2, drain: 7.0 };
+
+// ---- what the end of a call to the platform proves
+
+#[test]
+fn a_status_of_the_platform_proves_no_more_than_it_says() {
+    use PromotionOutcome::*;
+    for (status, outcome, verdict) in [
+        (200, Accepted, Verdict::Ran),
+        (409, Refused, Verdict::NotRun),
+        (429, Busy, Verdict::NotRun),
+        (400, Rejected, Verdict::NotRun),
+        (408, Unknown, Verdict::MayHaveRun),
+        (500, Unknown, Verdict::MayHaveRun),
+        (503, Unknown, Verdict::MayHaveRun),
+    ] {
+        assert_eq!(PromotionOutcome::of_status(status), outcome, "{status}");
+        assert_eq!(outcome.verdict(), verdict, "{status}");
+    }
+    assert_eq!(NotSent.verdict(), Verdict::NotRun);
+}
+
+#[test]
+fn another_server_waits_for_a_call_without_a_clear_answer() {
+    let mut pending = PendingPromotion::default();
+    assert!(pending.permits(0.0, "b"));
+    pending.sent(0.0, "b");
+    assert!(pending.permits(0.5, "b") && !pending.permits(1.9, "c"));
+    assert!(pending.ended(1.0, "b", PromotionOutcome::Unknown));
+    assert!(pending.permits(1.0, "b") && !pending.permits(1.9, "c") && pending.permits(2.1, "c"));
+    // A second copy that was refused proves nothing of the first one.
+    pending.sent(1.2, "b");
+    assert!(pending.ended(1.3, "b", PromotionOutcome::Refused));
+    assert!(!pending.permits(1.9, "c") && pending.permits(2.1, "c"));
+    // The platform is not asked again and again for one that it says isn't running.
+    assert!(!pending.permits(2.2, "b") && pending.permits(2.4, "b"));
+}
+
+#[test]
+fn a_call_that_has_not_run_is_waited_for_by_nobody() {
+    for outcome in [
+        PromotionOutcome::Refused,
+        PromotionOutcome::Busy,
+        PromotionOutcome::Rejected,
+        PromotionOutcome::NotSent,
+    ] {
+        let mut pending = PendingPromotion::default();
+        pending.sent(0.0, "b");
+        assert!(pending.ended(0.1, "b", outcome));
+        assert!(pending.permits(0.1, "c"), "{outcome:?}");
+    }
+}
+
+#[test]
+fn an_answer_counts_only_for_the_server_that_is_waited_for() {
+    let mut pending = PendingPromotion::default();
+    pending.sent(0.0, "b");
+    pending.sent(3.0, "c");
+    assert!(!pending.ended(3.1, "b", PromotionOutcome::Refused));
+    assert!(pending.ended(3.1, "c", PromotionOutcome::Accepted));
+    assert!(!pending.ended(3.2, "c", PromotionOutcome::Accepted), "nothing is under way");
+}
+
+// ---- one service's fail-over alone, with servers that answer at once
+
+struct Alone {
+    failover: Failover,
+    members: Vec<Candidate>,
+    now: f64,
+}
+
+impl Alone {
+    fn new() -> Alone {
+        let candidate = |id: &str| Candidate { id: id.to_owned(), draining_since: None, heard: 0.0 };
+        let members = ["a", "b", "c"].map(candidate).to_vec();
+        Alone { failover: Failover::new(TIMING), members, now: 0.0 }
+    }
+
+    /// A tenth of a second: all queries are answered with what `row` gives, and refused where it gives none. The other acts.
+    fn step(&mut self, record: (&str, u64), row: impl Fn(&str, Statement) -> Option<Row>) -> Vec<Act> {
+        self.now += 0.1;
+        let acts = self.failover.tick(&Around {
+            now: self.now,
+            members: &self.members,
+            lost: &[],
+            record: Some(record),
+            all_know: &|_| true,
+            since: 0.0,
+            not_before: 0.0,
+            sync: 1,
+        });
+        self.failover.told(1);
+        for act in &acts {
+            let Act::Ask(id, statement) = act else { continue };
+            let asked = match row(id, *statement) {
+                Some(row) => Asked::Row { statement: *statement, row, asked: self.now },
+                None => Asked::Refused,
+            };
+            self.failover.asked(self.now, id, asked);
+        }
+        acts
+    }
+}
+
+fn row(leader: bool, term: u64, held: u64) -> Row {
+    Row { leader, term, received: (term, 0), held }
+}
+
+/// A late `STEPDOWN` must not turn out a primary of a later term: it carries the lowest term that does.
+#[test]
+fn a_step_down_carries_the_lowest_term() {
+    let mut alone = Alone::new();
+    let mut terms = Vec::new();
+    for step in 0..40 {
+        let acts = alone.step(("a", 0), |id, _| match id {
+            // Somebody has paused c at term 7; b takes itself for the primary of an old term, a is gone after a while.
+            "a" => (step < 10).then(|| row(true, 2, 0)),
+            "b" => Some(row(true, 1, 0)),
+            _ => Some(row(false, 2, 7)),
+        });
+        terms.extend(acts.iter().filter_map(|act| match act {
+            Act::Ask(_, Statement::StepDown(term)) => Some(*term),
+            _ => None,
+        }));
+    }
+    // Under the primary of term 2 it is its term that counts, and without one the lowest that does.
+    assert!(terms.len() > 2 && terms.iter().all(|term| *term == 2), "{terms:?}");
+}
+
+/// The platform's answer to a call for another server says nothing of this one.
+#[test]
+fn an_answer_about_another_server_changes_nothing() {
+    let mut alone = Alone::new();
+    let servers = |alone_gone: bool| {
+        move |id: &str, statement: Statement| match (id, statement) {
+            ("a", _) => (!alone_gone).then(|| row(true, 1, 0)),
+            (_, Statement::Pause(term)) => Some(row(false, 1, term)),
+            _ => Some(row(false, 1, if alone_gone { 2 } else { 0 })),
+        }
+    };
+    for _ in 0..5 {
+        alone.step(("a", 0), servers(false));
+    }
+    assert_eq!(alone.failover.phase(), "steady");
+    let mut agreed = None;
+    while agreed.is_none() {
+        assert!(alone.now < 5.0);
+        let acts = alone.step(("a", 0), servers(true));
+        agreed = acts.into_iter().find_map(|act| match act {
+            Act::Agree { to, .. } => Some(to),
+            _ => None,
+        });
+    }
+    let to = agreed.unwrap_or_default();
+    let other = if to == "b" { "c" } else { "b" };
+    alone.failover.agreed(alone.now, true);
+    alone.failover.promoted(alone.now, other, PromotionOutcome::Refused);
+    assert_eq!(alone.failover.phase(), "promoting");
+    alone.failover.promoted(alone.now, &to, PromotionOutcome::Refused);
+    assert_eq!(alone.failover.phase(), "closing");
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -4,11 +4,12 @@
 mod disk;
 mod duties;
 mod links;
+mod sessions;
 mod status;
 
-use crate::asker::{self, Whom};
 use crate::frames::{self, Frame};
 use crate::notify::Notify;
+use crate::server_queries::{Query, Target};
 use crate::servers::Servers;
 use crate::{clock, http};
 use async_channel::{Receiver, Sender};
@@ -23,10 +24,11 @@
 use badgerstream_calls::status::{MemberStatus, PrimaryStatus, ReadStatus, Status};
 use badgerstream_control::{
     Answer, Beat, Call, ControlTiming, Controller, FOUNDING, GrantNews, MemberNews, Node, Output, Phase,
-    Recipient, Statement, Timing, ToRouter, Voter,
+    Recipient, Timing, ToRouter, Voter,
 };
 use disk::Disk;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future, io};
+use futures_lite::{AsyncReadExt, future, io};
+use sessions::Sessions;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -35,8 +37,6 @@
 
 /// Messages that wait for a link or a session, at most; what is over is lost, and mended by what comes next.
 const WAITING: usize = 256;
-/// News that waits for one router, at most.
-const NEWS: usize = 16;
 
 /// The control part of a process.
 pub struct Control {
@@ -56,8 +56,9 @@
     /// The newest connection that each other control machine has opened to here.
     connections: RefCell<HashMap<Node, u64>>,
     heard: RefCell<HashMap<Node, Rc<Notify>>>,
-    sessions: RefCell<HashMap<u64, Sender<ToRouter>>>,
-    askers: RefCell<HashMap<String, Sender<Statement>>>,
+    sessions: Sessions,
+    /// What waits for the connection to each server.
+    queries: RefCell<HashMap<String, Sender<Query>>>,
     calls: RefCell<HashMap<u64, Sender<Answer>>>,
     next: Cell<u64>,
     /// The configuration whose services were last told to the controller, and whether it led then.
@@ -150,8 +151,8 @@
             links: RefCell::default(),
             connections: RefCell::default(),
             heard: RefCell::default(),
-            sessions: RefCell::default(),
-            askers: RefCell::default(),
+            sessions: Sessions::default(),
+            queries: RefCell::default(),
             calls: RefCell::default(),
             next: Cell::new(0),
             read: Cell::new((0, false)),
@@ -207,20 +208,16 @@
                     waiting = then;
                 }
                 Output::Peer(to, message) => self.link(to, message),
-                Output::Router(session, message) => {
-                    let sent = self
-                        .sessions
-                        .borrow()
-                        .get(&session)
-                        .map(|s| s.try_send(message).is_err() && s.is_full());
-                    if sent == Some(true) {
-                        self.sessions.borrow_mut().remove(&session);
+                Output::Router(session, message) => self.sessions.answer(session, message),
+                Output::News(session, news) => self.sessions.tell(session, news),
+                Output::Ask { id, endpoint, service, statement, fence } => {
+                    if let Ok(endpoint) = endpoint.parse() {
+                        self.ask(Target { id, service, endpoint }, Query { statement, fence });
                     }
                 }
-                Output::Ask { id, endpoint, service, statement } => {
-                    self.ask(id, &endpoint, service, statement)
+                Output::Promote { service, id, fence, before } => {
+                    self.promote(duties::Promotion { service, id, fence, before });
                 }
-                Output::Promote { service, id, fence, before } => self.promote(service, id, fence, before),
                 Output::Reply(call, answer) => {
                     if let Some(waits) = self.calls.borrow_mut().remove(&call) {
                         let _ = waits.try_send(answer);
--- a/crates/node/src/edge/client/single.rs
+++ b/crates/node/src/edge/client/single.rs
@@ -8,6 +8,7 @@
 use crate::clock;
 use crate::edge::place::{Placement, PlacementRequest, RETRY_AFTER_S};
 use crate::edge::pool::ExchangeError;
+use crate::view::Server;
 use badgerstream_pooling::choice::Access;
 use badgerstream_wire::{Answer, Code, Kind, Outcome, State, Verdict};
 use futures_lite::future::or;
@@ -74,6 +75,8 @@
     answer: Answer,
     /// A part of the answer has been passed on to the client.
     forwarded: bool,
+    /// The term of the grant under which the statement was sent; none at a replica.
+    term: Option<u64>,
 }
 
 impl ClientSession {
@@ -142,6 +145,7 @@
         if primary {
             self.session.mark.touch(now);
         }
+        let term = self.edge.granted_term(&placement.checkout.pool.server, now);
         let limit = attempts.answer_limit(now, primary, attempt);
         let target = attempts.request.terms.target;
         let mut answer = Answer::default();
@@ -155,7 +159,7 @@
         if outcome == Err(ExchangeError::Overdue) {
             outcome = self.wait_or_reissue(attempts, &mut placement, &mut answer, &pass).await;
         }
-        let exchange = Exchange { answer, forwarded: forwarded.get() };
+        let exchange = Exchange { answer, forwarded: forwarded.get(), term };
         match outcome {
             Ok(outcome) => self.conclude_answer(attempts, placement, attempt, exchange, &outcome).await,
             Err(failure) => self.conclude_failure(attempts, &placement, &exchange, failure),
@@ -201,6 +205,9 @@
         let server = pool.server.id.clone();
         match outcome.error {
             None => {
+                if !attempts.reads && !self.is_granted_still(&pool.server, exchange.term) {
+                    return Attempt::Done(error(Code::InDoubt, "the primary changes", State::Idle));
+                }
                 if !attempts.reads {
                     self.session.wrote(outcome.position);
                 }
@@ -233,7 +240,7 @@
             ExchangeError::ClientGone => return Attempt::Done(Response::ClientGone),
             _ if exchange.forwarded => return Attempt::Done(Response::ClientGone),
             ExchangeError::Unsent => {}
-            ExchangeError::Broken | ExchangeError::Silent | ExchangeError::Overdue if !attempts.reads => {
+            _ if !attempts.reads && failure.verdict() == Verdict::MayHaveRun => {
                 log::info!("event=in_doubt server={server} database={}", self.database);
                 return Attempt::Done(error(Code::InDoubt, "no clear answer", State::Idle));
             }
@@ -250,6 +257,12 @@
         Attempt::TryNext(server)
     }
 
+    /// Whether the grant under which a write was sent is in force when its answer comes. Once it was given back another server
+    /// may have been chosen by what was acknowledged until then: a later success may be cut back, and is told to nobody.
+    pub(super) fn is_granted_still(&self, server: &Server, term: Option<u64>) -> bool {
+        term.is_some() && self.edge.granted_term(server, clock::now()) == term
+    }
+
     /// A server's answer outside a transaction: should it say another state, that ends with its connection.
     pub(super) fn forward(&self, mut raw: Vec<u8>, outcome: &Outcome) -> Response {
         if outcome.state != State::Idle
--- a/crates/node/src/edge/pool/exchange.rs
+++ b/crates/node/src/edge/pool/exchange.rs
@@ -5,7 +5,7 @@
 use super::health::Unanswered;
 use crate::clock;
 use crate::edge::net;
-use badgerstream_wire::{Answer, Code, Outcome, State};
+use badgerstream_wire::{Answer, Code, Outcome, State, Verdict};
 
 /// Between two looks at an answer that is late, in seconds.
 const LOOK_S: f64 = 0.05;
@@ -25,6 +25,19 @@
     ClientGone,
 }
 
+impl ExchangeError {
+    /// Whether the statement may have run.
+    pub fn verdict(self) -> Verdict {
+        match self {
+            ExchangeError::Unsent => Verdict::NotRun,
+            ExchangeError::Broken
+            | ExchangeError::Silent
+            | ExchangeError::Overdue
+            | ExchangeError::ClientGone => Verdict::MayHaveRun,
+        }
+    }
+}
+
 impl Checkout {
     /// Sends a statement and waits for its outcome until this second. `answer` then holds what is to be passed on;
     /// long answers are passed on in parts by `pass`, which tells whether the client is still there.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -48,7 +48,8 @@
 impl Readiness {
     fn ready(&self) -> bool {
         let view = self.shared.view.borrow();
-        let able = view.config.is_some() && !view.servers.is_empty() && clock::now() < view.lease_until + 1.0;
+        let able =
+            view.config.is_some() && !view.servers.is_empty() && clock::now() < view.leased_until() + 1.0;
         able && self.shared.ending.get().is_none()
     }
 }
@@ -76,7 +77,7 @@
     clock::now();
     let settings = read(&path)?;
     let tasks = Rc::new(LocalExecutor::new());
-    future::block_on(tasks.run(serve(tasks.clone(), path, settings)))
+    async_io::block_on(tasks.run(serve(tasks.clone(), path, settings)))
 }
 
 /// The router's part of a machine.
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -1,4 +1,5 @@
-//! A router's session with control: the lease on primaries, and all news.
+//! A router's session with control: the lease on primaries, and all news. Whoever still receives something has not lost the
+//! leader, however long a frame takes on a slow link.
 
 use crate::frames::{self, Frame};
 use crate::view::{Grant, Server, Shared};
@@ -6,16 +7,29 @@
 use async_io::{Async, Timer};
 use badgerstream_calls::config::Config;
 use badgerstream_control::{Ballot, Evidence, GrantNews, MemberNews, Node, ToControl, ToRouter};
-use futures_lite::{future, io};
+use futures_lite::{AsyncRead, future, io};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 /// A server that a new leader says nothing of is kept for so many seconds: it may not have heard of it yet.
 const UNTOLD: f64 = 6.0;
 
+/// While nobody leads, the first pause before the next machine is asked, and by how much each pause grows, in seconds.
+const PAUSE: f64 = 0.04;
+const PAUSE_GROWS: f64 = 1.5;
+/// Its bound, by the number of routers that ask as well: together they ask this often a second.
+const ASKED_A_SECOND: f64 = 1500.0;
+/// So many routers are reckoned with before control has told how many there are.
+const ROUTERS: usize = 300;
+
+/// A connection that lasted for so many seconds was a session with a leader.
+const HELD: f64 = 1.0;
+
 /// The spans of a session, in seconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Spans {
@@ -37,6 +51,8 @@
     /// Servers that the newest leader has not told of, and since when.
     untold: RefCell<HashMap<String, f64>>,
     evidence: Box<dyn Fn(f64) -> Vec<Evidence>>,
+    /// Services of whose primaries control wants to be told.
+    evidence_wanted: RefCell<Vec<String>>,
 }
 
 impl Session {
@@ -55,6 +71,7 @@
             nodes: RefCell::default(),
             untold: RefCell::default(),
             evidence: Box::new(evidence),
+            evidence_wanted: RefCell::default(),
         })
     }
 
@@ -74,6 +91,7 @@
     pub async fn run(self: Rc<Self>) {
         let mut hint = None;
         let mut turn = self.life as usize;
+        let mut pause = PAUSE;
         loop {
             let nodes = self.nodes.borrow().clone();
             let node = hint.take().or_else(|| nodes.get(turn % nodes.len().max(1)).copied());
@@ -82,11 +100,20 @@
                 Timer::after(Duration::from_millis(100)).await;
                 continue;
             };
-            match self.with(node).await {
+            let began = clock::now();
+            let ended = self.with(node).await;
+            if clock::now() - began > HELD {
+                pause = PAUSE;
+            }
+            match ended {
                 Ok(leader) => {
                     hint = leader.filter(|l| *l != node);
                     if hint.is_none() {
-                        Timer::after(Duration::from_millis(40)).await;
+                        let lot = 0.75 + 0.5 * fastrand::f64();
+                        Timer::after(Duration::from_secs_f64(pause * lot)).await;
+                        pause = (pause * PAUSE_GROWS).min(self.longest_pause());
+                    } else {
+                        pause = PAUSE;
                     }
                 }
                 Err(e) => {
@@ -97,30 +124,37 @@
         }
     }
 
+    /// Between two machines that know of no leader: all routers ask at that time.
+    fn longest_pause(&self) -> f64 {
+        let routers = match self.shared.view.borrow().routers {
+            0 => ROUTERS,
+            routers => routers,
+        };
+        (routers as f64 / ASKED_A_SECOND).max(PAUSE)
+    }
+
     /// One connection, until it breaks or another machine leads.
     async fn with(&self, node: Node) -> io::Result<Option<Node>> {
         let to = SocketAddr::from((Ipv4Addr::from(node), self.port));
         let stream = frames::connect(to, frames::CONNECT, self.spans.suspect * 2.0).await?;
         let (news, told) = async_channel::bounded(64);
+        let heard = Cell::new(clock::now());
         let read = async {
-            let mut reader = io::BufReader::with_capacity(1024, &stream);
+            let mut reader = io::BufReader::with_capacity(1024, Heard { stream: &stream, at: &heard });
             loop {
-                match frames::read(&mut reader).await {
-                    Ok(Frame::News(one)) => {
-                        if news.send(Ok(one)).await.is_err() {
-                            return Ok(None);
-                        }
-                    }
-                    Ok(_) => return Err(io::ErrorKind::InvalidData.into()),
-                    Err(e) => return Err(e),
+                let Frame::News(one) = frames::read(&mut reader).await? else {
+                    return Err(io::ErrorKind::InvalidData.into());
+                };
+                if news.send(Rc::unwrap_or_clone(one)).await.is_err() {
+                    return Ok(None);
                 }
             }
         };
-        future::or(read, self.talk(&stream, &told)).await
+        future::or(read, self.talk(&stream, &told, &heard)).await
     }
 
     async fn talk(
-        &self, stream: &Async<TcpStream>, told: &async_channel::Receiver<io::Result<ToRouter>>,
+        &self, stream: &Async<TcpStream>, told: &async_channel::Receiver<ToRouter>, heard: &Cell<f64>,
     ) -> io::Result<Option<Node>> {
         self.renew(stream).await?;
         let mut renewed = clock::now();
@@ -128,32 +162,31 @@
         let mut unanswered = Some(renewed);
         loop {
             let now = clock::now();
-            if unanswered.is_some_and(|asked| now - asked > self.spans.suspect) {
+            let silent_since = unanswered.map(|asked| asked.max(heard.get()));
+            if silent_since.is_some_and(|since| now - since > self.spans.suspect) {
                 return Err(io::ErrorKind::TimedOut.into());
             }
-            let late = unanswered.map_or(f64::INFINITY, |asked| asked + self.spans.suspect);
+            let late = silent_since.map_or(f64::INFINITY, |since| since + self.spans.suspect);
             let until = (late.min(renewed + self.spans.renew) - now).max(0.001);
             let one = future::or(async { told.recv().await.ok() }, async {
                 Timer::after(Duration::from_secs_f64(until)).await;
                 None
             });
             match one.await {
-                Some(Ok(ToRouter::Elsewhere { leader, voters })) => {
+                Some(ToRouter::Elsewhere { leader, voters }) => {
                     *self.nodes.borrow_mut() = voters;
                     return Ok(leader);
                 }
-                Some(Ok(news)) => {
-                    let asked = self.take(news);
-                    if asked {
+                Some(news) => {
+                    if self.take(news) {
                         unanswered = None;
                     } else {
-                        // News that nobody asked for: control waits to hear that it is known here.
+                        // Nobody asked for it: control waits to hear what is known here.
                         self.renew(stream).await?;
                         renewed = clock::now();
                         unanswered.get_or_insert(renewed);
                     }
                 }
-                Some(Err(e)) => return Err(e),
                 None => {
                     if clock::now() - renewed >= self.spans.renew {
                         self.renew(stream).await?;
@@ -174,15 +207,36 @@
             sent: now,
             known: self.known.get(),
             epoch,
-            evidence: (self.evidence)(now),
+            evidence: self.wanted_evidence(now),
         };
         let mut writer = stream;
         within(self.spans.suspect, frames::write(&mut writer, &Frame::Renew(call))).await
     }
 
+    /// What is known of the primaries that control asked about.
+    fn wanted_evidence(&self, now: f64) -> Vec<Evidence> {
+        let wanted = self.evidence_wanted.borrow();
+        if wanted.is_empty() {
+            return Vec::new();
+        }
+        let all = (self.evidence)(now).into_iter();
+        all.filter(|seen| wanted.contains(&seen.service)).collect()
+    }
+
     /// Takes news into the view; true if it answers a call of ours.
     fn take(&self, news: ToRouter) -> bool {
-        let ToRouter::News { known, sent, lease, whole, grants, members, config, voters, routers } = news
+        let ToRouter::News {
+            known,
+            sent,
+            lease,
+            whole,
+            grants,
+            members,
+            config,
+            voters,
+            routers,
+            evidence_wanted,
+        } = news
         else {
             return false;
         };
@@ -196,14 +250,21 @@
         if whole {
             let until = view.lease_until;
             let old: Vec<(String, Grant)> = view.grants.drain().filter(|(_, g)| !g.closing).collect();
-            view.fading = old.into_iter().map(|(service, grant)| (service, (grant, until))).collect();
+            view.fading.retain(|_, (_, until)| now < *until);
+            if now < until {
+                view.fading.extend(old.into_iter().map(|(service, grant)| (service, (grant, until))));
+            }
             // The lease of the leader before goes on only for what it granted.
             view.lease_until = f64::NEG_INFINITY;
             *self.untold.borrow_mut() = view.servers.keys().map(|id| (id.clone(), now)).collect();
             changed = true;
         }
         for GrantNews { service, id, term, closing } in grants {
-            view.fading.remove(&service);
+            // Under the old lease the same primary may be used until the new one is there.
+            let same = view.fading.get(&service).is_some_and(|(old, _)| old.id == id && old.term == term);
+            if closing || !same {
+                view.fading.remove(&service);
+            }
             view.grants.insert(service, Grant { id, term, closing });
         }
         for member in members {
@@ -237,7 +298,8 @@
             changed |= view.lease_until < now;
             view.lease_until = view.lease_until.max(sent + lease);
         }
-        self.known.set(known);
+        // An answer may tell less than is known by now: news that came before it was on its way then.
+        self.known.set(self.known.get().max(known));
         if routers > 0 {
             view.routers = routers as usize;
         }
@@ -249,10 +311,29 @@
             drop(view);
             self.shared.changed.notify_waiters();
         }
+        *self.evidence_wanted.borrow_mut() = evidence_wanted;
         sent.is_some()
     }
 }
 
+/// A connection, and when something came on it last.
+struct Heard<'a> {
+    stream: &'a Async<TcpStream>,
+    at: &'a Cell<f64>,
+}
+
+impl AsyncRead for Heard<'_> {
+    fn poll_read(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let read = Pin::new(&mut self.stream).poll_read(cx, bytes);
+        if read.is_ready() {
+            self.at.set(clock::now());
+        }
+        read
+    }
+}
+
 fn read_member(member: MemberNews) -> Option<Server> {
     let endpoint = member.endpoint.parse().ok()?;
     let MemberNews { id, service, zone, slots, draining, .. } = member;
--- a/crates/simulation/src/machine.rs
+++ b/crates/simulation/src/machine.rs
@@ -87,9 +87,9 @@
     }
 
     /// Three control machines as a list that runs late has them: some may be gone by now, but not all.
-    fn listed_seeds(&mut self) -> Vec<Node> {
-        let listed: Vec<Node> =
-            self.controls.iter().filter(|(_, machine)| !machine.removed).map(|(node, _)| *node).collect();
+    fn listed_seeds(&mut self, of: Node) -> Vec<Node> {
+        let others = self.controls.iter().filter(|(node, machine)| !machine.removed && **node != of);
+        let listed: Vec<Node> = others.map(|(node, _)| *node).collect();
         let gone: Vec<Node> =
             self.controls.iter().filter(|(_, machine)| machine.removed).map(|(node, _)| *node).collect();
         let mut seeds: Vec<Node> = (0..2).filter_map(|_| self.chance.pick(&listed)).collect();
@@ -107,7 +107,7 @@
         let life = 1 + self.draw(1 << 40);
         let budget = self.budget;
         self.trouble(node);
-        let seeds = self.listed_seeds();
+        let seeds = self.listed_seeds(node);
         let machine = self.controls.get_mut(&node).expect("the machine exists");
         if machine.life > 0 || !self.seeds.contains(&node) {
             machine.seeds = seeds;
@@ -264,6 +264,7 @@
                 },
                 Output::Peer(to, message) => self.send(node, to, message),
                 Output::Router(connection, message) => self.send_news(node, connection, message),
+                Output::News(connection, news) => self.send_news(node, connection, (*news).clone()),
                 Output::Ask { id, endpoint, statement, .. } => {
                     self.ask_server(node, id, &endpoint, statement)
                 }
@@ -401,7 +402,8 @@
         let server = self.servers.get(&id).filter(|server| server.endpoint == endpoint);
         let health = server.map_or(Health::Down, |server| server.health);
         let way = self.way();
-        if self.deaf_controls.contains(&node) || health == Health::Dark {
+        let silent = self.deaf_controls.contains(&node) || self.mute.contains(&id);
+        if silent || health == Health::Dark {
             self.put(0.6, Event::Asked { node, life, id, asked: Asked::Silent });
         } else if health == Health::Down {
             self.put(2.0 * way, Event::Asked { node, life, id, asked: Asked::Refused });
--- a/crates/simulation/src/platform.rs
+++ b/crates/simulation/src/platform.rs
@@ -2,7 +2,7 @@
 
 use crate::servers::Health;
 use crate::world::{Event, World};
-use badgerstream_control::Node;
+use badgerstream_control::{Node, PromotionOutcome};
 
 impl World {
     pub(crate) fn post_at(&mut self, node: Node, life: u64, id: &str, fence: u64) {
@@ -23,7 +23,8 @@
             self.put(after, Event::Promote(id.to_owned()));
         }
         let lost = self.draw(1000) < self.lost_posts;
-        let (after, status) = if lost { (1.0, None) } else { (way, Some(status)) };
-        self.put(after, Event::PostAnswer { node, life, status });
+        let answer = PromotionOutcome::of_status(status);
+        let (after, outcome) = if lost { (1.0, PromotionOutcome::Unknown) } else { (way, answer) };
+        self.put(after, Event::PostAnswer { node, life, id: id.to_owned(), outcome });
     }
 }
--- a/crates/simulation/src/servers.rs
+++ b/crates/simulation/src/servers.rs
@@ -160,7 +160,8 @@
         Some(Row { leader: server.leader, term: server.term, received: server.position(), held })
     }
 
-    pub(crate) fn promote(&mut self, id: &str) {
+    /// A promotion takes effect.
+    pub fn promote(&mut self, id: &str) {
         let top = self.servers.values().map(|s| s.term.max(s.heard_of)).max().unwrap();
         let most = self.servers.values().filter(|s| s.leader).map(|s| s.term).max().unwrap_or(0);
         let now = self.now;
