--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod play;
 pub mod relay;
 pub mod router;
+pub mod run_delay;
 pub mod script;
 pub mod store;
 
--- a/crates/cluster/src/play.rs
+++ b/crates/cluster/src/play.rs
@@ -4,6 +4,7 @@
 use crate::clients::{Heard, Sending};
 use crate::relay::{Relays, Route, admitted};
 use crate::router::{Fault, Program, Router, Signal, Told, free_address};
+use crate::run_delay::RunDelay;
 use crate::script::{Act, Ends, Fault as Broken, Known, Plan, Script, Trouble, Way};
 use crate::store::{Order, Reply, Seen};
 use futures_lite::future;
@@ -52,6 +53,9 @@
     /// The longest that the rig itself got no processor, while clients sent: what it shows then is the machine.
     #[serde(default)]
     pub stood_still_ms: u64,
+    /// The longest that one thread of the run was ready within half a second and got no processor, while clients sent.
+    #[serde(default)]
+    pub run_delay_ms: u64,
 }
 
 /// Something that was done, and when.
@@ -142,6 +146,7 @@
     dead: BTreeSet<usize>,
     deeds: Arc<Mutex<Vec<Deed>>>,
     crashed: BTreeSet<usize>,
+    run_delay: Option<RunDelay>,
 }
 
 /// # Errors
@@ -165,10 +170,12 @@
     let heard = setup.folder.join("heard.json");
     let (mut clients, start_us) = rig.clients(&heard)?;
     let pulse = Pulse::begin();
+    rig.run_delay = Some(RunDelay::begin(rig.processes(&clients)));
     rig.perform(&plan, start_us)?;
     rig.wait(&mut clients.0, start_us)?;
     let stood_still_ms = pulse.end();
-    Ok(Evidence { stood_still_ms, ..rig.finish(&heard)? })
+    let run_delay_ms = rig.run_delay.take().map_or(0, RunDelay::end);
+    Ok(Evidence { stood_still_ms, run_delay_ms, ..rig.finish(&heard)? })
 }
 
 /// A thread that does nothing but wake up, and tells by how much it was late.
@@ -236,6 +243,7 @@
             dead: BTreeSet::new(),
             deeds: Arc::default(),
             crashed: BTreeSet::new(),
+            run_delay: None,
         };
         for router in 0..script.routers {
             let list = rig.list(router)?;
@@ -244,6 +252,12 @@
         Ok(rig)
     }
 
+    /// All but the rig's own.
+    fn processes(&self, clients: &Clients) -> Vec<u32> {
+        let routers = self.routers.iter().flatten().map(Router::id);
+        routers.chain([self.store.child.id(), clients.0.id()]).collect()
+    }
+
     fn list(&mut self, router: usize) -> Result<Value, Fault> {
         match self.store.ask(&Order::List(router))? {
             Reply::List(list) => Ok(list),
@@ -283,7 +297,9 @@
         };
         let address = self.addresses[router];
         let Setup { router: program, folder, own, .. } = *self.setup;
-        self.routers[router] = Some(Router::spawn(program, folder, &name, address, &told.config(), own)?);
+        let started = Router::spawn(program, folder, &name, address, &told.config(), own)?;
+        self.run_delay.iter().for_each(|watch| watch.add(started.id()));
+        self.routers[router] = Some(started);
         self.did(What::Started, Some(router), format!("start {}", self.starts[router]));
         let deeds = self.deeds.clone();
         thread::spawn(move || {
@@ -485,6 +501,7 @@
             crashed: self.crashed.iter().copied().collect(),
             hung,
             stood_still_ms: 0,
+            run_delay_ms: 0,
         })
     }
 }
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -2,6 +2,7 @@
 //! One thread carries all of them. Clients come by a front, which hands them to routers and notices late that one
 //! has died.
 
+use crate::run_delay;
 use crate::script::{Ends, Fault, Way};
 use async_channel::{Receiver, Sender, bounded, unbounded};
 use async_executor::LocalExecutor;
@@ -113,7 +114,7 @@
         let (asked, asks) = unbounded();
         let routes = Arc::new(Mutex::new(Vec::new()));
         let kept = routes.clone();
-        std::thread::spawn(move || {
+        let carry = move || {
             let world = Rc::new(World {
                 executor: LocalExecutor::new(),
                 links: RefCell::default(),
@@ -121,7 +122,9 @@
                 at,
             });
             async_io::block_on(world.executor.run(world.clone().obey(asks)));
-        });
+        };
+        // Without the thread nobody answers, and the first link fails.
+        let _ = std::thread::Builder::new().name(run_delay::RELAYS.to_string()).spawn(carry);
         Relays { asked, routes }
     }
 
--- a/crates/cluster/src/router.rs
+++ b/crates/cluster/src/router.rs
@@ -148,6 +148,11 @@
         }
     }
 
+    /// Its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Whether its process has ended, and in order.
     pub fn ended(&mut self) -> Option<bool> {
         self.child.try_wait().ok().flatten().map(|status| status.success())
--- a/crates/cluster/src/tests/judging.rs
+++ b/crates/cluster/src/tests/judging.rs
@@ -45,6 +45,7 @@
         crashed: Vec::new(),
         hung: Vec::new(),
         stood_still_ms: 0,
+        run_delay_ms: 0,
     }
 }
 
--- a/crates/cluster/src/tests/mod.rs
+++ b/crates/cluster/src/tests/mod.rs
@@ -3,4 +3,5 @@
 
 mod judging;
 mod relays;
+mod run_delays;
 mod scripts;
