Control: tests for guards that no test missed when they were taken out

Taken out one by one, nine of thirty-three guards of the consensus and of the controller failed no test: which set elects a candidate, what it goes on from, that a machine left out leads nothing, changes only to the state that they were made to, contact that ends with the leader's, the state before a vote, a request to join after one to leave, and who has to know what a server said. Each has a test now.

One of the nine is no guard of its own: that a leader without authority takes no read from its queue.

--- a/crates/control/src/tests/agreement.rs
+++ b/crates/control/src/tests/agreement.rs
@@ -1,6 +1,6 @@
 //! Agreement: every order of a few messages, and longer random ones; what was acknowledged is never lost or forked.
 
-use super::net::{Net, SUSPECT};
+use super::net::{CONTACT, Net, SUSPECT};
 use crate::consensus::{Consensus, ConsensusMessage, ConsensusOutput, ConsensusTiming, Record};
 use crate::membership::{FOUNDING, Node, Voter};
 use crate::state::{REMEMBERED_ORDERS, State, Verdict};
@@ -234,12 +234,54 @@
     assert_eq!((net.leader(), net.wins.len(), net.highest()), (Some(leader), wins, highest));
 }
 
+/// A leader that is cut off from a majority goes on sending heartbeats for a while: a follower that still hears it is out of contact
+/// no later than a second after the leader was in contact itself.
+#[test]
+fn contact_ends_with_that_of_the_leader() {
+    let mut net = Net::new(5);
+    net.join(4);
+    net.join(5);
+    for node in 1..=5 {
+        net.at(node).consensus.outlives(2);
+    }
+    net.calm(3.0);
+    let leader = net.leader().expect("somebody leads");
+    let with_it = 1 + leader % 5;
+    let cut = net.now;
+    let (mut leader_until, mut until, mut heard) = (cut, cut, cut);
+    while net.now < cut + 4.0 {
+        net.now += 0.01;
+        net.tick_all();
+        while let Some(letter) = net.bag.first() {
+            let sides = [letter.from.node, letter.to.node()].map(|node| node == leader || node == with_it);
+            if sides[0] != sides[1] {
+                net.bag.remove(0);
+            } else {
+                if letter.from.node == leader && matches!(letter.message, ConsensusMessage::Heartbeat { .. })
+                {
+                    heard = net.now;
+                }
+                net.deliver(0, false);
+            }
+        }
+        if net.machines[&leader].consensus.in_contact(net.now) {
+            leader_until = net.now;
+        }
+        if net.machines[&with_it].consensus.in_contact(net.now) {
+            until = net.now;
+        }
+    }
+    assert!(leader_until <= cut + SUSPECT, "{leader_until} after {cut}");
+    assert!(until <= leader_until + CONTACT, "{until} after {leader_until}");
+    assert!(heard > leader_until + 0.2, "the leader sent no more heartbeats: the case shows nothing");
+}
+
 /// One machine that decides alone has agreed on nothing before that is on its disk.
 #[test]
 fn one_alone_agrees_on_what_is_saved() {
     let me = Voter { node: 1, incarnation: FOUNDING };
     let record = Record { state: Rc::new(State::first(vec![1])), ..Record::default() };
-    let timing = ConsensusTiming { suspect: SUSPECT, contact: 1.0 };
+    let timing = ConsensusTiming { suspect: SUSPECT, contact: CONTACT };
     let mut consensus = Consensus::new(me, record, 0.0, 7, timing);
     let mut now = 0.0;
     while consensus.leads().is_none() {
--- a/crates/control/src/tests/mod.rs
+++ b/crates/control/src/tests/mod.rs
@@ -1,6 +1,7 @@
 mod agreement;
 mod answers;
 mod differences;
+mod elections;
 mod fleet;
 mod members;
 mod net;
--- a/crates/control/src/tests/net.rs
+++ b/crates/control/src/tests/net.rs
@@ -10,7 +10,8 @@
 use std::rc::Rc;
 
 pub const SUSPECT: f64 = 0.6;
-const TIMING: ConsensusTiming = ConsensusTiming { suspect: SUSPECT, contact: 1.0 };
+pub const CONTACT: f64 = 1.0;
+const TIMING: ConsensusTiming = ConsensusTiming { suspect: SUSPECT, contact: CONTACT };
 
 /// A control machine.
 #[derive(Clone)]
--- a/crates/control/src/tests/voters.rs
+++ b/crates/control/src/tests/voters.rs
@@ -2,7 +2,7 @@
 //! within the budget somebody leads.
 
 use super::net::Net;
-use crate::consensus::ConsensusMessage;
+use crate::consensus::{ConsensusMessage, Holds};
 use crate::membership::{Membership, Node, Voter};
 use arbtest::arbtest;
 
@@ -438,6 +438,70 @@
     }
 }
 
+/// Whoever asks to join has started anew since it asked to leave: a request to leave that still waits counts no longer.
+#[test]
+fn a_request_to_join_ends_one_to_leave() {
+    for joins in [false, true] {
+        let mut net = Net::new(3);
+        five(&mut net);
+        for node in 1..=5 {
+            net.at(node).consensus.outlives(1);
+        }
+        let leader = net.leader().expect("somebody leads");
+        let one = net.machines[&(1 + leader % 5)].voter();
+        let holds = Holds::default();
+        let clock = net.now;
+        let consensus = &mut net.at(leader).consensus;
+        let mut outs = Vec::new();
+        consensus.message(clock, one, ConsensusMessage::Leave, &mut outs);
+        if joins {
+            consensus.message(clock, one, ConsensusMessage::Join { holds }, &mut outs);
+        }
+        net.take(leader, outs);
+        let mut left_out = false;
+        for _ in 0..30 {
+            net.calm(0.02);
+            left_out |= !net.machines[&leader].consensus.voters().contains(&one);
+        }
+        assert_eq!(left_out, !joins);
+    }
+}
+
+/// A machine to which nothing comes through is no voter, neither a new one nor one that has lost its disk: the set would count
+/// on a copy that it hasn't.
+#[test]
+fn who_joins_has_the_state_first() {
+    for lost_disk in [false, true] {
+        let mut net = Net::new(4);
+        net.calm(1.0);
+        let leader = net.leader().expect("somebody leads");
+        let joins = if lost_disk { 1 + leader % 3 } else { 4 };
+        if lost_disk {
+            net.restart(joins, true);
+        } else {
+            net.join(joins);
+        }
+        let voter = net.machines[&joins].voter();
+        let end = net.now + 3.0;
+        while net.now < end {
+            net.now += 0.02;
+            net.tick_all();
+            while let Some(letter) = net.bag.first() {
+                let is_state = matches!(letter.message, ConsensusMessage::Accept { .. });
+                if is_state && letter.to.node() == joins {
+                    net.bag.remove(0);
+                } else {
+                    net.deliver(0, false);
+                }
+            }
+            let membership = &net.machines[&leader].consensus.record().state.membership;
+            assert!(!membership.contains(voter), "{membership:?}");
+        }
+        net.calm(3.0);
+        assert!(net.all_decide());
+    }
+}
+
 #[test]
 fn majorities_of_a_set_and_of_two() {
     let voter = |node| Voter { node, incarnation: 0 };
--- a/crates/simulation/tests/contact.rs
+++ b/crates/simulation/tests/contact.rs
@@ -157,3 +157,27 @@
         }
     }
 }
+
+/// What a server says is confirmed only once the leader and a majority know it: not by a machine whose news reaches nobody any
+/// more, nor where it reaches the leader alone, or a majority without the leader.
+#[test]
+fn nothing_is_confirmed_for_a_server_that_too_few_know() {
+    for draining in [false, true] {
+        let (mut world, leader) = at_work(16, 5, 2);
+        let asked = 1 + leader % 5;
+        let others: Vec<Node> = (1..=5).filter(|node| *node != asked).collect();
+        let only_leader: Vec<Node> = others.iter().copied().filter(|node| *node != leader).collect();
+        for (number, unreached) in [(1, others.clone()), (2, only_leader), (3, vec![leader])] {
+            let id = format!("server-{number}");
+            for node in &unreached {
+                world.links.cut.insert((asked, *node));
+            }
+            let call = Call::Beat { id: id.clone(), beat: beat("10.0.0.1:1", 1, draining) };
+            world.call(asked, number, call);
+            world.run(1.0);
+            assert_eq!(world.replies.get(&number).map(|reply| reply.0), Some(503), "{id}");
+            world.heal_all();
+            world.run(3.0);
+        }
+    }
+}
