--- a/crates/cluster/src/tests/relays.rs
+++ b/crates/cluster/src/tests/relays.rs
@@ -51,7 +51,13 @@
     stream.set_read_timeout(Some(wait)).unwrap();
     stream.write_all(bytes).map_err(|e| e.kind())?;
     let mut room = [0; 256];
-    stream.read(&mut room).map_err(|e| e.kind())
+    loop {
+        match stream.read(&mut room) {
+            // A read with a time-out is interrupted by signals to the process, and isn't restarted by the system (signal(7)).
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            outcome => return outcome.map_err(|error| error.kind()),
+        }
+    }
 }
 
 #[test]
