Control: routers are told only changes that are agreed on

Cause: the history of changes takes in a proposal when it is made, and what a router lacked was told from it up to its newest entry. A router whose news was under way when one version was agreed on, and that confirmed it while the next one was being agreed on, was told both. If the leader was lost then, a configuration that lost its race was in force there.

Change: History::configs_between ends at the epoch that is agreed on. The simulation's routers hold configurations now, with an oracle: a router goes by nothing that no leader went by as agreed on, and whatever was acknowledged three seconds ago is in force on each while the budget is kept. FaultRun plays with two routers.

--- a/crates/control/src/controller/news.rs
+++ b/crates/control/src/controller/news.rs
@@ -233,7 +233,7 @@
     /// The configuration, for routers that go by the one of this epoch: the changes, where they are known and shorter.
     fn config_news(&self, epoch: u64) -> ConfigNews {
         let whole = || ConfigNews::Whole(self.current.config.clone());
-        let changes = self.consensus.history().configs_since(epoch);
+        let changes = self.consensus.history().configs_between(epoch, self.current.epoch);
         let size = |changes: &[Rc<Difference>]| changes.iter().map(|change| change.size()).sum::<usize>();
         let shorter = changes.filter(|changes| size(changes) < self.current.config.len());
         shorter.map_or_else(whole, ConfigNews::Changes)
--- a/crates/control/src/history.rs
+++ b/crates/control/src/history.rs
@@ -51,20 +51,25 @@
         Some(self.entries.range(at..).map(|entry| entry.change.clone()).collect())
     }
 
-    /// The changes of the configuration since the one of this epoch; none if they are not all known as differences.
-    pub fn configs_since(&self, epoch: u64) -> Option<Vec<Rc<Difference>>> {
+    /// The changes from the configuration of one epoch to that of another; none if they are not all known as differences.
+    /// What is held now may be ahead of what is agreed on, so where the changes end has to be said.
+    pub fn configs_between(&self, from: u64, to: u64) -> Option<Vec<Rc<Difference>>> {
         let of = |entry: &Entry| match &*entry.change {
-            Change::Config { text, .. } => Some((entry.epoch_before, text.clone())),
+            Change::Config { epoch, text } => Some((entry.epoch_before, *epoch, text.clone())),
             _ => None,
         };
         let configs = self.entries.iter().filter_map(of);
-        let since: Vec<Text> =
-            configs.skip_while(|(before, _)| *before != epoch).map(|(_, text)| text).collect();
-        let difference = |text: Text| match text {
+        let since = configs.skip_while(|(before, _, _)| *before != from);
+        let between: Vec<(u64, Text)> =
+            since.map(|(_, epoch, text)| (epoch, text)).take_while(|(epoch, _)| *epoch <= to).collect();
+        if between.last().is_none_or(|(epoch, _)| *epoch != to) {
+            return None;
+        }
+        let difference = |(_, text): (u64, Text)| match text {
             Text::Difference(difference) => Some(difference),
             Text::Whole(_) => None,
         };
-        if since.is_empty() { None } else { since.into_iter().map(difference).collect() }
+        between.into_iter().map(difference).collect()
     }
 
     /// About how many bytes these changes take.
--- a/crates/control/src/tests/differences.rs
+++ b/crates/control/src/tests/differences.rs
@@ -77,10 +77,16 @@
         assert_eq!(made.as_ref(), Some(&newest));
     }
     assert_eq!(history.since(Digest::of(b"another")), None);
-    let changes = ConfigNews::Changes(history.configs_since(states[3].epoch).expect("all are known"));
-    assert_eq!(changes.resolve(&states[3].config).as_ref(), Some(&newest.config));
-    assert_eq!(changes.resolve(&states[4].config), None, "made for another one");
-    assert_eq!(history.configs_since(999), None);
+    let changes = |from: u64, to: u64| history.configs_between(from, to).map(ConfigNews::Changes);
+    let all = changes(states[3].epoch, newest.epoch).expect("all are known");
+    assert_eq!(all.resolve(&states[3].config).as_ref(), Some(&newest.config));
+    assert_eq!(all.resolve(&states[4].config), None, "made for another one");
+    // Up to an earlier one: what came behind it isn't told.
+    let some = changes(states[3].epoch, states[7].epoch).expect("all are known");
+    assert_eq!(some.resolve(&states[3].config).as_ref(), Some(&states[7].config));
+    assert_eq!(changes(999, newest.epoch), None);
+    assert_eq!(changes(states[3].epoch, 999), None);
+    assert_eq!(changes(states[7].epoch, states[3].epoch), None);
     // Another state's changes lead nowhere from this one.
     let other = State { epoch: 5, config: config(5, 50, 1), ..State::default() };
     let changes = history.since(states[6].digest()).unwrap();
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -8,6 +8,9 @@
 /// Operators at work at once.
 const OPERATORS: usize = 6;
 
+/// Routers that are told of configurations.
+const ROUTERS: usize = 2;
+
 /// What may happen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
@@ -80,6 +83,9 @@
         for _ in 0..OPERATORS {
             world.add_operator();
         }
+        for at in 0..ROUTERS {
+            world.add_router(at);
+        }
         let next_node = machines + 1;
         FaultRun { world, chance: Chance::new(seed ^ 0x5eed), undo: Vec::new(), next_node, story: Vec::new() }
     }
--- a/crates/simulation/src/oracle.rs
+++ b/crates/simulation/src/oracle.rs
@@ -7,6 +7,7 @@
 use crate::world::World;
 use badgerstream_control::{Digest, Node, Voter};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 /// A machine counts as lost for so many seconds after it is back.
 pub const CATCH_UP: f64 = 4.0;
@@ -14,6 +15,8 @@
 pub const SERVED_WITHIN: f64 = 3.0;
 /// With the budget kept and nothing happening, it agrees on a change within so many seconds.
 pub const AGREED_WITHIN: f64 = 6.0;
+/// What was acknowledged so many seconds ago is in force on every router.
+const IN_FORCE_WITHIN: f64 = 3.0;
 /// A save that takes longer, in seconds, is a disk in trouble.
 const SLOW_SAVE: f64 = 0.02;
 
@@ -22,6 +25,8 @@
 pub struct Seen {
     /// States that were agreed on, by number.
     agreed: BTreeMap<u64, (Digest, u64)>,
+    /// Configurations that a leader went by as agreed on, by epoch.
+    configs: BTreeMap<u64, Rc<[u8]>>,
     /// The newest state of each machine that was looked at.
     looked_at: BTreeMap<Node, (u64, u64)>,
     /// When something last happened to a machine or a link.
@@ -89,6 +94,24 @@
             .collect();
         assert!(acting.len() < 2, "{}: two control machines may act at once: {acting:?}", self.now);
         self.check_agreed();
+        self.note_configs();
+    }
+
+    /// Leaders go by one configuration of an epoch.
+    fn note_configs(&mut self) {
+        for (node, machine) in &self.controls {
+            let Some(controller) = machine.controller.as_ref().filter(|c| c.leads()) else { continue };
+            let (epoch, text) = controller.config();
+            let known = self.seen.configs.entry(epoch).or_insert_with(|| Rc::from(text));
+            assert!(**known == *text, "{}: {node} goes by another configuration {epoch}", self.now);
+        }
+    }
+
+    /// A router goes by a configuration from now on.
+    pub(crate) fn judge_in_force(&self, router: usize, epoch: u64, text: &[u8]) {
+        self.say(|| format!("router {router} goes by {epoch}"));
+        let agreed = self.seen.configs.get(&epoch).is_some_and(|known| **known == *text);
+        assert!(agreed, "{}: router {router} goes by {epoch}, which was not agreed on", self.now);
     }
 
     fn check_primaries(&self) {
@@ -172,7 +195,7 @@
         assert!(newest.is_none_or(|(e, b)| e != epoch || b != body), "{now}: order {at} in force is refused");
     }
 
-    fn newest_config(&self) -> Option<(u64, std::rc::Rc<[u8]>)> {
+    fn newest_config(&self) -> Option<(u64, Rc<[u8]>)> {
         let agreed = |machine: &Machine| {
             let state = machine.controller.as_ref()?.consensus().agreed()?;
             Some((state.seq, state.epoch, state.config.clone()))
@@ -211,11 +234,22 @@
             self.controls.len(),
             self.describe()
         );
+        self.check_in_force();
         if since > CATCH_UP {
             self.check_voters();
         }
     }
 
+    /// What was acknowledged a while ago is in force on every router.
+    fn check_in_force(&self) {
+        let due = self.orders.iter().filter(|order| order.confirmed < self.now - IN_FORCE_WITHIN);
+        let newest = due.map(|order| order.epoch).max().unwrap_or(0);
+        for router in self.routers.iter().filter(|router| !router.frozen) {
+            let (name, in_force) = (&router.name, router.in_force);
+            assert!(in_force >= newest, "{}: {name} goes by {in_force}, not {newest}", self.now);
+        }
+    }
+
     /// Whoever is well for long enough decides, if there is a place.
     fn check_voters(&self) {
         let Some(leader) = self.leader() else { return };
--- a/crates/simulation/src/routers.rs
+++ b/crates/simulation/src/routers.rs
@@ -1,9 +1,11 @@
 //! Routers: their leases, grants and traffic.
 
+use crate::operators::epoch_of;
 use crate::servers::{Health, SERVICE};
 use crate::world::{Event, World};
-use badgerstream_control::{Ballot, Evidence, GrantNews, Node, ToControl, ToRouter};
+use badgerstream_control::{Ballot, ConfigNews, Evidence, GrantNews, Node, ToControl, ToRouter};
 use std::collections::HashMap;
+use std::rc::Rc;
 
 #[derive(Clone, Debug)]
 struct Conn {
@@ -30,11 +32,23 @@
     grants: HashMap<String, GrantNews>,
     pub lease_until: f64,
     fading: HashMap<String, (GrantNews, f64)>,
+    /// The configuration that it holds; empty if it holds none.
+    config: Rc<[u8]>,
+    /// The highest epoch that was in force in this life; 0 before the first.
+    pub in_force: u64,
+    /// The control machines that it knows.
+    nodes: Vec<Node>,
     pub(crate) evidence: Option<(String, f64)>,
     pub(crate) inbox: Vec<Event>,
 }
 
 impl Router {
+    /// The text that it goes by once it was told this. What it can make nothing of it asks for whole.
+    fn read_config(&mut self, news: &ConfigNews) -> Rc<[u8]> {
+        self.config = news.resolve(&self.config).unwrap_or_else(|| Rc::from([]));
+        self.config.clone()
+    }
+
     /// The server that it may use as primary at that second of its own clock.
     pub(crate) fn primary(&self, clock: f64) -> Option<&GrantNews> {
         match self.grants.get(SERVICE) {
@@ -86,6 +100,9 @@
             grants: HashMap::new(),
             lease_until: f64::NEG_INFINITY,
             fading: HashMap::new(),
+            config: Rc::from([]),
+            in_force: 0,
+            nodes: self.seeds.clone(),
             evidence: None,
             inbox: Vec::new(),
         });
@@ -153,7 +170,7 @@
             }
             return;
         }
-        let node = it.hint.take().unwrap_or(1 + (it.turn % 3) as Node);
+        let node = it.hint.take().unwrap_or(it.nodes[it.turn % it.nodes.len()]);
         it.turn += 1;
         let control = &self.controls[&node];
         if control.health == Health::Up && !self.apart.contains(&(node, router)) {
@@ -179,7 +196,7 @@
             life: it.life,
             sent: now,
             known: it.known,
-            epoch: 0,
+            epoch: epoch_of(&it.config),
             evidence: evidence.collect(),
         };
         let Some(conn) = &mut it.conn else { return };
@@ -195,15 +212,23 @@
             return;
         }
         let now = self.now + it.offset;
-        let (known, sent, lease, whole, grants) = match message {
-            ToRouter::Elsewhere { leader, .. } => {
+        let (known, sent, lease, whole, grants, config, voters) = match message {
+            ToRouter::Elsewhere { leader, voters } => {
                 let node = it.conn.take().map(|c| c.node);
                 it.hint = leader.filter(|l| Some(*l) != node);
+                it.nodes = voters;
                 return;
             }
-            ToRouter::News { known, sent, lease, whole, grants, .. } => (known, sent, lease, whole, grants),
+            ToRouter::News { known, sent, lease, whole, grants, config, voters, .. } => {
+                (known, sent, lease, whole, grants, config, voters)
+            }
         };
+        let mut told = None;
         if known.0 >= it.known.0 {
+            if !voters.is_empty() {
+                it.nodes = voters;
+            }
+            told = config.map(|news| it.read_config(&news));
             if whole {
                 let until = it.lease_until;
                 let old = it.grants.drain().filter(|(_, g)| !g.closing);
@@ -223,11 +248,24 @@
         }
         if sent.is_some() {
             it.answered = now;
-        } else {
+        }
+        if let Some(text) = told {
+            self.put_in_force(router, &text);
+        }
+        if sent.is_none() {
             self.renew(router);
         }
     }
 
+    /// A router goes by this configuration if it is newer than the one before.
+    fn put_in_force(&mut self, router: usize, text: &[u8]) {
+        let epoch = epoch_of(text);
+        if epoch > self.routers[router].in_force {
+            self.judge_in_force(router, epoch, text);
+            self.routers[router].in_force = epoch;
+        }
+    }
+
     /// The primary that all routers may use, if it leads.
     pub fn in_use(&self) -> Option<String> {
         let mut used = None;
--- a/crates/simulation/tests/contact.rs
+++ b/crates/simulation/tests/contact.rs
@@ -3,6 +3,7 @@
 use badgerstream_control::{Call, Node};
 use badgerstream_simulation::World;
 use badgerstream_simulation::servers::beat;
+use std::rc::Rc;
 
 /// Control machines that have settled, and operators at work.
 fn at_work(seed: u64, machines: u32, budget: usize) -> (World, Node) {
@@ -181,3 +182,46 @@
         }
     }
 }
+
+/// A configuration of this epoch that is long enough for a change of it to be shorter.
+fn config(epoch: u64, by: &str) -> Rc<[u8]> {
+    let routes: Vec<String> = (0..40).map(|route| format!("{{\"name\":\"r{route}\",\"rank\":1}}")).collect();
+    format!("{{\"epoch\":{epoch},\"by\":\"{by}\",\"routes\":[{}]}}", routes.join(",")).into_bytes().into()
+}
+
+/// A router that lacks a version asks while the next one is being agreed on, at every moment of that: it is told only what is
+/// agreed on, also if the leader is cut off and another order wins under that number.
+#[test]
+fn a_router_is_told_nothing_that_is_not_agreed_on() {
+    for moment in 0..40 {
+        for cut in [false, true] {
+            let mut world = World::control_only(21, 3, 1);
+            world.add_router(0);
+            world.run(3.0);
+            let leader = world.leader().expect("somebody leads");
+            let replace = |base, epoch, by| Call::Replace { base, epoch, body: config(epoch, by) };
+            world.call(leader, 1, replace(0, 1, "a"));
+            world.run(0.5);
+            assert_eq!(world.routers[0].in_force, 1);
+            world.freeze_router(0);
+            // The second version is on its way to it, so that the third one has to wait.
+            world.call(leader, 2, replace(1, 2, "a"));
+            world.run(0.1);
+            world.call(leader, 3, replace(2, 3, "a"));
+            world.run(0.1);
+            if cut {
+                world.cut_off(leader, true, true);
+            }
+            world.call(leader, 4, replace(3, 4, "lost"));
+            world.run(0.002 * f64::from(moment));
+            world.thaw_router(0);
+            world.run(2.0);
+            if cut {
+                let next = world.leader().filter(|next| *next != leader).expect("another one leads");
+                world.call(next, 5, replace(3, 4, "won"));
+                world.run(1.0);
+            }
+            assert_eq!(world.routers[0].in_force, 4);
+        }
+    }
+}
