Fail-over: who is new at a server's address has its log, and is waited for in its place

Cause: a server that crashed comes back at its address under another id, with its log. The id that it had went on counting as a copy that may alone hold commits, for the minute in which it is remembered; a primary that was promoted by us and came back so wasn't recognised, as the record names its id; and a PAUSE that met it before anything was known of it was taken for effective, though a primary can't be paused, which held the change up for good.

Change: Members knows which server has taken the place of which (same service and address, heard since). Who was succeeded is neither lost nor a copy to be paused; a successor of the server of record that leads its term or a later one is the primary, and its id is agreed on as such. A PAUSE answered by a primary is none.

--- a/crates/control/src/failover/closing.rs
+++ b/crates/control/src/failover/closing.rs
@@ -31,8 +31,8 @@
             return;
         }
         let primary = self.primary.as_ref().map(|p| p.id.clone());
-        // Once it has given up the lead it is a copy like the others.
-        let old = primary.filter(|id| !self.is_replica(id, around.now));
+        // Once it has given up the lead it is a copy like the others, and so is whoever has its log now.
+        let old = primary.filter(|id| !self.is_replica(id, around.now) && around.successor(id).is_none());
         // Whoever was promoted before may lead by now.
         let found = self.found(around).filter(|found| Some(&found.id) != old.as_ref());
         let given_back = self.given_back(around);
--- a/crates/control/src/failover/finding.rs
+++ b/crates/control/src/failover/finding.rs
@@ -45,7 +45,8 @@
             }
             // Under the leader before us routers may have used another until a moment ago.
             (None, Revocation::None)
-                if around.record.is_some_and(|r| r.1 != found.term) && !(around.all_know)(0) =>
+                if around.record.is_some_and(|record| record != (found.id.as_str(), found.term))
+                    && !(around.all_know)(0) =>
             {
                 return;
             }
@@ -65,7 +66,7 @@
             Some(Primary { id: m.id.clone(), term: row.term })
         })?;
         let of_record = match around.record {
-            Some((id, above)) => id == found.id && found.term >= above,
+            Some(_) => around.is_of_record(&found.id, found.term),
             // Nobody was promoted by us: whoever leads is the primary, once all that are known were asked.
             None => {
                 let known = around.members.iter().all(|m| self.observed(&m.id).row.is_some());
--- a/crates/control/src/failover/observation.rs
+++ b/crates/control/src/failover/observation.rs
@@ -49,6 +49,8 @@
         self.row_asked = asked;
         self.busy = false;
         match statement {
+            // A primary can't be paused, and says that it leads.
+            Statement::Pause(_) if row.leader => (self.paused, self.pausing) = (None, None),
             Statement::Pause(term) => {
                 self.paused = Some((term, row.received));
                 self.pause_confirmed = None;
--- a/crates/control/src/failover/types.rs
+++ b/crates/control/src/failover/types.rs
@@ -79,6 +79,8 @@
     /// The primary that was agreed on last: it leads this term or a later one. Just this one, once no router can use
     /// another any more.
     pub record: Option<(&'a str, u64)>,
+    /// Whether the second server has taken the place of the first one, at its address and with its log.
+    pub succeeds: &'a dyn Fn(&str, &str) -> bool,
     /// Whether all routers know of all that was told up to this number.
     pub all_know: &'a dyn Fn(u64) -> bool,
     /// Since when this machine leads.
@@ -95,6 +97,18 @@
         self.members.iter().any(|m| m.id == id)
     }
 
+    /// The member that has taken the place of this server, with its log.
+    pub(super) fn successor(&self, id: &str) -> Option<&Candidate> {
+        self.members.iter().find(|member| (self.succeeds)(id, &member.id))
+    }
+
+    /// Whether this server, which leads that term, is the primary that was agreed on last, under whatever id.
+    pub(super) fn is_of_record(&self, id: &str, term: u64) -> bool {
+        self.record.is_some_and(|(of_record, above)| {
+            term >= above && (of_record == id || (self.succeeds)(of_record, id))
+        })
+    }
+
     /// Since when this member drains.
     pub(super) fn draining_since(&self, id: &str) -> Option<f64> {
         self.members.iter().find(|m| m.id == id).and_then(|m| m.draining_since)
--- a/crates/control/src/failover/watching.rs
+++ b/crates/control/src/failover/watching.rs
@@ -70,7 +70,7 @@
 
     /// Has it agreed on that the change to this primary is complete, unless that is on record.
     fn settle_record(&mut self, around: &Around<'_>, primary: &Primary, acts: &mut Vec<Act>) {
-        let open = around.record.is_some_and(|(id, above)| id == primary.id && above != primary.term);
+        let open = around.record.is_some_and(|record| record != (primary.id.as_str(), primary.term));
         if open && around.now > self.settle {
             self.settle = around.now + SETTLE_AGAIN_S;
             acts.push(Act::Settle { id: primary.id.clone(), term: primary.term });
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -44,6 +44,17 @@
     pub confirmed: bool,
 }
 
+impl Member {
+    /// Whether that one was heard at its address since it was heard itself.
+    fn is_succeeded_by(&self, other: &Member) -> bool {
+        let (this, other_news) = (&self.news, &other.news);
+        this.id != other_news.id
+            && this.service == other_news.service
+            && this.endpoint == other_news.endpoint
+            && other.heard > self.heard
+    }
+}
+
 /// All servers by id.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
@@ -197,11 +208,23 @@
     /// Those of a service that left or fell silent, as far as they are remembered, and from when on they took part in
     /// nothing: whoever lives sends beats.
     pub(crate) fn lost(&self, service: &str, heartbeat: f64) -> Vec<(String, f64)> {
-        let gone = self.named(service).filter(|m| m.news.gone);
+        let gone = self.named(service).filter(|m| m.news.gone && !self.is_succeeded(m));
         let since = |m: &Member| m.heard + if m.news.call_seq == u64::MAX { 0.1 } else { 2.0 * heartbeat };
         gone.map(|m| (m.news.id.clone(), since(m))).collect()
     }
 
+    /// Whether the second server has taken the place of the first one: whoever is new at the address of a server of its
+    /// service has that one's log.
+    pub(crate) fn succeeds(&self, old: &str, new: &str) -> bool {
+        let (Some(old), Some(new)) = (self.all.get(old), self.get(new)) else { return false };
+        old.is_succeeded_by(new)
+    }
+
+    /// Whether a server that is there has taken the place of this one.
+    pub(crate) fn is_succeeded(&self, member: &Member) -> bool {
+        self.named(&member.news.service).any(|other| member.is_succeeded_by(other))
+    }
+
     /// All, also those that have left and are still remembered.
     pub fn all(&self) -> impl Iterator<Item = &Member> {
         self.all.values()
--- a/crates/control/src/tests/members.rs
+++ b/crates/control/src/tests/members.rs
@@ -72,6 +72,33 @@
     assert!(members.lost("s", 1.2).is_empty());
 }
 
+/// Whoever is new at the address of another one of its service has its log: that one is lost no longer, whichever is known to
+/// be gone, until it is heard again itself.
+#[test]
+fn who_comes_at_an_address_has_the_log_of_who_was_there() {
+    let at = |seq, endpoint: &str| Beat { endpoint: endpoint.to_owned(), ..beat(seq, Phase::Ready) };
+    let mut members = Members::default();
+    members.beat(0.0, "a", &at(1, "10.0.0.1:1"), 1);
+    members.beat(0.0, "b", &at(1, "10.0.0.2:1"), 1);
+    members.sweep(5.0, 4.8, 2);
+    assert_eq!(members.lost("s", 1.2).len(), 2);
+    members.beat(6.0, "c", &at(1, "10.0.0.1:1"), 3);
+    assert!(members.succeeds("a", "c") && !members.succeeds("b", "c") && !members.succeeds("c", "a"));
+    assert_eq!(members.lost("s", 1.2), [("b".to_owned(), 2.4)]);
+    // The third at that address is the last one; of those before it none is counted besides.
+    members.sweep(11.0, 4.8, 4);
+    assert_eq!(members.lost("s", 1.2), [("b".to_owned(), 2.4), ("c".to_owned(), 8.4)]);
+    members.beat(12.0, "d", &at(1, "10.0.0.1:1"), 5);
+    assert_eq!(members.lost("s", 1.2), [("b".to_owned(), 2.4)]);
+    // One that is heard again itself is there.
+    members.beat(13.0, "a", &at(2, "10.0.0.1:1"), 6);
+    assert!(!members.succeeds("a", "d") && members.succeeds("d", "a"));
+    // Another service's server at an address says nothing of who was there.
+    let other = Beat { service: "t".to_owned(), ..at(1, "10.0.0.2:1") };
+    members.beat(14.0, "e", &other, 7);
+    assert!(!members.succeeds("b", "e"));
+}
+
 #[test]
 fn a_lease_ends_when_it_is_known_or_over() {
     let mut sessions = Leases::begin(1.0);
--- a/crates/control/src/tests/promotions.rs
+++ b/crates/control/src/tests/promotions.rs
@@ -93,6 +93,7 @@
             members: &self.members,
             lost: &[],
             record: Some(record),
+            succeeds: &|_, _| false,
             all_know: &|_| true,
             since: 0.0,
             not_before: 0.0,
--- a/crates/simulation/src/servers.rs
+++ b/crates/simulation/src/servers.rs
@@ -116,6 +116,21 @@
         self.put(0.01, Event::Beat(id.to_owned()));
     }
 
+    /// A server that is gone is back at its address under another id, with its log; it leads if nobody was promoted since.
+    pub fn recover_as(&mut self, old: &str, new: &str) {
+        let gone = self.servers.get_mut(old).expect("the server exists");
+        gone.left = true;
+        gone.health = Health::Down;
+        let gone = gone.clone();
+        let top = self.servers.values().map(|server| server.term).max().unwrap_or(0);
+        self.add_server(new, &gone.endpoint, gone.leader && gone.term == top);
+        let apart_until = self.now + 0.25;
+        let server = self.servers.get_mut(new).expect("it was added");
+        (server.log, server.term, server.acked) = (gone.log, top, gone.acked);
+        server.apart_until = apart_until;
+        self.servers.get_mut(old).expect("the server exists").leader = false;
+    }
+
     pub fn drain(&mut self, id: &str) {
         self.say(|| format!("server {id} drains"));
         self.servers.get_mut(id).unwrap().draining = true;
@@ -142,11 +157,13 @@
             Statement::Pause(term) => {
                 let newest = if heard { server.term.max(server.heard_of) } else { server.term };
                 let again = server.held == Some(term) && !once;
-                if server.leader || !(again || term > newest && server.held.is_none_or(|h| term > h)) {
-                    return None;
+                if !server.leader {
+                    if !(again || term > newest && server.held.is_none_or(|h| term > h)) {
+                        return None;
+                    }
+                    server.held = Some(term);
+                    server.heard_of = server.heard_of.max(term);
                 }
-                server.held = Some(term);
-                server.heard_of = server.heard_of.max(term);
             }
             Statement::Resume => server.held = None,
             Statement::StepDown(term) => {
--- a/crates/simulation/tests/failover.rs
+++ b/crates/simulation/tests/failover.rs
@@ -230,6 +230,65 @@
     }
 }
 
+/// A primary that was promoted by us and a replica go one after the other, with commits that the third server lacks: the primary
+/// and the third one.
+fn two_of_three_lost(seed: u64) -> (World, String, &'static str) {
+    let mut world = steady(seed);
+    world.crash("a");
+    world.run(0.5);
+    world.run_until(4.0, "writes at another", World::writes);
+    world.recover("a");
+    world.run(2.0);
+    let promoted = world.in_use().expect("a primary");
+    let behind = if promoted == "b" { "c" } else { "b" };
+    world.servers.get_mut(behind).expect("a replica").deaf = true;
+    world.run(0.5);
+    world.crash("a");
+    world.run(0.2);
+    world.crash(&promoted);
+    world.run(1.0);
+    (world, promoted, behind)
+}
+
+/// The same where it was promoted by us and alone has all commits, and where another control machine leads by then.
+#[test]
+fn a_promoted_primary_that_restarts_with_a_new_id_is_found() {
+    for seed in 0..6 {
+        for leader_lost in [false, true] {
+            let (mut world, promoted, behind) = two_of_three_lost(seed);
+            if leader_lost {
+                let leader = world.leader().expect("somebody leads");
+                world.kill(leader);
+            }
+            world.run(1.0);
+            assert!(!world.writes() && world.promoted.len() == 1, "it is waited for");
+            world.recover_as(&promoted, "d");
+            world.servers.get_mut(behind).expect("a replica").deaf = false;
+            world.run_until(if leader_lost { 5.0 } else { 2.0 }, "writes", World::writes);
+        }
+    }
+}
+
+/// Who is back at its address under another id has the log of who was there: nobody waits for the one that it was.
+#[test]
+fn servers_that_are_back_under_new_ids_are_waited_for_no_longer() {
+    for seed in 0..6 {
+        let (mut world, promoted, behind) = two_of_three_lost(seed);
+        let leader = world.leader().expect("somebody leads");
+        world.kill(leader);
+        world.run(3.0);
+        assert!(!world.writes() && world.promoted.len() == 1, "both are waited for");
+        world.recover_as("a", "d");
+        world.run(0.5);
+        world.recover_as(&promoted, "e");
+        // It was told to follow by a leader before.
+        world.servers.get_mut("e").expect("it is back").leader = false;
+        world.servers.get_mut(behind).expect("a replica").deaf = false;
+        world.start(leader);
+        world.run_until(6.0, "writes", World::writes);
+    }
+}
+
 #[test]
 fn a_promote_whose_answer_is_lost() {
     for seed in 0..6 {
@@ -480,11 +539,12 @@
     world.lost_posts = u.int_in_range(0..=500)?;
     world.run(3.0);
     let mut next = b'd';
+    let mut reborn = 0;
     for _ in 0..u.int_in_range(1..=8)? {
         let node = u.int_in_range(1..=3)?;
         let servers: Vec<String> = world.servers.values().filter(|s| !s.left).map(|s| s.id.clone()).collect();
         let server = u.choose(&servers)?.clone();
-        match u.int_in_range(0..=13)? {
+        match u.int_in_range(0..=14)? {
             0 => world.kill(node),
             1 if world.controls[&node].controller.is_none() => world.start(node),
             2 if world.controls[&node].controller.is_some() => world.freeze(node),
@@ -514,6 +574,12 @@
             12 => {
                 world.deaf_controls.insert(node);
             }
+            13 if world.servers[&server].health == Health::Down => {
+                let id = char::from(next).to_string();
+                next += 1;
+                world.recover_as(&server, &id);
+                reborn += 1;
+            }
             _ => {
                 world.heal_all();
                 world.deaf_controls.clear();
@@ -551,7 +617,7 @@
         }
     }
     // Of two that left in the midst of trouble nobody can tell what they took with them.
-    if world.servers.values().filter(|s| s.left).count() < 2 {
+    if world.servers.values().filter(|s| s.left).count() < 2 + reborn {
         world.run(0.2);
         world.run_until(25.0, "writes once all is calm", World::writes);
     }
