Control: a leader that hears no majority tells the others that it leads no longer

Cause: a leader that hears nobody, though it is heard, stepped down after 1.2 s in silence, and the others missed it 0.6 s later only.

Change: it sends its resignation, as one that is asked to end does. Tests of one machine's answers for guards that no test missed when they were taken out: promises and answers to heartbeats behind their saves, no promise while a leader may act, late resignations, canvasses of who was left out, states that were overtaken.

--- a/crates/control/src/consensus/replication.rs
+++ b/crates/control/src/consensus/replication.rs
@@ -231,7 +231,8 @@
     pub(super) fn send_heartbeats(&mut self, now: f64, out: &mut Vec<ConsensusOutput>) {
         if self.has_lost_its_majority(now) {
             log::info!("event=majority_lost");
-            self.follow(out);
+            // Where it is heard all the same, nobody need miss it first.
+            self.give_up_the_lead(out);
             self.heard = now;
             return;
         }
--- a/crates/control/src/consensus/voters.rs
+++ b/crates/control/src/consensus/voters.rs
@@ -116,7 +116,7 @@
     }
 
     /// Leads no longer and tells the others, so that they need not miss it first.
-    fn give_up_the_lead(&mut self, out: &mut Vec<ConsensusOutput>) {
+    pub(super) fn give_up_the_lead(&mut self, out: &mut Vec<ConsensusOutput>) {
         if let Role::Leader(leading) = &self.role {
             let ballot = leading.ballot;
             let others = self.record.state.membership.all().filter(|voter| *voter != self.me);
--- a/crates/control/src/tests/mod.rs
+++ b/crates/control/src/tests/mod.rs
@@ -3,6 +3,7 @@
 mod differences;
 mod elections;
 mod fleet;
+mod guards;
 mod members;
 mod net;
 mod promotions;
--- a/crates/simulation/tests/contact.rs
+++ b/crates/simulation/tests/contact.rs
@@ -39,6 +39,19 @@
     }
 }
 
+/// A leader that hears nobody, though it is heard, gives up the lead and says so: another one leads soon.
+#[test]
+fn a_leader_that_hears_nobody_makes_room_soon() {
+    for seed in 0..20 {
+        for (machines, budget) in [(3, 1), (5, 2), (6, 2)] {
+            let (mut world, leader) = at_work(seed, machines, budget);
+            world.cut_off(leader, true, false);
+            let leads = |w: &World| w.leader().is_some_and(|now| now != leader);
+            world.run_until(1.6, "another leads", leads);
+        }
+    }
+}
+
 fn calls() -> [(&'static str, Call); 4] {
     let body = b"{\"epoch\":999999}".as_slice();
     [
