Node: a state for another control machine is written for as long as it gets on

Cause: a frame between control machines had one second for the whole of it. A state that takes a slow link longer broke its connection and was begun anew, for ever.

Change: the connection ends when nothing of it was taken for a second, as with routers' sessions; one function serves both.

Measured: a_slow_reader_is_waited_for_and_a_stalled_one_is_not, 12 MB to a reader that takes longer than the limit for it.

--- a/crates/node/src/control/links.rs
+++ b/crates/node/src/control/links.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// A control machine whose connection takes nothing for so many seconds is tried on a new one.
+const STALLED: f64 = 1.0;
+
 impl Control {
     /// Rung whenever this control machine has opened a connection to here.
     pub(super) fn heard_of(&self, node: Node) -> Rc<Notify> {
@@ -70,7 +73,9 @@
                     Err(io::ErrorKind::ConnectionReset.into())
                 };
                 told = match future::or(next, ended).await {
-                    Ok(Some(message)) => frames::within(1.0, frames::write(&mut &stream, &message)).await,
+                    Ok(Some(message)) => {
+                        frames::write_slowly(&mut &stream, &frames::bytes(&message), STALLED).await
+                    }
                     Ok(None) => return,
                     Err(e) => Err(e),
                 };
--- a/crates/node/src/control/sessions.rs
+++ b/crates/node/src/control/sessions.rs
@@ -3,12 +3,9 @@
 
 use super::*;
 use async_executor::Task;
-use futures_lite::AsyncWriteExt;
 
 /// A router whose connection takes nothing for so many seconds is gone.
 const STALLED: f64 = 1.5;
-/// What is written at once, in bytes: a slow connection shows that it takes something.
-const WRITTEN_AT_ONCE: usize = 4 << 10;
 
 /// The sessions of all routers.
 #[derive(Default)]
@@ -111,29 +108,21 @@
 
 async fn write_next(stream: &Async<TcpStream>, outbox: &Outbox) -> io::Result<()> {
     let rings = outbox.filled.generation();
+    let mut writer = stream;
     if let Some(answer) = outbox.answer.take() {
         let bytes = frames::bytes(&Frame::News(Rc::new(answer)));
-        return write_slowly(stream, &bytes).await;
+        return frames::write_slowly(&mut writer, &bytes, STALLED).await;
     }
     let news = outbox.news.borrow().clone();
     let Some(bytes) = news else {
         outbox.filled.notified_since(rings).await;
         return Ok(());
     };
-    write_slowly(stream, &bytes).await?;
+    frames::write_slowly(&mut writer, &bytes, STALLED).await?;
     outbox.news.take();
     Ok(())
 }
 
-/// Writes all of it, for as long as the other side takes some of it now and then.
-async fn write_slowly(stream: &Async<TcpStream>, bytes: &[u8]) -> io::Result<()> {
-    let mut writer = stream;
-    for part in bytes.chunks(WRITTEN_AT_ONCE) {
-        frames::within(STALLED, writer.write_all(part)).await?;
-    }
-    Ok(())
-}
-
 #[cfg(test)]
 #[path = "../tests/sessions.rs"]
 mod tests;
--- a/crates/node/src/frames.rs
+++ b/crates/node/src/frames.rs
@@ -24,6 +24,9 @@
 /// was without power is sent again only after a second, and by then it may have been up for long.
 pub const CONNECT: f64 = 0.2;
 
+/// What is written at once, in bytes: a slow connection shows that it takes something.
+const WRITTEN_AT_ONCE: usize = 4 << 10;
+
 /// One message on a connection.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum Frame {
@@ -89,6 +92,16 @@
     stream.write_all(&bytes(frame)).await
 }
 
+/// Writes all of it, however long that takes, for as long as the other side takes some of it within so many seconds.
+pub async fn write_slowly(
+    stream: &mut (impl AsyncWriteExt + Unpin), bytes: &[u8], stalled_s: f64,
+) -> Result<()> {
+    for part in bytes.chunks(WRITTEN_AT_ONCE) {
+        within(stalled_s, stream.write_all(part)).await?;
+    }
+    Ok(())
+}
+
 /// This work, unless the time runs out first.
 pub async fn within<T>(seconds: f64, work: impl Future<Output = Result<T>>) -> Result<T> {
     let late = async {
--- a/crates/node/src/tests/frames.rs
+++ b/crates/node/src/tests/frames.rs
@@ -1,8 +1,11 @@
 //! Frames, long and short.
 
 use crate::frames::{self, Frame, MOST};
+use async_io::{Async, Timer};
 use badgerstream_control::{Ballot, MemberNews, PeerMessage, Recipient, Voter};
-use futures_lite::{future, io::Cursor};
+use futures_lite::{AsyncReadExt, future, io::Cursor};
+use std::net::{Ipv4Addr, TcpListener, TcpStream};
+use std::time::Duration;
 
 fn members(count: usize) -> Frame {
     let member = |n: usize| MemberNews {
@@ -58,3 +61,35 @@
         assert_eq!(read(refused).unwrap_err().to_string(), "a frame can't be decompressed");
     }
 }
+
+/// Two ends of a connection.
+fn connection() -> (Async<TcpStream>, Async<TcpStream>) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let one = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (other, _) = listener.accept().unwrap();
+    (Async::new(one).unwrap(), Async::new(other).unwrap())
+}
+
+/// A whole state over a link that needs longer for it than a stalled one is given arrives; one that takes nothing ends the
+/// connection.
+#[test]
+fn a_slow_reader_is_waited_for_and_a_stalled_one_is_not() {
+    const STALLED_S: f64 = 0.4;
+    let bytes = vec![7; 12 << 20];
+    let (mut writer, mut reader) = connection();
+    let slow = async {
+        let (mut read, mut room) = (0, vec![0; 256 << 10]);
+        while read < bytes.len() {
+            Timer::after(Duration::from_millis(20)).await;
+            read += reader.read(&mut room).await.unwrap();
+        }
+    };
+    let begin = std::time::Instant::now();
+    let written = frames::write_slowly(&mut writer, &bytes, STALLED_S);
+    let (written, ()) = future::block_on(future::zip(written, slow));
+    written.unwrap();
+    assert!(begin.elapsed().as_secs_f64() > 1.5 * STALLED_S, "it was not slow");
+    let (mut writer, _reader) = connection();
+    let stalled = future::block_on(frames::write_slowly(&mut writer, &bytes, STALLED_S));
+    assert_eq!(stalled.unwrap_err().kind(), std::io::ErrorKind::TimedOut);
+}
