--- a/crates/control/src/tests/guards.rs
+++ b/crates/control/src/tests/guards.rs
@@ -165,3 +165,64 @@
     let has_later = |message: &ConsensusMessage| matches!(message, ConsensusMessage::Accepted { holds, .. } if holds.seq == 8);
     assert!(sends(&outs, has_later) && machine.record().state.seq == 8, "{outs:?}");
 }
+
+/// Machine 2 after it has won: two promises, its own among them, elect it.
+fn winner() -> (Consensus, Ballot) {
+    let mut machine = follower(&[1, 2, 3]);
+    let mut outs = Vec::new();
+    machine.tick(5.0, &mut outs);
+    let asked = outs.iter().find_map(|out| match out {
+        ConsensusOutput::Send(_, ConsensusMessage::Canvass { ballot, .. }) => Some(*ballot),
+        _ => None,
+    });
+    let ballot = asked.expect("it asks whether to stand");
+    let granted = ConsensusMessage::Canvassed { ballot, granted: true, promised: Ballot::default() };
+    hear(&mut machine, 5.0, 1, granted);
+    saved(&mut machine, 5.0);
+    let holds = holds_of(machine.record());
+    hear(&mut machine, 5.0, 1, ConsensusMessage::Promise { ballot, holds, newer: None });
+    saved(&mut machine, 5.0);
+    (machine, ballot)
+}
+
+/// Whoever has won acts once what it found is agreed on under its ballot, not when it is merely heard.
+#[test]
+fn no_authority_before_what_was_found_is_agreed_on() {
+    let (mut machine, ballot) = winner();
+    let before = Holds::default();
+    let ack = |holds| ConsensusMessage::HeartbeatAck { ballot, sent: 5.0, at: 1.0, holds };
+    hear(&mut machine, 5.1, 1, ack(before));
+    assert_eq!((machine.authority(), machine.leads()), (f64::NEG_INFINITY, None));
+    let holds = holds_of(machine.record());
+    hear(&mut machine, 5.2, 1, ConsensusMessage::Accepted { ballot, holds });
+    assert_eq!((machine.authority(), machine.leads()), (5.0 + TIMING.suspect, Some(ballot)));
+}
+
+/// An answer to a heartbeat of an earlier ballot prolongs nothing: whoever gave it may have promised another one since.
+#[test]
+fn an_answer_counts_under_its_ballot() {
+    let (mut machine, ballot) = winner();
+    let holds = holds_of(machine.record());
+    hear(&mut machine, 5.1, 1, ConsensusMessage::Accepted { ballot, holds });
+    let ack = |ballot, sent| ConsensusMessage::HeartbeatAck { ballot, sent, at: 1.0, holds };
+    hear(&mut machine, 5.2, 1, ack(ballot, 5.0));
+    hear(&mut machine, 5.4, 1, ack(Ballot(ballot.0 - 1), 5.3));
+    assert_eq!(machine.authority(), 5.0 + TIMING.suspect);
+    hear(&mut machine, 5.4, 1, ack(ballot, 5.3));
+    assert_eq!(machine.authority(), 5.3 + TIMING.suspect);
+}
+
+/// What a leader confirmed is no contact under the next one, before that one confirms something.
+#[test]
+fn contact_ends_with_the_leader_that_confirmed_it() {
+    let mut machine = follower(&[1, 2, 3]);
+    let confirming = |ballot, at| ConsensusMessage::Heartbeat { ballot, sent: 1.0, confirms: Some(at) };
+    hear(&mut machine, 9.0, 3, confirming(ballot(2, 3), 8.9));
+    saved(&mut machine, 9.0);
+    assert!(machine.in_contact(9.1));
+    hear(&mut machine, 9.2, 1, heartbeat(ballot(3, 1), 4.0));
+    saved(&mut machine, 9.2);
+    assert!(!machine.in_contact(9.3));
+    hear(&mut machine, 9.4, 1, confirming(ballot(3, 1), 9.3));
+    assert!(machine.in_contact(9.5));
+}
