--- a/crates/control/src/tests/guards.rs
+++ b/crates/control/src/tests/guards.rs
@@ -226,3 +226,36 @@
     hear(&mut machine, 9.4, 1, confirming(ballot(3, 1), 9.3));
     assert!(machine.in_contact(9.5));
 }
+
+/// A state that is on its way isn't sent again, however many heartbeats are answered meanwhile, before one that was sent behind it
+/// is answered without it.
+#[test]
+fn one_transfer_is_under_way_at_a_time() {
+    let (mut machine, ballot) = winner();
+    let lacks = Holds::default();
+    let ack = |sent| ConsensusMessage::HeartbeatAck { ballot, sent, at: 1.0, holds: lacks };
+    let transfers =
+        |outs: &[ConsensusOutput]| sends(outs, |message| matches!(message, ConsensusMessage::Accept { .. }));
+    // It was sent with the victory.
+    for _ in 0..5 {
+        assert!(!transfers(&hear(&mut machine, 5.1, 1, ack(5.0))));
+    }
+    assert!(
+        transfers(&hear(&mut machine, 5.3, 1, ack(5.2))),
+        "a later heartbeat came through, and it didn't"
+    );
+    assert!(!transfers(&hear(&mut machine, 5.4, 1, ack(5.25))));
+}
+
+/// While a save is under way nothing is taken in: what is answered must not rely on half of it.
+#[test]
+fn nothing_is_taken_in_while_a_save_is_under_way() {
+    let mut machine = follower(&[1, 2, 3]);
+    let prepare = ConsensusMessage::Prepare { ballot: ballot(5, 1), holds: holds_of(machine.record()) };
+    hear(&mut machine, 5.0, 1, prepare);
+    let before = machine.record().clone();
+    assert!(hear(&mut machine, 5.0, 3, heartbeat(ballot(7, 3), 1.0)).is_empty());
+    assert_eq!(machine.record(), &before);
+    saved(&mut machine, 5.1);
+    assert_eq!(hear(&mut machine, 5.1, 3, heartbeat(ballot(7, 3), 1.1)), [ConsensusOutput::Save]);
+}
