Control: a server that leaves without having drained serves on, and counts for its primary until it has ended

Cause: Members.Depart was taken for the end of a server, whoever sent it. Some send it first, serve on for as long as one that drains, and end then. Such a replica goes on receiving, and may alone have what the primary acknowledged; nobody asked it any more, and it counted as out of it 0.1 s after its call, so that another copy could be promoted without those commits. Such a primary was dropped by routers at once, and missed by its leader for 0.6 s.

Change: whoever departs without having drained is draining from then on, is asked and paused as any other copy, and is replaced while it serves if it is the primary. It is gone once nobody listens at its address (refused, or somebody else there), or after four silences. No beat counts behind its call, also in the next life of a control machine. A machine that has just started doesn't acknowledge the departure of a server that it doesn't know.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -159,8 +159,12 @@
     refreshed: Refreshed,
     /// When it was last looked for members that are silent.
     swept: f64,
+    /// When this process began.
+    started: f64,
 }
 
+/// After so many heartbeats of servers a machine that has started knows all that are there.
+const HEARTBEATS_LISTENED: f64 = 2.5;
 /// Between two looks for members that are silent, in seconds.
 const SWEEP: f64 = 0.1;
 
@@ -183,6 +187,7 @@
             news_due: false,
             refreshed: Refreshed::default(),
             swept: f64::NEG_INFINITY,
+            started: now,
         }
     }
 
@@ -438,6 +443,10 @@
                 self.news_due |= news.is_some() && stamp > 0 && self.members.is_stamped(&id, stamp);
                 self.take_beat(now, number, &id, news, &mut out);
             }
+            // Its server may be known to the others, and this machine would acknowledge what nobody learns.
+            Call::Depart { id } if !self.members.knows(&id) && !self.has_listened(now) => {
+                out.push(Output::Reply(number, Answer::error(503, "this server isn't known here yet")));
+            }
             Call::Depart { id } => {
                 let news = self.members.depart(now, &id, stamp);
                 self.news_due |= news.is_some() && stamp > 0;
@@ -451,6 +460,11 @@
         out
     }
 
+    /// Whether this machine has run for so long that it knows all servers that are there.
+    fn has_listened(&self, now: f64) -> bool {
+        now - self.started > HEARTBEATS_LISTENED * self.timing.service.heartbeat
+    }
+
     /// A machine that is out of contact keeps what it heard, but sends its caller on: a server that only it knows of may
     /// hold what the others miss.
     fn take_beat(&mut self, now: f64, call: u64, id: &str, news: Option<MemberNews>, out: &mut Vec<Output>) {
--- a/crates/control/src/controller/services.rs
+++ b/crates/control/src/controller/services.rs
@@ -233,6 +233,13 @@
         if matches!(asked, Asked::Row { .. } | Asked::Busy) {
             self.members.answered(now, id);
         }
+        if asked == Asked::Refused {
+            let stamp = self.lead.as_ref().map_or(0, |lead| lead.number + 1);
+            if let Some(news) = self.members.refused(now, id, stamp) {
+                self.news_due |= stamp > 0;
+                self.refreshed.add(news);
+            }
+        }
         let Some(lead) = &mut self.lead else { return };
         let Some(failover) = lead.services.get_mut(service) else { return };
         failover.asked(now, id, asked);
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -64,6 +64,17 @@
     changes: u64,
 }
 
+/// The number of the call of a server that leaves without having drained: no beat counts any more, only that it has ended.
+const LEAVING: u64 = u64::MAX - 1;
+/// The number of the call of a server that has ended.
+const ENDED: u64 = u64::MAX;
+/// A server that leaves sends no beats that count: it is forgotten after so many times the silence of others, by when it has
+/// ended.
+const LEAVING_SILENCES: f64 = 4.0;
+/// Whoever lives is heard again within so many heartbeats.
+const HEARTBEATS: f64 = 2.0;
+/// A server that has said that it ends takes part in nothing after so many seconds.
+const ENDS_WITHIN: f64 = 0.1;
 /// Whoever left is remembered for so many seconds, so that a beat that comes late doesn't bring it back.
 const REMEMBERED: f64 = 60.0;
 
@@ -83,13 +94,32 @@
         self.merge(now, news.clone(), stamp).then_some(news)
     }
 
-    /// A server says that it has left.
+    /// A server says that it leaves. One that has drained ends now; any other serves on for as long as one that drains, and
+    /// counts for its primary meanwhile.
     pub fn depart(&mut self, now: f64, id: &str, stamp: u64) -> Option<MemberNews> {
         let member = self.all.get(id)?;
-        let news = MemberNews { gone: true, call_seq: u64::MAX, ..member.news.clone() };
+        let news = match (member.news.call_seq, member.news.draining) {
+            // The same call once more.
+            (LEAVING, _) => return None,
+            (_, true) => MemberNews { gone: true, call_seq: ENDED, ..member.news.clone() },
+            (_, false) => MemberNews { draining: true, call_seq: LEAVING, ..member.news.clone() },
+        };
+        self.merge(now, news.clone(), stamp).then_some(news)
+    }
+
+    /// Nobody listens at the address of this server any more: one that was leaving has ended. What is new by that.
+    pub(crate) fn refused(&mut self, now: f64, id: &str, stamp: u64) -> Option<MemberNews> {
+        let member =
+            self.all.get(id).filter(|member| member.news.call_seq == LEAVING && !member.news.gone)?;
+        let news = MemberNews { gone: true, call_seq: ENDED, ..member.news.clone() };
         self.merge(now, news.clone(), stamp).then_some(news)
     }
 
+    /// Whether there is, or was a while ago, a server with this id.
+    pub(crate) fn knows(&self, id: &str) -> bool {
+        self.all.contains_key(id)
+    }
+
     /// Takes what a beat or another machine tells; true if it is newer than what was known.
     pub fn merge(&mut self, now: f64, news: MemberNews, stamp: u64) -> bool {
         let Some(member) = self.all.get_mut(&news.id) else {
@@ -146,7 +176,11 @@
     /// Forgets who has not been heard of for so many seconds. True if somebody was.
     pub fn sweep(&mut self, now: f64, silent_s: f64, stamp: u64) -> bool {
         let mut swept = false;
-        for member in self.all.values_mut().filter(|m| !m.news.gone && now - m.heard > silent_s) {
+        let silent = |m: &Member| {
+            let leaving = m.news.call_seq == LEAVING;
+            now - m.heard > if leaving { LEAVING_SILENCES * silent_s } else { silent_s }
+        };
+        for member in self.all.values_mut().filter(|m| !m.news.gone && silent(m)) {
             member.news.gone = true;
             member.confirmed = false;
             member.stamp = stamp;
@@ -175,7 +209,8 @@
     /// Those that have not left, as they are kept for a life after this one: any beat is newer.
     pub fn kept(&self) -> Vec<MemberNews> {
         let all = self.all.values().filter(|m| !m.news.gone);
-        all.map(|m| MemberNews { call_seq: 0, ..m.news.clone() }).collect()
+        let call_seq = |m: &Member| if m.news.call_seq == LEAVING { LEAVING } else { 0 };
+        all.map(|m| MemberNews { call_seq: call_seq(m), ..m.news.clone() }).collect()
     }
 
     /// What is known of this one counts as changed under that number: a new leader tells all of it.
@@ -209,7 +244,12 @@
     /// nothing: whoever lives sends beats.
     pub(crate) fn lost(&self, service: &str, heartbeat: f64) -> Vec<(String, f64)> {
         let gone = self.named(service).filter(|m| m.news.gone && !self.is_succeeded(m));
-        let since = |m: &Member| m.heard + if m.news.call_seq == u64::MAX { 0.1 } else { 2.0 * heartbeat };
+        let goes_on = |m: &Member| match m.news.call_seq {
+            ENDED => ENDS_WITHIN,
+            LEAVING => LEAVING_SILENCES * HEARTBEATS * heartbeat,
+            _ => HEARTBEATS * heartbeat,
+        };
+        let since = |m: &Member| m.heard + goes_on(m);
         gone.map(|m| (m.news.id.clone(), since(m))).collect()
     }
 
--- a/crates/control/src/tests/members.rs
+++ b/crates/control/src/tests/members.rs
@@ -55,6 +55,29 @@
     assert_eq!(members.all().count(), 0);
 }
 
+/// A server that leaves without having drained serves on: it is there, draining, until nobody listens at its address any more.
+#[test]
+fn who_departs_first_drains_from_then_on() {
+    let mut members = Members::default();
+    members.beat(0.0, "a", &beat(1, Phase::Ready), 1);
+    let news = members.depart(1.0, "a", 2).expect("it is news");
+    assert!(news.draining && !news.gone && members.get("a").is_some_and(|m| m.draining_since == Some(1.0)));
+    // The call is sent again, a beat comes late, and what another machine has is older.
+    assert!(members.depart(1.1, "a", 2).is_none());
+    assert!(members.beat(1.2, "a", &beat(9, Phase::Ready), 3).is_none());
+    assert_eq!(draining(&members), Some(true));
+    // It need not send beats to be there, for longer than it goes on.
+    assert!(!members.sweep(19.0, 4.8, 4));
+    assert_eq!(members.kept()[0].call_seq, news.call_seq, "nor does a beat count in the next life");
+    let ended = members.refused(19.1, "a", 5).expect("it is news");
+    assert!(ended.gone && members.get("a").is_none());
+    assert_eq!(members.lost("s", 1.2), [("a".to_owned(), 19.1 + 0.1)]);
+    assert!(members.refused(19.2, "a", 5).is_none());
+    // Others that can't be reached have not ended.
+    members.beat(20.0, "b", &beat(1, Phase::Ready), 6);
+    assert!(members.refused(20.1, "b", 6).is_none());
+}
+
 #[test]
 fn whoever_is_silent_is_forgotten_until_it_beats() {
     let mut members = Members::default();
--- a/crates/simulation/src/servers.rs
+++ b/crates/simulation/src/servers.rs
@@ -148,6 +148,15 @@
         }
     }
 
+    /// It says that it leaves without having drained, and serves on.
+    pub fn depart_first(&mut self, id: &str) {
+        self.say(|| format!("server {id} departs and serves on"));
+        self.servers.get_mut(id).expect("the server exists").left = true;
+        if let Some(node) = self.any_control() {
+            self.call(node, 0, Call::Depart { id: id.to_owned() });
+        }
+    }
+
     pub(crate) fn run_statement(&mut self, id: &str, statement: Statement) -> Option<Row> {
         let heard = self.held_is_heard;
         let once = self.pause_once;
--- a/crates/simulation/tests/failover.rs
+++ b/crates/simulation/tests/failover.rs
@@ -161,6 +161,50 @@
     }
 }
 
+/// One that says that it leaves before it has drained is replaced while it serves on, too.
+#[test]
+fn a_primary_that_departs_first_is_replaced_while_it_serves() {
+    for seed in 0..8 {
+        let mut world = steady(seed);
+        world.depart_first("a");
+        let begin = world.now;
+        world.run_until(4.0, "another in use", |w| w.in_use().is_some_and(|p| p != "a"));
+        world.run(0.5);
+        let at: Vec<f64> = world.served.iter().copied().filter(|t| *t > begin).collect();
+        let gap = at.windows(2).map(|w| w[1] - w[0]).fold(0.0, f64::max);
+        assert!(gap < 1.0, "{gap}");
+        world.crash("a");
+        world.run(2.0);
+        assert!(world.writes() && world.promoted.len() == 1);
+        let leader = world.leader().expect("somebody leads");
+        let controller = world.controls[&leader].controller.as_ref().expect("it runs");
+        assert!(controller.members().get("a").is_none(), "it has ended, and is known to have");
+    }
+}
+
+/// A replica that leaves goes on receiving, and may alone have what the primary acknowledged: nobody is promoted without asking
+/// it, by the same leader or by the next one.
+#[test]
+fn a_replica_that_departs_first_may_hold_the_only_copy() {
+    for seed in 0..8 {
+        for leader_lost in [false, true] {
+            let mut world = steady(seed);
+            world.depart_first("b");
+            world.run(1.0);
+            world.servers.get_mut("c").expect("a replica").deaf = true;
+            world.run(3.0);
+            assert!(world.writes(), "b receives on");
+            world.crash("a");
+            if leader_lost {
+                let leader = world.leader().expect("somebody leads");
+                world.kill(leader);
+            }
+            // Promoting c would lose commits: the simulation looks for that.
+            world.run_until(7.0, "b leads", |w| w.promoted.iter().any(|(id, _)| id == "b"));
+        }
+    }
+}
+
 #[test]
 fn the_old_primary_is_kept_until_the_new_one_leads() {
     let mut world = steady(3);
