Control: what a server says only once is on disks before it is acknowledged

Cause: that a server leaves without having drained is said by one call, and by no beat after it. It was known to the leader and a majority when it was acknowledged, in memory, and on their disks up to half a second later. After a loss of power of all machines in between it counted as one that stays, and was sent reads beyond drain_ms.

Change: Output::KeepServers: the file of servers is written before the round is answered, by the machine that was called and by those that are told; if it can't be, nobody is told and the caller goes elsewhere. The file is put in the place of the one before, so that a torn write loses nothing. The simulation's machines write it as real ones do, each half second, instead of at their end.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -90,6 +90,9 @@
 pub enum Output {
     /// The record is to be saved, and [`Controller::saved`] or [`Controller::save_failed`] called before anything else.
     Save,
+    /// The servers that are known ([`Members::kept`]) are to be on the disk, and only then is this to be done; if they can't be
+    /// saved it isn't.
+    KeepServers(Vec<Output>),
     /// To another control machine.
     Peer(Recipient, PeerMessage),
     /// To the router on this session: an answer, or where else to ask.
--- a/crates/control/src/controller/members_news.rs
+++ b/crates/control/src/controller/members_news.rs
@@ -7,6 +7,7 @@
 use super::{Answer, Controller, Output};
 use crate::ballot::Ballot;
 use crate::consensus::Recipient;
+use crate::members::is_told_once;
 use crate::membership::{Node, Voter};
 use crate::message::{MemberNews, PeerMessage};
 use std::collections::{BTreeMap, BTreeSet};
@@ -67,6 +68,7 @@
         &mut self, now: f64, from: Voter, round: Option<u64>, news: Vec<MemberNews>, out: &mut Vec<Output>,
     ) {
         let number = self.lead.as_ref().map_or(0, |lead| lead.number + 1);
+        let told_once = news.iter().any(is_told_once);
         for one in news {
             let id = one.id.clone();
             let newer = self.members.merge(now, one, number);
@@ -74,7 +76,8 @@
         }
         self.know_services();
         if let Some(round) = round {
-            out.push(Output::Peer(Recipient::Voter(from), PeerMessage::MembersKept { round }));
+            let kept = Output::Peer(Recipient::Voter(from), PeerMessage::MembersKept { round });
+            out.push(if told_once { Output::KeepServers(vec![kept]) } else { kept });
         }
     }
 
@@ -105,13 +108,20 @@
         let (news, calls): (Vec<MemberNews>, Vec<u64>) = told.into_iter().unzip();
         self.rounds.newest += 1;
         let round = self.rounds.newest;
+        let mut told = Vec::new();
         for voter in self.other_voters() {
             let message = PeerMessage::Members { round: Some(round), news: news.clone() };
-            out.push(Output::Peer(Recipient::Voter(voter), message));
+            told.push(Output::Peer(Recipient::Voter(voter), message));
         }
         let kept = BTreeSet::from([self.consensus.me()]);
+        let told_once = news.iter().any(is_told_once);
         self.rounds.all.insert(round, Round { calls, news, kept, until: now + KEEP_WITHIN });
-        self.finish_round(round, out);
+        self.finish_round(round, &mut told);
+        match told_once {
+            // Nobody says it again after a loss of all processes.
+            true => out.push(Output::KeepServers(told)),
+            false => out.append(&mut told),
+        }
     }
 
     /// A call that says nothing new is answered at once, or with the round in which that is told.
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -44,6 +44,11 @@
     pub confirmed: bool,
 }
 
+/// Whether this tells of a server that leaves without having drained: it is told once, and by no beat again.
+pub(crate) fn is_told_once(news: &MemberNews) -> bool {
+    news.call_seq == LEAVING
+}
+
 impl Member {
     /// Whether that one was heard at its address since it was heard itself.
     fn is_succeeded_by(&self, other: &Member) -> bool {
--- a/crates/control/src/tests/fleet.rs
+++ b/crates/control/src/tests/fleet.rs
@@ -142,6 +142,7 @@
                     said.promotions += 1;
                     self.promoted += 1;
                 }
+                Output::KeepServers(then) => waiting.extend(then),
                 Output::Peer(..) | Output::Reply(..) => {}
             }
         }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -207,6 +207,11 @@
                     then.append(&mut waiting);
                     waiting = then;
                 }
+                Output::KeepServers(then) => {
+                    if self.servers.keep_now(clock::now(), &self.controller.borrow()) {
+                        then.into_iter().rev().for_each(|next| waiting.push_front(next));
+                    }
+                }
                 Output::Peer(to, message) => self.link(to, message),
                 Output::Router(session, message) => self.sessions.answer(session, message),
                 Output::News(session, news) => self.sessions.tell(session, news),
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,13 +1,13 @@
 //! The servers that a control machine knows, kept on its disk: after a loss of power it need not wait for all their beats.
 //!
-//! Nothing relies on it: a file that can't be read whole is passed over, and whoever is named there but gone is missed as
-//! any other.
+//! A file that can't be read whole is passed over, and whoever is named there but gone is missed as any other. What a server
+//! says only once is in it before that is acknowledged.
 
 use badgerstream_control::{Controller, MemberNews};
 use std::cell::Cell;
 use std::fs::File;
 use std::io::{Read, Write};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// Changes are written at most this often, in seconds.
 const WRITE_INTERVAL_S: f64 = 0.5;
@@ -48,18 +48,30 @@
         if known == changes || now - at < WRITE_INTERVAL_S {
             return;
         }
-        self.written.set((now, known));
-        if let Err(e) = self.write(&controller.members().kept()) {
+        self.keep_now(now, controller);
+    }
+
+    /// Keeps what is known; whether that is on the disk.
+    pub fn keep_now(&self, now: f64, controller: &Controller) -> bool {
+        self.written.set((now, controller.members().changes()));
+        let written = self.write(&controller.members().kept());
+        if let Err(e) = &written {
             log::warn!("event=servers_not_kept error={e}");
         }
+        written.is_ok()
     }
 
+    /// Puts a new file in the place of the one before, which is there whole until then.
     fn write(&self, kept: &[MemberNews]) -> std::io::Result<()> {
         let body =
             bincode::encode_to_vec(kept, bincode::config::standard()).map_err(std::io::Error::other)?;
-        let mut file = File::create(&self.path)?;
+        let next = self.path.with_extension("next");
+        let mut file = File::create(&next)?;
         file.write_all(&pack(&body))?;
-        file.sync_data()
+        file.sync_data()?;
+        std::fs::rename(&next, &self.path)?;
+        let folder = self.path.parent().unwrap_or(Path::new("."));
+        File::open(folder)?.sync_all()
     }
 }
 
--- a/crates/node/src/tests/servers.rs
+++ b/crates/node/src/tests/servers.rs
@@ -1,6 +1,8 @@
 //! The file of the servers that a control machine knows: torn ones and those of other forms are passed over.
 
-use super::{pack, unpack};
+use super::{Servers, pack, unpack};
+use badgerstream_control::{ControlTiming, Controller, FOUNDING, MemberNews, Record, Timing, Voter};
+use std::path::Path;
 
 #[test]
 fn a_torn_file_is_told_from_a_whole_one() {
@@ -28,3 +30,41 @@
     bytes.extend_from_slice(body);
     assert_eq!(unpack(&bytes), None);
 }
+
+fn controller(known: &[&str]) -> Controller {
+    let member = |id: &&str| MemberNews {
+        id: (*id).to_owned(),
+        service: "s".to_owned(),
+        endpoint: "10.0.0.1:1".to_owned(),
+        zone: "z".to_owned(),
+        slots: 4,
+        draining: true,
+        gone: false,
+        call_seq: 0,
+    };
+    let service =
+        Timing { ask: 0.2, ask_replica: 1.0, silence: 0.6, answer: 0.6, heartbeat: 1.2, drain: 7.0 };
+    let (lease, suspect, contact, platform, call, forget) = (1.5, 0.6, 1.0, 1.0, 0.9, 4.8);
+    let timing = ControlTiming { lease, suspect, contact, platform, call, forget, service };
+    let mut controller =
+        Controller::new(Voter { node: 1, incarnation: FOUNDING }, Record::default(), 0.0, 7, timing);
+    controller.recall(0.0, known.iter().map(member).collect());
+    controller
+}
+
+/// What is kept is there whole, in place of what was kept before; what was left of a write that was cut short is no matter.
+#[test]
+fn what_is_kept_is_read_in_the_next_life() {
+    let folder = std::env::temp_dir().join(format!("badgerpool-servers-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let servers = Servers::new(folder.join("servers"));
+    for known in [&["a"][..], &["a", "b"]] {
+        std::fs::write(folder.join("servers.next"), b"half of it").unwrap();
+        assert!(servers.keep_now(1.0, &controller(known)));
+        let read: Vec<String> = servers.read().into_iter().map(|news| news.id).collect();
+        assert_eq!(read, known);
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert!(!servers.keep_now(2.0, &controller(&["a"])), "its folder is gone");
+    assert!(Servers::new(Path::new("/nowhere/servers").to_path_buf()).read().is_empty());
+}
--- a/crates/scale/src/decisions.rs
+++ b/crates/scale/src/decisions.rs
@@ -188,6 +188,7 @@
                     waiting.extend(self.controllers[of].1.saved(now));
                 }
                 Output::Promote { .. } => {}
+                Output::KeepServers(then) => waiting.extend(then),
                 Output::Peer(to, message) => {
                     if leads {
                         let frame = Frame::Peer { to, message: message.clone() };
--- a/crates/simulation/src/machine.rs
+++ b/crates/simulation/src/machine.rs
@@ -12,6 +12,9 @@
 /// A machine whose disk failed opens it anew this often, in seconds.
 const REOPEN: f64 = 0.25;
 
+/// The servers that are known are put on the disk this often, in seconds, besides what has to be there at once.
+pub(crate) const KEEP_SERVERS: f64 = 0.5;
+
 /// A save under way: the process waits for its disk.
 #[derive(Clone, Debug)]
 pub struct Saving {
@@ -39,6 +42,8 @@
     pub saving: Option<Saving>,
     /// What came meanwhile.
     inbox: Vec<Event>,
+    /// When the servers were last put on the disk.
+    pub(crate) servers_kept: f64,
     /// Its clock is ahead by so many seconds.
     pub offset: f64,
     /// The control machines that its settings name.
@@ -69,6 +74,7 @@
             frozen: false,
             saving: None,
             inbox: Vec::new(),
+            servers_kept: f64::NEG_INFINITY,
             offset: f64::from(node) * 1000.0,
             seeds: seeds.to_vec(),
             ending: false,
@@ -143,9 +149,7 @@
     fn end(&mut self, node: Node, health: Health) {
         self.trouble(node);
         let machine = self.controls.get_mut(&node).expect("the machine exists");
-        if let Some(controller) = machine.controller.take() {
-            machine.disk.servers = controller.members().kept();
-        }
+        machine.controller = None;
         if let Some(saving) = machine.saving.take() {
             machine.disk.save_unfinished(saving.record, &mut self.chance);
         }
@@ -262,6 +266,11 @@
                     Some(rest) => out = rest,
                     None => return,
                 },
+                Output::KeepServers(then) => {
+                    if self.keep_servers(node) {
+                        then.into_iter().rev().for_each(|next| out.push_front(next));
+                    }
+                }
                 Output::Peer(to, message) => self.send(node, to, message),
                 Output::Router(connection, message) => self.send_news(node, connection, message),
                 Output::News(connection, news) => self.send_news(node, connection, (*news).clone()),
@@ -277,6 +286,18 @@
         }
     }
 
+    /// The servers that are known are on the disk from now on, if it takes them.
+    pub(crate) fn keep_servers(&mut self, node: Node) -> bool {
+        let now = self.now;
+        let Some(machine) = self.controls.get_mut(&node) else { return false };
+        let taken = machine.disk.begin_save(now) != Save::Refused;
+        if let Some(controller) = machine.controller.as_ref().filter(|_| taken) {
+            machine.disk.servers = controller.members().kept();
+            machine.servers_kept = now;
+        }
+        taken
+    }
+
     /// The outputs that follow; none if they wait for the disk.
     fn begin_save(&mut self, node: Node, rest: VecDeque<Output>) -> Option<VecDeque<Output>> {
         let now = self.now;
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -1,7 +1,7 @@
 //! One clock, all events, and what happens at each.
 
 use crate::links::{Links, Parcel};
-use crate::machine::Machine;
+use crate::machine::{KEEP_SERVERS, Machine};
 use crate::operators::{Operator, Order};
 use crate::oracle::Seen;
 use crate::routers::Router;
@@ -364,6 +364,9 @@
                     return;
                 }
                 self.with(*node, |controller, now| controller.tick(now));
+                if self.now - self.controls[node].servers_kept >= KEEP_SERVERS {
+                    self.keep_servers(*node);
+                }
                 let leads = self.controls[node].controller.as_ref().is_some_and(Controller::leads);
                 self.put(if leads { 0.02 } else { 0.05 }, Event::Tick(*node, *life));
             }
