--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -452,6 +452,9 @@
             }
             Call::Depart { id } => {
                 let news = self.members.depart(now, &id, stamp);
+                if news.as_ref().is_some_and(|news| !news.gone) {
+                    log::info!("event=departs_undrained id={id}");
+                }
                 self.news_due |= news.is_some() && stamp > 0;
                 self.take_beat(now, number, &id, news, &mut out);
             }
