Fail-over: one log an address by who answers there; who was replaced, or isn't of record, is told to follow

And by reading: which of two ids at one address is there was judged by when each was heard, which a late beat turns round; a copy could be left unasked by that for a heartbeat.

Change: all members are asked; one that doesn't answer is counted by whoever is paused at its address. A deposed primary is told to follow in each phase, and so is a primary that is back and not of record, which is a copy with all that it acknowledged then.

--- a/crates/control/src/controller/services.rs
+++ b/crates/control/src/controller/services.rs
@@ -137,8 +137,7 @@
     }
 
     fn step_of(&mut self, now: f64, service: &str, timing: Timing, out: &mut Vec<Output>) {
-        let there = self.members.of(service).filter(|member| !self.members.is_succeeded(member));
-        let members: Vec<Candidate> = there.map(candidate).collect();
+        let members: Vec<Candidate> = self.members.of(service).map(candidate).collect();
         let informed = self.informed();
         let Some(lead) = &mut self.lead else { return };
         let Some(failover) = lead.services.get_mut(service) else { return };
@@ -148,6 +147,7 @@
         let leases = &lead.leases;
         let all_know = |number: u64| leases.all_know(now, number);
         let succeeds = |old: &str, new: &str| self.members.succeeds(old, new);
+        let same_address = |one: &str, other: &str| self.members.share_an_address(one, other);
         // What another leader granted or asked for may hold until then, and what it knew must be known here.
         let not_before = match informed {
             true => leases.before_us() + self.timing.platform,
@@ -159,6 +159,7 @@
             lost: &lost,
             record: record.map(|p| (p.id.as_str(), p.above)),
             succeeds: &succeeds,
+            same_address: &same_address,
             all_know: &all_know,
             since: lead.since,
             not_before,
--- a/crates/control/src/failover/choosing.rs
+++ b/crates/control/src/failover/choosing.rs
@@ -43,6 +43,13 @@
         acts.push(Act::Agree { to, above });
     }
 
+    /// Whether another server at the address of this one is paused: whoever answers there has the log, whichever of them was
+    /// heard of last.
+    pub(super) fn is_represented(&self, around: &Around<'_>, id: &str) -> bool {
+        let there = around.members.iter().filter(|member| (around.same_address)(id, &member.id));
+        there.into_iter().any(|member| self.observed(&member.id).paused.is_some())
+    }
+
     /// How many more copies could be out of reach without a commit being lost, if the copy at this position is chosen;
     /// below zero a commit may be lost.
     ///
@@ -53,7 +60,7 @@
         let mut spare = i64::from(around.sync) - i64::from(old.is_some());
         for member in around.members.iter().filter(|m| Some(m.id.as_str()) != old) {
             let seen = self.observed(&member.id);
-            if seen.paused.is_none() {
+            if seen.paused.is_none() && !self.is_represented(around, &member.id) {
                 let since = seen.failing.unwrap_or(around.now);
                 spare -= i64::from(!self.covered(since + FAILING_GRACE_S, at));
             }
--- a/crates/control/src/failover/closing.rs
+++ b/crates/control/src/failover/closing.rs
@@ -32,7 +32,10 @@
         }
         let primary = self.primary.as_ref().map(|p| p.id.clone());
         // Once it has given up the lead it is a copy like the others, and so is whoever has its log now.
-        let old = primary.filter(|id| !self.is_replica(id, around.now) && around.successor(id).is_none());
+        let copy = |id: &String| {
+            self.is_replica(id, around.now) || around.successor(id).is_some() || self.is_to_follow(around, id)
+        };
+        let old = primary.filter(|id| !copy(id));
         // Whoever was promoted before may lead by now.
         let found = self.found(around).filter(|found| Some(&found.id) != old.as_ref());
         let given_back = self.given_back(around);
@@ -73,6 +76,15 @@
         true
     }
 
+    /// The primary is back, but another one was agreed on meanwhile, and may have been promoted: it is told to follow, and is a
+    /// copy with all that it acknowledged.
+    fn is_to_follow(&self, around: &Around<'_>, id: &str) -> bool {
+        let seen = self.observed(id);
+        let back = seen.leads() && seen.row_asked > around.now - FRESH_ROW_S;
+        let agreed_on_another = around.record.is_some_and(|(of_record, _)| of_record != id);
+        back && agreed_on_another && around.is_member(id) && around.draining_since(id).is_none()
+    }
+
     fn is_replica(&self, id: &str, now: f64) -> bool {
         let seen = self.observed(id);
         seen.failing.is_none() && seen.row_asked > now - FRESH_ROW_S && seen.row.is_some_and(|r| !r.leader)
@@ -94,7 +106,7 @@
                 self.ask(now, &member.id, every, Statement::Status, acts);
                 continue;
             }
-            pausing.complete &= is_excused(around, member, &seen);
+            pausing.complete &= is_excused(around, member, &seen) || self.is_represented(around, &member.id);
             pausing.outrun |= seen.failing.is_none() && seen.row.is_some_and(|r| r.term.max(r.held) >= term);
             let statement = match seen.leads() {
                 // A primary can't be paused: once nobody uses it, it becomes a replica.
--- a/crates/control/src/failover/handing_over.rs
+++ b/crates/control/src/failover/handing_over.rs
@@ -78,8 +78,13 @@
                     }
                 }
                 _ => {
-                    pausing.complete = false;
-                    self.ask(around.now, &member.id, PAUSE_AGAIN_S, Statement::Pause(handing.term), acts);
+                    pausing.complete &= self.is_represented(around, &member.id);
+                    let term = self.primary.as_ref().map_or(0, |primary| primary.term);
+                    // The primary before this one may not know yet that it is none, and can't be paused.
+                    let deposed = seen.leads() && seen.row.is_some_and(|row| row.term < term);
+                    let statement =
+                        if deposed { Statement::StepDown(term) } else { Statement::Pause(handing.term) };
+                    self.ask(around.now, &member.id, PAUSE_AGAIN_S, statement, acts);
                 }
             }
         }
--- a/crates/control/src/failover/types.rs
+++ b/crates/control/src/failover/types.rs
@@ -81,6 +81,8 @@
     pub record: Option<(&'a str, u64)>,
     /// Whether the second server has taken the place of the first one, at its address and with its log.
     pub succeeds: &'a dyn Fn(&str, &str) -> bool,
+    /// Whether these are two ids at one address of the service: one log.
+    pub same_address: &'a dyn Fn(&str, &str) -> bool,
     /// Whether all routers know of all that was told up to this number.
     pub all_know: &'a dyn Fn(u64) -> bool,
     /// Since when this machine leads.
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -52,11 +52,13 @@
 impl Member {
     /// Whether that one was heard at its address since it was heard itself.
     fn is_succeeded_by(&self, other: &Member) -> bool {
-        let (this, other_news) = (&self.news, &other.news);
-        this.id != other_news.id
-            && this.service == other_news.service
-            && this.endpoint == other_news.endpoint
-            && other.heard > self.heard
+        self.shares_address_with(other) && other.heard > self.heard
+    }
+
+    /// Whether that is another server of its service at its address.
+    fn shares_address_with(&self, other: &Member) -> bool {
+        let (this, other) = (&self.news, &other.news);
+        this.id != other.id && this.service == other.service && this.endpoint == other.endpoint
     }
 }
 
@@ -265,8 +267,14 @@
         old.is_succeeded_by(new)
     }
 
-    /// Whether a server that is there has taken the place of this one.
-    pub(crate) fn is_succeeded(&self, member: &Member) -> bool {
+    /// Whether these are two servers of one service at one address.
+    pub(crate) fn share_an_address(&self, one: &str, other: &str) -> bool {
+        let (Some(one), Some(other)) = (self.all.get(one), self.all.get(other)) else { return false };
+        one.shares_address_with(other)
+    }
+
+    /// Whether another server was heard at the address of this one since.
+    fn is_succeeded(&self, member: &Member) -> bool {
         self.named(&member.news.service).any(|other| member.is_succeeded_by(other))
     }
 
--- a/crates/control/src/tests/promotions.rs
+++ b/crates/control/src/tests/promotions.rs
@@ -94,6 +94,7 @@
             lost: &[],
             record: Some(record),
             succeeds: &|_, _| false,
+            same_address: &|_, _| false,
             all_know: &|_| true,
             since: 0.0,
             not_before: 0.0,
@@ -169,3 +170,27 @@
     alone.failover.promoted(alone.now, &to, PromotionOutcome::Refused);
     assert_eq!(alone.failover.phase(), "closing");
 }
+
+/// A primary that was replaced and doesn't know it can't be paused: it is told to follow, also while its successor leaves.
+#[test]
+fn a_deposed_primary_is_told_to_follow_while_the_next_one_leaves() {
+    let mut alone = Alone::new();
+    let servers = |id: &str, _| match id {
+        "a" => Some(row(true, 2, 0)),
+        "b" => Some(row(true, 1, 0)),
+        _ => Some(row(false, 2, 0)),
+    };
+    for _ in 0..5 {
+        alone.step(("a", 2), servers);
+    }
+    alone.members[0].draining_since = Some(alone.now);
+    let mut told = Vec::new();
+    for _ in 0..8 {
+        let acts = alone.step(("a", 2), servers);
+        if alone.failover.phase() == "handing" {
+            told.extend(acts.into_iter().filter(|act| matches!(act, Act::Ask(id, _) if id == "b")));
+        }
+    }
+    assert!(told.contains(&Act::Ask("b".to_owned(), Statement::StepDown(2))), "{told:?}");
+    assert!(!told.iter().any(|act| matches!(act, Act::Ask(_, Statement::Pause(_)))), "{told:?}");
+}
--- a/crates/simulation/tests/failover.rs
+++ b/crates/simulation/tests/failover.rs
@@ -217,6 +217,42 @@
     }
 }
 
+/// A primary that leaves right after it was promoted is replaced in its turn; the one before it, which goes on until it is told,
+/// is told to follow meanwhile.
+#[test]
+fn two_primaries_leave_one_after_the_other() {
+    for seed in 0..8 {
+        let mut world = steady(seed);
+        world.drain("a");
+        let begin = world.now;
+        world.run_until(3.0, "a promotion", |w| !w.promoted.is_empty());
+        let promoted = world.promoted[0].0.clone();
+        world.drain(&promoted);
+        world.run_until(0.8, "the first one follows", |w| !w.servers["a"].leader);
+        world.run_until(4.0, "a third one in use", |w| w.in_use().is_some_and(|p| p != "a" && p != promoted));
+        assert!(world.now - begin < 5.0 && world.promoted.len() == 2);
+    }
+}
+
+/// The server that is to be promoted ends before it is, with commits that the third one lacks, and the primary is back: that one
+/// has them all, and is promoted in its place.
+#[test]
+fn a_primary_that_is_back_takes_the_place_of_a_choice_that_ended() {
+    for seed in 0..8 {
+        let mut world = steady(seed);
+        world.servers.get_mut("b").expect("a replica").deaf = true;
+        world.run(0.3);
+        world.crash("a");
+        world.run_until(3.0, "the platform is asked", |w| !w.posts.is_empty());
+        world.crash("c");
+        world.servers.get_mut("c").expect("the choice").left = true;
+        world.run(1.0);
+        world.servers.get_mut("b").expect("a replica").deaf = false;
+        world.recover("a");
+        world.run_until(8.0, "writes", World::writes);
+    }
+}
+
 #[test]
 fn a_release_replaces_all() {
     for seed in 0..6 {
