Routers: what a control machine tells that doesn't lead takes the place of nothing that is known

Cause: a control machine that doesn't lead sends routers on with the voters that it knows; one that lost its disk knows those that its settings name, which may all be gone. A router took that list for its own, and asked nobody else any more until its settings changed.

Change: voters are those that a leader told; the seeds and what others tell are asked once all of these were asked in vain. The simulation's routers remember as well, and its oracle notes what was agreed on before it judges what a router goes by (a false alarm).

--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -10,7 +10,7 @@
 use futures_lite::{AsyncRead, future, io};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -30,6 +30,9 @@
 /// A connection that lasted for so many seconds was a session with a leader.
 const HELD: f64 = 1.0;
 
+/// So many control machines are remembered besides those who decide.
+const MAX_OTHERS: usize = 16;
+
 /// The spans of a session, in seconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Spans {
@@ -47,7 +50,10 @@
     spans: Spans,
     shared: Shared,
     known: Cell<(Ballot, u64)>,
-    nodes: RefCell<Vec<Node>>,
+    /// Who decides, as the last leader told it; empty before that.
+    voters: RefCell<Vec<Node>>,
+    /// Other control machines that may be there, those heard of last at the end.
+    others: RefCell<Vec<Node>>,
     /// Servers that the newest leader has not told of, and since when.
     untold: RefCell<HashMap<String, f64>>,
     evidence: Box<dyn Fn(f64) -> Vec<Evidence>>,
@@ -70,7 +76,8 @@
             spans,
             shared,
             known: Cell::default(),
-            nodes: RefCell::default(),
+            voters: RefCell::default(),
+            others: RefCell::default(),
             untold: RefCell::default(),
             evidence: Box::new(evidence),
             config_text: RefCell::new(Rc::from([])),
@@ -80,14 +87,31 @@
 
     /// These control machines may be asked, too: the seeds, at the start and whenever the settings change.
     pub fn seeds(&self, seeds: &[SocketAddr]) {
-        let mut nodes = self.nodes.borrow_mut();
-        for seed in seeds {
-            if let std::net::IpAddr::V4(ip) = seed.ip()
-                && !nodes.contains(&u32::from(ip))
-            {
-                nodes.push(u32::from(ip));
-            }
-        }
+        let address = |seed: &SocketAddr| match seed.ip() {
+            IpAddr::V4(ip) => Some(u32::from(ip)),
+            IpAddr::V6(_) => None,
+        };
+        let seeds: Vec<Node> = seeds.iter().filter_map(address).collect();
+        self.may_ask(&seeds);
+    }
+
+    /// These control machines may be asked where those who decide don't answer: the settings name them, or somebody who doesn't
+    /// lead has told of them, who may go by machines that are gone.
+    fn may_ask(&self, told: &[Node]) {
+        let mut others = self.others.borrow_mut();
+        others.retain(|node| !told.contains(node));
+        others.extend(told);
+        let too_many = others.len().saturating_sub(MAX_OTHERS);
+        others.drain(..too_many);
+    }
+
+    /// Whom to ask after so many tries in vain: those who decide in turn, and then all.
+    fn next_node(&self, turn: usize, tries: usize) -> Option<Node> {
+        let voters = self.voters.borrow();
+        let others = self.others.borrow();
+        let others = others.iter().filter(|node| tries >= voters.len() && !voters.contains(node));
+        let all: Vec<Node> = voters.iter().chain(others).copied().collect();
+        all.get(turn % all.len().max(1)).copied()
     }
 
     /// Holds the session with whoever leads, for as long as the program runs.
@@ -95,10 +119,12 @@
         let mut hint = None;
         let mut turn = self.life as usize;
         let mut pause = PAUSE;
+        // Since a session was held.
+        let mut tries = 0;
         loop {
-            let nodes = self.nodes.borrow().clone();
-            let node = hint.take().or_else(|| nodes.get(turn % nodes.len().max(1)).copied());
+            let node = hint.take().or_else(|| self.next_node(turn, tries));
             turn = turn.wrapping_add(1);
+            tries += 1;
             let Some(node) = node else {
                 Timer::after(Duration::from_millis(100)).await;
                 continue;
@@ -107,6 +133,7 @@
             let ended = self.with(node).await;
             if clock::now() - began > HELD {
                 pause = PAUSE;
+                tries = 0;
             }
             match ended {
                 Ok(leader) => {
@@ -177,7 +204,7 @@
             });
             match one.await {
                 Some(ToRouter::Elsewhere { leader, voters }) => {
-                    *self.nodes.borrow_mut() = voters;
+                    self.may_ask(&voters);
                     return Ok(leader);
                 }
                 Some(news) => {
@@ -318,7 +345,7 @@
             view.routers = routers as usize;
         }
         if !voters.is_empty() {
-            *self.nodes.borrow_mut() = voters;
+            *self.voters.borrow_mut() = voters;
         }
         if changed {
             view.changes += 1;
--- a/crates/node/src/tests/session.rs
+++ b/crates/node/src/tests/session.rs
@@ -303,3 +303,19 @@
         assert_eq!((renewal(&mut stream).await.epoch, in_force()), (8, Some(8)));
     });
 }
+
+/// A control machine that lost its disk knows of those that were there when its settings were written, and may know of none that
+/// is there now: a router that was told of these comes back to the machines that it knew.
+#[test]
+fn a_router_comes_back_from_machines_that_are_gone() {
+    Rig::play(Ipv4Addr::new(127, 0, 0, 59), async |rig| {
+        let gone = |last: u8| u32::from(Ipv4Addr::new(127, 0, 0, last));
+        for _ in 0..3 {
+            let accepted = frames::within(3.0, async { Ok(rig.accept().await) }).await;
+            let mut stream = accepted.expect("it comes back");
+            renewal(&mut stream).await;
+            let voters = vec![gone(60), gone(61), gone(62)];
+            say(&mut stream, ToRouter::Elsewhere { leader: None, voters }).await;
+        }
+    });
+}
--- a/crates/simulation/src/oracle.rs
+++ b/crates/simulation/src/oracle.rs
@@ -108,8 +108,9 @@
     }
 
     /// A router goes by a configuration from now on.
-    pub(crate) fn judge_in_force(&self, router: usize, epoch: u64, text: &[u8]) {
+    pub(crate) fn judge_in_force(&mut self, router: usize, epoch: u64, text: &[u8]) {
         self.say(|| format!("router {router} goes by {epoch}"));
+        self.note_configs();
         let agreed = self.seen.configs.get(&epoch).is_some_and(|known| **known == *text);
         assert!(agreed, "{}: router {router} goes by {epoch}, which was not agreed on", self.now);
     }
--- a/crates/simulation/src/routers.rs
+++ b/crates/simulation/src/routers.rs
@@ -216,7 +216,8 @@
             ToRouter::Elsewhere { leader, voters } => {
                 let node = it.conn.take().map(|c| c.node);
                 it.hint = leader.filter(|l| Some(*l) != node);
-                it.nodes = voters;
+                let told: Vec<Node> = voters.into_iter().filter(|node| !it.nodes.contains(node)).collect();
+                it.nodes.extend(told);
                 return;
             }
             ToRouter::News { known, sent, lease, whole, grants, config, voters, .. } => {
