--- a/crates/control/src/tests/mod.rs
+++ b/crates/control/src/tests/mod.rs
@@ -1,5 +1,6 @@
 mod agreement;
 mod answers;
+mod authority;
 mod differences;
 mod elections;
 mod fleet;
