--- a/crates/node/src/tests/session.rs
+++ b/crates/node/src/tests/session.rs
@@ -316,6 +316,9 @@
             renewal(&mut stream).await;
             let voters = vec![gone(60), gone(61), gone(62)];
             say(&mut stream, ToRouter::Elsewhere { leader: None, voters }).await;
+            // It has taken that once it closes.
+            let closed = frames::within(3.0, async { Ok(frames::read(&mut stream).await.is_err()) }).await;
+            assert!(closed.expect("it goes on"));
         }
     });
 }
