--- a/crates/cluster/src/router.rs
+++ b/crates/cluster/src/router.rs
@@ -1,5 +1,6 @@
 //! Real routers as processes of their own: a built `badgerstream`, or a binary of ours that starts itself as one.
 
+use crate::Ground;
 use badgerstream_emulator::Emulator;
 use rustix::process::Pid;
 pub use rustix::process::Signal;
@@ -87,7 +88,7 @@
 impl Router {
     /// Starts number `place` of the routers and waits until it serves.
     pub fn start(setup: &Setup, place: usize) -> Result<Router, Fault> {
-        let address = free_address(Ipv4Addr::LOCALHOST)?;
+        let address = free_address(Ground::new().door(place))?;
         let name = format!("router-{place}");
         let config = config(setup, place, address);
         // What an earlier run in this folder logged is not this one's.
