Control: tests that lose some letters share the loop of those that lose none

calm and two tests had the same loop, with and without a letter that is dropped; calm_but_for serves all three.

--- a/crates/control/src/tests/agreement.rs
+++ b/crates/control/src/tests/agreement.rs
@@ -194,18 +194,7 @@
     let leader = net.leader().unwrap();
     let deaf = 1 + leader % 3;
     let (wins, highest) = (net.wins.len(), net.highest());
-    let until = net.now + 20.0;
-    while net.now < until {
-        net.now += 0.02;
-        net.tick_all();
-        while let Some(letter) = net.bag.first() {
-            if letter.to.node() == deaf {
-                net.bag.remove(0);
-            } else {
-                net.deliver(0, false);
-            }
-        }
-    }
+    net.calm_but_for(20.0, |letter| letter.to.node() == deaf);
     net.calm(2.0);
     assert_eq!((net.leader(), net.wins.len(), net.highest()), (Some(leader), wins, highest));
 }
@@ -218,18 +207,7 @@
     let leader = net.leader().unwrap();
     let apart = 1 + leader % 3;
     let (wins, highest) = (net.wins.len(), net.highest());
-    let until = net.now + 5.0;
-    while net.now < until {
-        net.now += 0.02;
-        net.tick_all();
-        while let Some(letter) = net.bag.first() {
-            if letter.from.node == leader && letter.to.node() == apart {
-                net.bag.remove(0);
-            } else {
-                net.deliver(0, false);
-            }
-        }
-    }
+    net.calm_but_for(5.0, |letter| letter.from.node == leader && letter.to.node() == apart);
     net.calm(2.0);
     assert_eq!((net.leader(), net.wins.len(), net.highest()), (Some(leader), wins, highest));
 }
--- a/crates/control/src/tests/net.rs
+++ b/crates/control/src/tests/net.rs
@@ -270,12 +270,21 @@
 
     /// Calm for so many seconds: everything arrives in order.
     pub fn calm(&mut self, seconds: f64) {
+        self.calm_but_for(seconds, |_| false);
+    }
+
+    /// The same, but for letters that are lost.
+    pub fn calm_but_for(&mut self, seconds: f64, is_lost: impl Fn(&Letter) -> bool) {
         let until = self.now + seconds;
         while self.now < until {
             self.now += 0.02;
             self.tick_all();
-            while !self.bag.is_empty() {
-                self.deliver(0, false);
+            while let Some(letter) = self.bag.first() {
+                if is_lost(letter) {
+                    self.bag.remove(0);
+                } else {
+                    self.deliver(0, false);
+                }
             }
         }
     }
