Router: every request that was taken gets its answer before the process ends

From half of the grace period on what no server was offered is refused with RETRY; 0.7 s before its end what is at a server is answered by what is known of it: INDOUBT for writes and commits, ABORTED inside a transaction, RETRY for reads. Two tests, which hang without it.

--- a/crates/node/src/edge/client/commit.rs
+++ b/crates/node/src/edge/client/commit.rs
@@ -3,7 +3,6 @@
 use super::response::{Response, error};
 use super::{ClientSession, HOLD_FRACTION};
 use crate::clock;
-use crate::edge::net;
 use crate::edge::pool::{Checkout, ExchangeError};
 use badgerstream_pooling::session::Transaction;
 use badgerstream_wire::{Answer, Code, Outcome, State};
@@ -30,8 +29,9 @@
         self.finish_transaction();
         let deadline = arrived + terms.deadline;
         let give_up = arrived + terms.deadline * HOLD_FRACTION;
-        let ready = net::until(give_up, self.ready_to_commit(&mut checkout, &terms.service, wrote));
-        if ready.await != Some(true) {
+        let handle = self.handle.clone();
+        let ready = self.ready_to_commit(&mut checkout, &terms.service, wrote);
+        if handle.before_refusal(give_up, ready).await != Some(true) {
             checkout.roll_back();
             return aborted("the primary changes");
         }
@@ -40,11 +40,12 @@
         let term = self.edge.granted_term(&checkout.pool.server, clock::now());
         checkout.keep_changes();
         let pass = async |_: &[u8]| true;
-        let mut outcome =
-            checkout.ask_patiently(line.as_bytes(), &mut answer, terms.target, deadline, pass).await;
+        let asked = checkout.ask_patiently(line.as_bytes(), &mut answer, terms.target, deadline, pass);
+        let mut outcome = self.handle.before_cut_off(asked).await;
         if outcome == Err(ExchangeError::Overdue) && wrote {
             checkout.leave();
-            outcome = checkout.wait(&mut answer, deadline, pass).await;
+            let waited = checkout.wait(&mut answer, deadline, pass);
+            outcome = self.handle.before_cut_off(waited).await;
         }
         self.conclude_commit(&checkout, term, answer.raw, wrote, outcome)
     }
--- a/crates/node/src/edge/client/input.rs
+++ b/crates/node/src/edge/client/input.rs
@@ -2,7 +2,7 @@
 
 use super::ClientSession;
 use crate::clock;
-use crate::edge::net;
+use crate::edge::{SessionEnd, net};
 use badgerstream_pooling::session::Transaction;
 use futures_lite::future::or;
 
@@ -55,7 +55,7 @@
         let read = or(
             async { if self.client.read(&self.edge).await { Input::Bytes } else { Input::Closed } },
             async {
-                self.handle.close_requested().await;
+                self.handle.reached(SessionEnd::AtRest).await;
                 Input::Closing
             },
         );
--- a/crates/node/src/edge/client/placing.rs
+++ b/crates/node/src/edge/client/placing.rs
@@ -1,10 +1,12 @@
-//! A place at a server for what the client asks, while the client is there.
+//! A place at a server for what the client asks, while the client is there and the router serves.
 
 use super::{BACKOFF_S, ClientSession, MAX_BACKOFF_DOUBLINGS};
 use crate::clock;
-use crate::edge::net;
-use crate::edge::place::{Placement, PlacementRequest};
+use crate::edge::place::{Placement, PlacementRequest, RETRY_AFTER_S};
+use crate::edge::pool::ExchangeError;
+use crate::edge::{SessionEnd, SessionHandle, net};
 use futures_lite::future::or;
+use std::future::Future;
 
 /// Why a statement has no connection.
 pub(super) enum NoPlacement {
@@ -20,7 +22,11 @@
         &self, request: &PlacementRequest<'_>, tried: &[String], give_up: f64,
     ) -> Result<Placement, NoPlacement> {
         let place = async { Some(self.edge.place(request, &self.session, tried, give_up).await) };
-        match or(place, self.client.until_closed(&self.edge)).await {
+        let ending = async {
+            self.handle.reached(SessionEnd::Unplaced).await;
+            Some(Err(RETRY_AFTER_S))
+        };
+        match or(or(place, self.client.until_closed(&self.edge)), ending).await {
             None => Err(NoPlacement::ClientGone),
             Some(placed) => placed.map_err(NoPlacement::RetryAfter),
         }
@@ -32,3 +38,26 @@
         net::sleep_until(clock::now() + BACKOFF_S * f64::from(1 << doublings)).await;
     }
 }
+
+impl SessionHandle {
+    /// What comes of this before a second of the steady clock, and before the router's end refuses what no server was
+    /// offered; none if nothing does.
+    pub(super) async fn before_refusal<T>(&self, at: f64, what: impl Future<Output = T>) -> Option<T> {
+        or(net::until(at, what), async {
+            self.reached(SessionEnd::Unplaced).await;
+            None
+        })
+        .await
+    }
+
+    /// What comes of an exchange with a server; `Silent` once the router's end lets it wait no longer.
+    pub(super) async fn before_cut_off<T>(
+        &self, exchange: impl Future<Output = Result<T, ExchangeError>>,
+    ) -> Result<T, ExchangeError> {
+        or(exchange, async {
+            self.reached(SessionEnd::InFlight).await;
+            Err(ExchangeError::Silent)
+        })
+        .await
+    }
+}
--- a/crates/node/src/edge/client/single.rs
+++ b/crates/node/src/edge/client/single.rs
@@ -155,9 +155,11 @@
             forwarded.set(true);
             client.write(part).await
         };
-        let mut outcome = placement.checkout.ask_patiently(&line, &mut answer, target, limit, &pass).await;
+        let asked = placement.checkout.ask_patiently(&line, &mut answer, target, limit, &pass);
+        let mut outcome = self.handle.before_cut_off(asked).await;
         if outcome == Err(ExchangeError::Overdue) {
-            outcome = self.wait_or_reissue(attempts, &mut placement, &mut answer, &pass).await;
+            let waited = self.wait_or_reissue(attempts, &mut placement, &mut answer, &pass);
+            outcome = self.handle.before_cut_off(waited).await;
         }
         let exchange = Exchange { answer, forwarded: forwarded.get(), term };
         match outcome {
--- a/crates/node/src/edge/client/transaction.rs
+++ b/crates/node/src/edge/client/transaction.rs
@@ -5,7 +5,6 @@
 use super::statement::Statement;
 use super::{ClientSession, HOLD_FRACTION};
 use crate::clock;
-use crate::edge::net;
 use crate::edge::place::{Placement, PlacementRequest, RETRY_AFTER_S, RouteTerms};
 use crate::edge::pool::{Checkout, ExchangeError};
 use badgerstream_pooling::choice::Access;
@@ -56,7 +55,8 @@
                 continue;
             };
             let admission = request.admission(&pool, give_up.max(clock::now() + MIN_ADMISSION_WAIT_S));
-            if !checkout.enter_first(&admission).await {
+            let entered = checkout.enter_first(&admission);
+            if self.handle.before_refusal(admission.give_up, entered).await != Some(true) {
                 retry_after = pool.wait(&admission, clock::now());
                 checkout.roll_back();
                 break;
@@ -118,12 +118,14 @@
         // What was begun elsewhere than where the grant is now can't be kept.
         let usable = *fetch || !self.edge.is_granted_elsewhere(&terms.service, &checkout.pool.server);
         let ready = usable
-            && net::until(deadline, async {
-                checkout.prepare(&self.session.values, shape).await?;
-                checkout.enter().await;
-                Ok::<(), ()>(())
-            })
-            .await
+            && self
+                .handle
+                .before_refusal(deadline, async {
+                    checkout.prepare(&self.session.values, shape).await?;
+                    checkout.enter().await;
+                    Ok::<(), ()>(())
+                })
+                .await
                 == Some(Ok(()));
         let line = if ready { statement.line(checkout, "") } else { None };
         let Some(line) = line else {
@@ -137,7 +139,8 @@
         let mut answer = Answer::default();
         let client = &self.client;
         let pass = async |part: &[u8]| client.write(part).await;
-        let outcome = checkout.ask_patiently(&line, &mut answer, target, deadline, pass).await;
+        let asked = checkout.ask_patiently(&line, &mut answer, target, deadline, pass);
+        let outcome = self.handle.before_cut_off(asked).await;
         checkout.leave();
         self.conclude_in_transaction(answer.raw, outcome)
     }
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -36,6 +36,9 @@
 const CLIENTS_IN_EXCESS: usize = 64;
 /// Between two tries to bind the front, in seconds.
 const BIND_RETRY_S: f64 = 0.5;
+/// So long before the end of the grace period what is still at a server gets its last answer, in seconds: the process ends
+/// 0.4 s before it, and a look at the sessions may come `SWEEP_LOOK_S` late.
+const LAST_ANSWERS_S: f64 = 0.7;
 /// On how many routers a server's connections are divided until control tells.
 const DEFAULT_ROUTERS: usize = 9;
 
@@ -82,16 +85,45 @@
     idle_since: Cell<Option<f64>>,
     /// It is inside a transaction.
     in_transaction: Cell<bool>,
-    /// It is asked to end as soon as it rests.
-    close: Cell<bool>,
+    /// How far its end has come.
+    end: Cell<SessionEnd>,
     waker: RefCell<Option<Waker>>,
 }
 
+/// How far the end of a session has come. Each stage asks for what those before it ask for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+enum SessionEnd {
+    /// It goes on.
+    #[default]
+    None,
+    /// It is closed as soon as it rests.
+    AtRest,
+    /// What no server was offered is refused, so that its client may go elsewhere.
+    Unplaced,
+    /// What is at a server is answered by what is known of it.
+    InFlight,
+}
+
+impl SessionEnd {
+    /// The stage this long (seconds) after the router was asked to end, of which it has `grace` seconds.
+    fn at(past: f64, grace: f64, in_transaction: bool) -> Self {
+        if past > grace - LAST_ANSWERS_S {
+            Self::InFlight
+        } else if past > grace / 2.0 {
+            Self::Unplaced
+        } else if past > ACCEPT_AFTER_TERM_S && !in_transaction {
+            Self::AtRest
+        } else {
+            Self::None
+        }
+    }
+}
+
 impl SessionHandle {
-    /// Waits until the session is to be closed.
-    async fn close_requested(&self) {
+    /// Waits until the session's end has come this far.
+    async fn reached(&self, stage: SessionEnd) {
         poll_fn(|cx| {
-            if self.close.get() {
+            if self.end.get() >= stage {
                 return Poll::Ready(());
             }
             *self.waker.borrow_mut() = Some(cx.waker().clone());
@@ -100,8 +132,12 @@
         .await;
     }
 
-    fn close(&self) {
-        self.close.set(true);
+    /// The session's end comes this far, at least.
+    fn advance(&self, stage: SessionEnd) {
+        if self.end.get() >= stage {
+            return;
+        }
+        self.end.set(stage);
         if let Some(waker) = self.waker.borrow_mut().take() {
             waker.wake();
         }
@@ -280,11 +316,12 @@
     /// The session that has rested longest is closed: at rest, with nothing asked, that is no failure.
     fn make_room(&self) {
         let sessions = self.sessions.borrow();
-        let resting = sessions.values().filter(|s| !s.close.get() && s.idle_since.get().is_some());
+        let resting =
+            sessions.values().filter(|s| s.end.get() == SessionEnd::None && s.idle_since.get().is_some());
         if let Some(longest) =
             resting.min_by(|a, b| a.idle_since.get().partial_cmp(&b.idle_since.get()).expect("clock"))
         {
-            longest.close();
+            longest.advance(SessionEnd::AtRest);
         }
     }
 
@@ -295,12 +332,9 @@
             net::sleep_until(clock::now() + SWEEP_LOOK_S).await;
             let now = clock::now();
             if let Some(ending) = self.shared.ending.get() {
-                let resting = now > ending + ACCEPT_AFTER_TERM_S.min(self.limits.grace_s / 2.0);
-                let inside = now > ending + self.limits.grace_s / 2.0;
                 for session in self.sessions.borrow().values() {
-                    if resting && !session.in_transaction.get() || inside {
-                        session.close();
-                    }
+                    let in_transaction = session.in_transaction.get();
+                    session.advance(SessionEnd::at(now - ending, self.limits.grace_s, in_transaction));
                 }
             } else if now > swept + 1.0 {
                 swept = now;
--- a/crates/node/src/tests/edge.rs
+++ b/crates/node/src/tests/edge.rs
@@ -636,6 +636,58 @@
     });
 }
 
+#[test]
+fn at_the_end_every_request_that_was_taken_is_answered() {
+    play(async |rig| {
+        rig.configure(|text| text.replace("\"max_conns\":1", "\"max_conns\":90"));
+        rig.edge.routers.set(1);
+        let mut held = Client::open(rig.front, "lead").await;
+        let mut begun = Client::open(rig.front, "lead").await;
+        let mut inside = Client::open(rig.front, "lead").await;
+        inside.ask("i1", "BEGIN").await;
+        inside.ask("i2", "PUT x 1").await;
+        let mut writer = Client::open(rig.front, "lead").await;
+        let mut reader = Client::open(rig.front, "lead").await;
+        for text in ["PUT x 2", "PUT x 3", "FETCH x"] {
+            rig.primary.tricks.borrow_mut().push((text, Trick::Silence));
+        }
+        // At the server, whose answers stay away.
+        inside.say("QUERY i3 PUT x 2\r\n").await;
+        writer.say("QUERY w1 PUT x 3\r\n").await;
+        reader.say("QUERY r1 FETCH x\r\n").await;
+        rig.primary.sees(|p| p.tricks.borrow().is_empty()).await;
+        // No server is to be had for these.
+        rig.tell(|view| view.lease_until = 0.0);
+        held.say("QUERY h1 PUT x 4\r\n").await;
+        assert_eq!(begun.ask("b1", "BEGIN").await, "COMPLETE -|IDLE T -");
+        begun.say("QUERY b2 PUT x 5\r\n").await;
+        rig.shared.ending.set(Some(clock::now()));
+        rig.shared.changed.notify_waiters();
+        assert_eq!(held.answer().await, "ERROR RETRY 200|IDLE I -");
+        assert_eq!(begun.answer().await, "ERROR RETRY 200|IDLE E -");
+        assert_eq!(writer.answer().await, "ERROR INDOUBT no clear answer|IDLE I -");
+        assert_eq!(reader.answer().await, "ERROR RETRY 200|IDLE I -");
+        assert_eq!(inside.answer().await, "ERROR ABORTED the server was lost|IDLE E -");
+        assert_eq!(held.line().await, None);
+        assert_eq!(rig.primary.texts().iter().filter(|t| t.starts_with("PUT x 3")).count(), 1);
+    });
+}
+
+#[test]
+fn a_commit_that_waits_for_the_lease_is_ended_with_the_router() {
+    play(async |rig| {
+        let mut a = Client::open(rig.front, "lead").await;
+        a.ask("a1", "BEGIN").await;
+        a.ask("a2", "PUT x 1").await;
+        rig.tell(|view| view.lease_until = 0.0);
+        a.say("QUERY a3 COMMIT\r\n").await;
+        rig.shared.ending.set(Some(clock::now()));
+        rig.shared.changed.notify_waiters();
+        assert_eq!(a.answer().await, "ERROR ABORTED the primary changes|IDLE I -");
+        assert_eq!(rig.primary.writes.get(), 0);
+    });
+}
+
 #[test]
 fn evidence_tells_of_the_primary_only() {
     play(async |rig| {
