Control: that a server drains is on the disks of a majority before it is acknowledged

Cause, by reading and by a simulated run: only what a server says once was kept at once; a drain stood in the file of servers half a second later, under a number below any beat. After a loss of power of all control machines right behind the acknowledgement, with the server's beats cut off or an older one coming late, it was taken for one that stays, and routers would send it work beyond the time after which they must not (DRAIN). Now both ways of leaving are kept alike, with the number of the call. For how long a recalled server has drained isn't known: it counts as so long that it is given up before machines are in touch again.

The test of gathered beats asserts more than before: nothing of a drain leaves before it is on the disk.

--- a/crates/control/src/controller/members_news.rs
+++ b/crates/control/src/controller/members_news.rs
@@ -1,13 +1,14 @@
 //! What control machines tell each other of database servers.
 //!
-//! What a server says of itself is kept in memory only: each server repeats it with every beat. But a caller that is told
+//! What a server says of itself is kept in memory: each server repeats it with every beat. But a caller that is told
 //! that something new was taken (a server is there, is draining, is gone) relies on it. So that is told only once the leader
-//! and a majority know it; and a new leader asks a majority for all that it knows before it replaces any primary.
+//! and a majority know it; and a new leader asks a majority for all that it knows before it replaces any primary. That a server
+//! leaves is on the disks of that majority, too, before it is acknowledged.
 
 use super::{Answer, Controller, Output};
 use crate::ballot::Ballot;
 use crate::consensus::Recipient;
-use crate::members::is_told_once;
+use crate::members::outlives_power_loss;
 use crate::membership::{Node, Voter};
 use crate::message::{MemberNews, PeerMessage};
 use std::collections::{BTreeMap, BTreeSet};
@@ -43,11 +44,10 @@
 }
 
 impl Controller {
-    /// Servers as they were known in a life before this one: who is gone by now will be missed as all others are.
-    pub fn recall(&mut self, now: f64, kept: Vec<MemberNews>) {
-        for news in kept {
-            self.members.merge(now, news, 0);
-        }
+    /// Servers as they were known in a life before this one: who is gone by now will be missed as all others are. Those that
+    /// drain have done so for so many seconds, as far as is known.
+    pub fn recall(&mut self, now: f64, kept: Vec<MemberNews>, drained: f64) {
+        self.members.recall(now, kept, drained);
     }
 
     /// A control machine has a connection again: it is told all that is known, as it may have missed it.
@@ -68,7 +68,7 @@
         &mut self, now: f64, from: Voter, round: Option<u64>, news: Vec<MemberNews>, out: &mut Vec<Output>,
     ) {
         let number = self.lead.as_ref().map_or(0, |lead| lead.number + 1);
-        let told_once = news.iter().any(is_told_once);
+        let to_disk = news.iter().any(outlives_power_loss);
         for one in news {
             let id = one.id.clone();
             let newer = self.members.merge(now, one, number);
@@ -77,7 +77,7 @@
         self.know_services();
         if let Some(round) = round {
             let kept = Output::Peer(Recipient::Voter(from), PeerMessage::MembersKept { round });
-            out.push(if told_once { Output::KeepServers(vec![kept]) } else { kept });
+            out.push(if to_disk { Output::KeepServers(vec![kept]) } else { kept });
         }
     }
 
@@ -114,11 +114,11 @@
             told.push(Output::Peer(Recipient::Voter(voter), message));
         }
         let kept = BTreeSet::from([self.consensus.me()]);
-        let told_once = news.iter().any(is_told_once);
+        let to_disk = news.iter().any(outlives_power_loss);
         self.rounds.all.insert(round, Round { calls, news, kept, until: now + KEEP_WITHIN });
         self.finish_round(round, &mut told);
-        match told_once {
-            // Nobody says it again after a loss of all processes.
+        match to_disk {
+            // After a loss of all processes nobody may say it again in time.
             true => out.push(Output::KeepServers(told)),
             false => out.append(&mut told),
         }
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -44,9 +44,10 @@
     pub confirmed: bool,
 }
 
-/// Whether this tells of a server that leaves without having drained: it is told once, and by no beat again.
-pub(crate) fn is_told_once(news: &MemberNews) -> bool {
-    news.call_seq == LEAVING
+/// Whether this must be on disks before it is acknowledged: nothing new goes to a server that leaves, though all control machines
+/// lose power and its beats stay away. That a server departs undrained is told by no beat again anyway.
+pub(crate) fn outlives_power_loss(news: &MemberNews) -> bool {
+    news.draining && !news.gone
 }
 
 impl Member {
@@ -213,13 +214,28 @@
         self.changes
     }
 
-    /// Those that have not left, as they are kept for a life after this one: any beat is newer.
+    /// Those that have not left, as they are kept for a life after this one: any beat is newer, but for that of a server that
+    /// leaves, which an older one doesn't bring back.
     pub fn kept(&self) -> Vec<MemberNews> {
         let all = self.all.values().filter(|m| !m.news.gone);
-        let call_seq = |m: &Member| if m.news.call_seq == LEAVING { LEAVING } else { 0 };
+        let call_seq = |m: &Member| if outlives_power_loss(&m.news) { m.news.call_seq } else { 0 };
         all.map(|m| MemberNews { call_seq: call_seq(m), ..m.news.clone() }).collect()
     }
 
+    /// Takes what was kept in a life before this one. For how long a server had been draining isn't known: it counts as so many
+    /// seconds.
+    pub fn recall(&mut self, now: f64, kept: Vec<MemberNews>, drained: f64) {
+        for news in kept {
+            let (id, draining) = (news.id.clone(), news.draining);
+            self.merge(now, news, 0);
+            if let Some(member) = self.all.get_mut(&id)
+                && draining
+            {
+                member.draining_since = Some(now - drained);
+            }
+        }
+    }
+
     /// What is known of this one counts as changed under that number: a new leader tells all of it.
     pub(crate) fn restamp(&mut self, id: &str, stamp: u64) {
         if let Some(member) = self.all.get_mut(id) {
--- a/crates/control/src/tests/members.rs
+++ b/crates/control/src/tests/members.rs
@@ -78,6 +78,23 @@
     assert!(members.refused(20.1, "b", 6).is_none());
 }
 
+/// What is kept for the next life: of who drains that it does, so that a beat from before can't bring it back; of others nothing
+/// that keeps a beat from counting.
+#[test]
+fn who_drains_does_so_in_the_next_life() {
+    let mut members = Members::default();
+    members.beat(0.0, "a", &beat(8, Phase::Draining), 1);
+    members.beat(0.0, "b", &beat(5, Phase::Ready), 1);
+    let mut next = Members::default();
+    next.recall(100.0, members.kept(), 3.0);
+    assert!(next.beat(100.1, "a", &beat(7, Phase::Ready), 1).is_none());
+    assert_eq!(draining(&next), Some(true));
+    assert_eq!(next.get("a").unwrap().draining_since, Some(97.0), "for how long isn't known");
+    assert!(next.beat(100.2, "a", &beat(9, Phase::Draining), 1).is_some());
+    assert!(next.beat(100.2, "b", &beat(1, Phase::Ready), 1).is_some());
+    assert_eq!(next.get("b").unwrap().draining_since, None);
+}
+
 #[test]
 fn whoever_is_silent_is_forgotten_until_it_beats() {
     let mut members = Members::default();
--- a/crates/control/src/tests/storm.rs
+++ b/crates/control/src/tests/storm.rs
@@ -355,5 +355,8 @@
     }
     assert!((7..=9).contains(&frames) && told > 800, "{frames} frames with {told}");
     let out = beat(&mut controller, 2.0, 4, Phase::Draining);
-    assert!(matches!(members(&out)[..], [(Some(_), 1)]) && replies(&out) == 0);
+    let [Output::KeepServers(kept)] = &out[..] else {
+        panic!("nothing leaves before it is on the disk: {out:?}")
+    };
+    assert!(matches!(members(kept)[..], [(Some(_), 1)]) && replies(kept) == 0);
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -105,6 +105,13 @@
     budget.machine_loss.max(budget.zones).max(budget.sites) as usize
 }
 
+/// For how long servers that were draining when this process began count as having drained, in seconds. How long it was away
+/// isn't known; what they say holds machines that are in touch, and none is before `quiet_ms` after this start: by then they
+/// have drained.
+fn drained_before(settings: &Settings) -> f64 {
+    (settings.bounds.drain_ms - settings.bounds.quiet_ms).max(0.0) / 1000.0
+}
+
 fn node_of(address: IpAddr) -> Option<Node> {
     match address {
         IpAddr::V4(ip) => Some(u32::from(ip)),
@@ -137,7 +144,7 @@
         let servers = Servers::new(folder.join("servers"));
         let known = servers.read();
         log::info!("event=servers_recalled count={}", known.len());
-        controller.recall(now, known);
+        controller.recall(now, known, drained_before(settings));
         let this = Rc::new(Control {
             tasks: tasks.clone(),
             me,
--- a/crates/node/src/tests/servers.rs
+++ b/crates/node/src/tests/servers.rs
@@ -48,7 +48,7 @@
     let timing = ControlTiming { lease, suspect, contact, platform, call, forget, service };
     let mut controller =
         Controller::new(Voter { node: 1, incarnation: FOUNDING }, Record::default(), 0.0, 7, timing);
-    controller.recall(0.0, known.iter().map(member).collect());
+    controller.recall(0.0, known.iter().map(member).collect(), 0.0);
     controller
 }
 
--- a/crates/simulation/src/machine.rs
+++ b/crates/simulation/src/machine.rs
@@ -128,7 +128,7 @@
         let me = Voter { node, incarnation: machine.disk.incarnation };
         let mut controller = Controller::new(me, machine.disk.record.clone(), clock, life, timing());
         controller.settings(machine.seeds.clone(), budget);
-        controller.recall(clock, machine.disk.servers.clone());
+        controller.recall(clock, machine.disk.servers.clone(), 0.0);
         machine.controller = Some(controller);
         self.put(0.0, Event::Tick(node, life));
         self.say(|| format!("control {node} starts as {me}"));
--- a/crates/simulation/tests/rosters.rs
+++ b/crates/simulation/tests/rosters.rs
@@ -49,6 +49,41 @@
     assert!(played > 3, "{played}");
 }
 
+/// A server says that it drains; all machines lose power in the moment in which that was acknowledged, one of them its disk, and
+/// the server's beats stay away behind a cut: it drains still, and a beat from before that comes late doesn't bring it back.
+#[test]
+fn an_acknowledged_drain_outlives_a_loss_of_all() {
+    for seed in 0..20 {
+        let mut world = World::new(seed);
+        world.run_until(6.0, "a primary in use", |w| w.in_use().as_deref() == Some("a"));
+        world.run(2.0);
+        let server = world.servers.get_mut("b").expect("a replica");
+        server.beats = false;
+        let endpoint = server.endpoint.clone();
+        let asked = 1 + (seed % 3) as Node;
+        world.call(asked, 9, Call::Beat { id: "b".to_owned(), beat: beat(&endpoint, 1000, true) });
+        while !world.replies.contains_key(&9) {
+            world.step();
+        }
+        assert_eq!(world.replies[&9].0, 200);
+        let leader = world.leader().expect("somebody leads");
+        world.wipe(leader);
+        for node in (1..=3).filter(|node| *node != leader) {
+            world.power_off(node);
+        }
+        world.run(0.5);
+        (1..=3).for_each(|node| world.start(node));
+        world.run_until(4.0, "another leader", |w| w.leader().is_some());
+        let leader = world.leader().expect("somebody leads");
+        world.call(leader, 10, Call::Beat { id: "b".to_owned(), beat: beat(&endpoint, 999, false) });
+        world.run(1.0);
+        let leader = world.leader().expect("somebody leads");
+        let controller = world.controls[&leader].controller.as_ref().expect("it runs");
+        let member = controller.members().get("b").expect("it serves on");
+        assert!(member.news.draining, "it is taken for one that stays");
+    }
+}
+
 /// That a server leaves without having drained is said once: it is known after all machines have lost power in the moment in which
 /// that was acknowledged, and one of them its disk.
 #[test]
