Simulation: faults beyond the budget, with halves cut from each other

Any number of machines may be lost at once and control be cut in two, as long as no more disks are lost than the budget allows until all machines decide again. Safety is checked at every event as before; service may rest until 12 s behind the return of the last machine, and must be there from then on.

--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -1,6 +1,8 @@
-//! Faults by chance, as many at a time as the budget allows, and some that strike all at once.
+//! Faults by chance: as many machines lost at a time as the budget allows, or any number of them as long as no more disks are lost
+//! than it allows; and some that strike all at once.
 
 use crate::disk::{DiskHealth, USUAL};
+use crate::oracle::{CATCH_UP, RECOVERY};
 use crate::schedule::Chance;
 use crate::world::World;
 use badgerstream_control::Node;
@@ -30,9 +32,10 @@
     KillAll,
     PowerOffAll,
     WipeSome,
+    Halves,
 }
 
-const FAULTS: [Fault; 16] = [
+const FAULTS: [Fault; 17] = [
     Fault::Kill,
     Fault::PowerOff,
     Fault::Wipe,
@@ -49,8 +52,26 @@
     Fault::KillAll,
     Fault::PowerOffAll,
     Fault::WipeSome,
+    Fault::Halves,
 ];
 
+impl Fault {
+    /// Whether a disk is lost by it.
+    fn loses_a_disk(self) -> bool {
+        matches!(self, Fault::Wipe | Fault::Replace | Fault::ReplacePlanned)
+    }
+}
+
+/// How many machines may be lost at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Losses {
+    /// No more than the budget allows, until they have caught up.
+    WithinBudget,
+    /// Any number, and the links between two halves; but no more disks than the budget allows, until all machines decide again.
+    /// Service may rest meanwhile.
+    BeyondBudget,
+}
+
 /// What is to be undone, and when.
 #[derive(Clone, Debug)]
 enum Undo {
@@ -60,6 +81,7 @@
     Heal(Node),
     MendDisk(Node),
     Remove(Node),
+    JoinHalves,
 }
 
 /// A world with faults by chance.
@@ -69,13 +91,16 @@
     chance: Chance,
     undo: Vec<(f64, Undo)>,
     next_node: Node,
+    losses: Losses,
+    /// Disks lost since all machines last decided.
+    disks_lost: usize,
     /// What happened, for a message.
     pub story: Vec<String>,
 }
 
 impl FaultRun {
     /// So many machines, of which so many may be lost at once, and a few operators.
-    pub fn new(seed: u64, machines: u32, budget: usize) -> FaultRun {
+    pub fn new(seed: u64, machines: u32, budget: usize, losses: Losses) -> FaultRun {
         let mut world = World::control_only(seed, machines, budget);
         world.links.resets = if seed.is_multiple_of(3) { 2 } else { 0 };
         world.lost_replies = (seed % 4) * 60;
@@ -87,7 +112,15 @@
             world.add_router(at);
         }
         let next_node = machines + 1;
-        FaultRun { world, chance: Chance::new(seed ^ 0x5eed), undo: Vec::new(), next_node, story: Vec::new() }
+        FaultRun {
+            world,
+            chance: Chance::new(seed ^ 0x5eed),
+            undo: Vec::new(),
+            next_node,
+            losses,
+            disks_lost: 0,
+            story: Vec::new(),
+        }
     }
 
     /// Plays faults for so many seconds, then waits until all is calm and something was acknowledged.
@@ -106,7 +139,7 @@
         while !self.undo.is_empty() {
             self.wait(0.1);
         }
-        self.world.run(9.0);
+        self.world.run(RECOVERY + CATCH_UP);
         assert!(self.world.leader().is_some(), "nobody leads: {}", self.world.describe());
     }
 
@@ -133,6 +166,7 @@
                 Undo::Heal(node) => self.world.heal(node),
                 Undo::MendDisk(node) => self.world.set_disk(node, USUAL),
                 Undo::Remove(node) => self.world.remove(node),
+                Undo::JoinHalves => self.world.join_halves(),
             }
         }
     }
@@ -146,13 +180,15 @@
         self.undo.push((at, undo));
     }
 
-    /// One machine that may be lost within the budget, the leader as often as not.
+    /// One machine that may be lost, the leader as often as not.
     fn victim(&mut self) -> Option<Node> {
-        if self.world.lost() >= self.world.budget {
+        let world = &self.world;
+        let within = self.losses == Losses::WithinBudget;
+        if within && world.lost() >= world.budget {
             return None;
         }
-        let world = &self.world;
-        let there = |node: &Node| !world.controls[node].removed && !world.is_lost(*node);
+        let fit = |node: &Node| if within { !world.is_lost(*node) } else { world.is_well(*node) };
+        let there = |node: &Node| !world.controls[node].removed && fit(node);
         let fit: Vec<Node> = world.controls.keys().copied().filter(there).collect();
         let leader = self.world.leader().filter(|leader| fit.contains(leader));
         if self.chance.of_thousand(500) { leader.or(self.chance.pick(&fit)) } else { self.chance.pick(&fit) }
@@ -160,11 +196,17 @@
 
     fn strike(&mut self) {
         let Some(fault) = self.chance.pick(&FAULTS) else { return };
+        if self.world.all_decide() && self.world.lost() == 0 {
+            self.disks_lost = 0;
+        }
         match fault {
+            Fault::Halves => self.cut_into_halves(),
+            _ if fault.loses_a_disk() && !self.may_lose_a_disk() => {}
             Fault::KillAll | Fault::PowerOffAll | Fault::WipeSome => self.strike_all(fault),
             Fault::ResetLinks => self.world.reset_links(),
             _ => {
                 if let Some(node) = self.victim() {
+                    self.disks_lost += usize::from(fault.loses_a_disk());
                     self.tell(format!("{fault:?} {node}"));
                     self.strike_one(fault, node);
                 }
@@ -172,6 +214,27 @@
         }
     }
 
+    /// Whether the disk of one more machine may be lost now.
+    fn may_lose_a_disk(&self) -> bool {
+        self.losses == Losses::WithinBudget || self.disks_lost < self.world.budget
+    }
+
+    /// Half of the machines and the others don't reach each other for some seconds, whatever the budget is.
+    fn cut_into_halves(&mut self) {
+        if self.losses == Losses::WithinBudget || self.world.halves {
+            return;
+        }
+        let mut others: Vec<Node> =
+            self.world.controls.iter().filter(|(_, m)| !m.removed).map(|(node, _)| *node).collect();
+        let mut half = Vec::new();
+        for _ in 0..others.len() / 2 {
+            half.push(others.remove(self.chance.below(others.len() as u64) as usize));
+        }
+        self.tell(format!("Halves {half:?} {others:?}"));
+        self.world.cut_halves(&half, &others);
+        self.later(0.2, 6.0, Undo::JoinHalves);
+    }
+
     fn strike_one(&mut self, fault: Fault, node: Node) {
         match fault {
             Fault::Kill => {
@@ -244,17 +307,23 @@
 
     /// All processes or machines at once, and of some the disks besides.
     fn strike_all(&mut self, fault: Fault) {
-        if !self.undo.is_empty() || self.world.lost() > 0 {
+        let within = self.losses == Losses::WithinBudget;
+        if within && (!self.undo.is_empty() || self.world.lost() > 0) {
             return;
         }
         self.tell(format!("{fault:?}"));
-        let nodes: Vec<Node> =
-            self.world.controls.iter().filter(|(_, m)| !m.removed).map(|(node, _)| *node).collect();
+        let there = |node: &Node| within || self.world.is_well(*node);
+        let machines = self.world.controls.iter().filter(|(_, m)| !m.removed).map(|(node, _)| *node);
+        let nodes: Vec<Node> = machines.filter(there).collect();
+        let disks = if within { self.world.budget } else { self.world.budget - self.disks_lost };
         let mut wiped: Vec<Node> = nodes.clone();
-        while wiped.len() > self.world.budget {
+        while wiped.len() > disks {
             let at = self.chance.below(wiped.len() as u64) as usize;
             wiped.remove(at);
         }
+        if fault == Fault::WipeSome {
+            self.disks_lost += wiped.len();
+        }
         for node in nodes {
             match fault {
                 Fault::WipeSome if wiped.contains(&node) => self.world.wipe(node),
--- a/crates/simulation/src/machine.rs
+++ b/crates/simulation/src/machine.rs
@@ -209,6 +209,8 @@
         }
         for event in std::mem::take(&mut machine.inbox) {
             self.handle(event);
+            // Each is an event of its own to the oracle, though all happen at one moment.
+            self.check();
         }
     }
 
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -1,6 +1,6 @@
 //! `badgersimulate`: the control side under faults by chance, for as many seeds as wanted.
 
-use badgerstream_simulation::faults::FaultRun;
+use badgerstream_simulation::faults::{FaultRun, Losses};
 use clap::Parser;
 use std::process::ExitCode;
 
@@ -23,18 +23,22 @@
     /// How many may be lost at once.
     #[arg(long, default_value_t = 1)]
     budget: usize,
+    /// Any number of machines may be lost at once, and be cut into halves; only disks are kept to the budget.
+    #[arg(long)]
+    beyond: bool,
 }
 
 fn main() -> ExitCode {
     env_logger::init();
     let arguments = Arguments::parse();
+    let losses = if arguments.beyond { Losses::BeyondBudget } else { Losses::WithinBudget };
     let mut broken = 0;
     for seed in arguments.seed..arguments.seed + arguments.runs {
         let (machines, budget) = match arguments.machines {
             Some(machines) => (machines, arguments.budget),
             None => [(3, 1), (5, 2), (6, 2), (4, 1)][(seed % 4) as usize],
         };
-        let mut run = FaultRun::new(seed, machines, budget);
+        let mut run = FaultRun::new(seed, machines, budget, losses);
         let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| run.play(arguments.seconds)));
         if played.is_err() {
             broken += 1;
--- a/crates/simulation/src/oracle.rs
+++ b/crates/simulation/src/oracle.rs
@@ -15,6 +15,9 @@
 pub const SERVED_WITHIN: f64 = 3.0;
 /// With the budget kept and nothing happening, it agrees on a change within so many seconds.
 pub const AGREED_WITHIN: f64 = 6.0;
+/// After more machines were lost than the budget allows, or a cut into halves, control serves again within so many seconds of the
+/// return of the last.
+pub const RECOVERY: f64 = 12.0;
 /// What was acknowledged so many seconds ago is in force on every router.
 const IN_FORCE_WITHIN: f64 = 3.0;
 /// A save that takes longer, in seconds, is a disk in trouble.
@@ -31,6 +34,10 @@
     looked_at: BTreeMap<Node, (u64, u64)>,
     /// When something last happened to a machine or a link.
     pub(crate) event: f64,
+    /// More machines were lost than the budget allows, or halves cut from each other, and not all are back.
+    overrun: bool,
+    /// When that last was so.
+    beyond: Option<f64>,
     /// When a read or an order was last answered.
     served: f64,
     /// When a change of the configuration was last agreed on.
@@ -57,27 +64,47 @@
             let since = self.seen.successors.get(&node).copied().flatten();
             return since.is_none_or(|since| self.now < since + CATCH_UP);
         }
-        self.now < machine.trouble_until || !self.is_well(node, machine)
+        self.now < machine.trouble_until || !self.is_well(node)
     }
 
-    fn is_well(&self, node: Node, machine: &Machine) -> bool {
+    /// Whether this machine runs, hears the others and can save.
+    pub fn is_well(&self, node: Node) -> bool {
+        let Some(machine) = self.controls.get(&node) else { return false };
         let disk = matches!(machine.disk.health, DiskHealth::Takes(seconds) if seconds <= SLOW_SAVE);
         let cut = self.cut_off.contains(&node);
         machine.controller.is_some() && !machine.ending && !machine.frozen && disk && !cut
     }
 
+    /// Notes whether more is lost than the budget allows. Once it was, that ends with the return of the last.
+    fn note_losses(&mut self) {
+        let goes_on = self.seen.overrun && self.absent() > 0;
+        self.seen.overrun = self.halves || self.lost() > self.budget || goes_on;
+        if self.seen.overrun {
+            self.seen.beyond = Some(self.now);
+        }
+    }
+
+    /// How many machines are away now, those not counted that are back and catch up.
+    fn absent(&self) -> usize {
+        let away = |(node, machine): &(&Node, &Machine)| {
+            if machine.removed { self.is_lost(**node) } else { !self.is_well(**node) }
+        };
+        self.controls.iter().filter(away).count()
+    }
+
     /// How many machines count as lost.
     pub fn lost(&self) -> usize {
         self.controls.keys().filter(|node| self.is_lost(**node)).count()
     }
 
-    /// Whether a leader has agreed on a set of voters in which every machine is, in the life of its disk.
+    /// Whether a leader has agreed on a set of voters in which every machine is, in the life of its disk, and none that is gone.
     pub fn all_decide(&self) -> bool {
         let agreed = |machine: &Machine| machine.controller.as_ref()?.consensus().agreed().cloned();
         let newest = self.controls.values().filter_map(agreed).max_by_key(|state| state.seq);
         newest.is_some_and(|state| {
             let decides = |(node, machine): (&Node, &Machine)| {
-                state.membership.contains(Voter { node: *node, incarnation: machine.disk.incarnation })
+                let voter = Voter { node: *node, incarnation: machine.disk.incarnation };
+                state.membership.contains(voter) != machine.removed
             };
             !state.membership.is_joint() && self.controls.iter().all(decides)
         })
@@ -221,12 +248,16 @@
 
     /// Called now and then: with the budget kept, control does its work.
     pub(crate) fn check_liveness(&mut self) {
-        let since = self.now - self.seen.event;
+        self.note_losses();
+        // Service may rest until the end of the recovery, and is there from then on.
+        let recovered = self.seen.beyond.map_or(0.0, |until| until + RECOVERY - AGREED_WITHIN);
+        let calm_from = self.seen.event.max(recovered);
+        let since = self.now - calm_from;
         if self.operators.is_empty() || self.lost() > self.budget || since < SERVED_WITHIN {
             return;
         }
-        let unserved = self.now - self.seen.served.max(self.seen.event);
-        let unchanged = self.now - self.seen.changed.max(self.seen.event);
+        let unserved = self.now - self.seen.served.max(calm_from);
+        let unchanged = self.now - self.seen.changed.max(calm_from);
         assert!(
             unserved < SERVED_WITHIN && unchanged < AGREED_WITHIN,
             "{}: nothing served for {unserved:.1} s, nothing agreed on for {unchanged:.1} s, {} of {} lost: {}",
@@ -258,7 +289,7 @@
         let voters = controller.consensus().voters();
         for (node, machine) in &self.controls {
             let voter = Voter { node: *node, incarnation: machine.disk.incarnation };
-            let well = !machine.removed && self.is_well(*node, machine) && !self.is_lost(*node);
+            let well = !machine.removed && self.is_well(*node) && !self.is_lost(*node);
             assert!(
                 !well || voters.contains(&voter),
                 "{}: {voter} is back for {CATCH_UP} s and decides nothing: {voters:?}",
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -80,6 +80,8 @@
     pub links: Links,
     /// Control machines that are cut off from the others, one way at least.
     pub(crate) cut_off: BTreeSet<Node>,
+    /// The control machines are cut into two halves.
+    pub halves: bool,
     /// The newest connection that a machine (first) has heard of another one.
     pub(crate) lives_heard: HashMap<(Node, Node), u64>,
     pub routers: Vec<Router>,
@@ -150,6 +152,7 @@
             budget,
             links: Links::default(),
             cut_off: BTreeSet::new(),
+            halves: false,
             lives_heard: HashMap::new(),
             routers: Vec::new(),
             servers: BTreeMap::new(),
@@ -240,8 +243,26 @@
         self.release_held();
     }
 
+    /// These control machines and those don't reach each other; each reaches all routers, servers and operators.
+    pub fn cut_halves(&mut self, half: &[Node], other: &[Node]) {
+        self.say(|| format!("control is cut into {half:?} and {other:?}"));
+        self.halves = true;
+        self.seen.event = self.now;
+        for one in half {
+            other.iter().for_each(|other| self.links.cut_between(*one, *other));
+        }
+    }
+
+    /// The halves reach each other again; what else was cut is whole as well.
+    pub fn join_halves(&mut self) {
+        self.say(|| "control is no longer cut into halves".to_owned());
+        self.seen.event = self.now;
+        self.heal_all();
+    }
+
     /// Nothing is cut any more.
     pub fn heal_all(&mut self) {
+        self.halves = false;
         self.cut_off.clear();
         self.links.cut.clear();
         self.release_held();
