--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -2,8 +2,9 @@
 //! and links, database servers, routers, the platform and operators, all driven by one clock.
 //!
 //! A run is a function of its seed and of what is done to it. Safety is checked at every event, and liveness whenever no
-//! more machines are lost than the fault budget allows ([`oracle`]).
+//! more machines are lost than the fault budget allows ([`oracle`]). Days for the users' bench are drawn here, too ([`days`]).
 
+pub mod days;
 pub mod disk;
 pub mod faults;
 pub mod links;
@@ -20,3 +21,8 @@
 pub use routers::Router;
 pub use servers::{Health, SERVICE, Server};
 pub use world::{World, timing};
+
+#[cfg(test)]
+mod tests {
+    mod days;
+}
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -1,13 +1,17 @@
-//! `badgersimulate`: the control side under faults by chance, for as many seeds as wanted.
+//! `badgersimulate`: the control side under faults by chance, for as many seeds as wanted; and days for the users' bench, drawn
+//! from seeds.
 
+use badgerstream_simulation::days::{Day, Site};
 use badgerstream_simulation::faults::{FaultRun, Losses};
-use clap::Parser;
+use clap::{Parser, Subcommand};
 use std::process::ExitCode;
 
 /// Plays the control side with faults by chance and checks safety and liveness.
 #[derive(Parser)]
-#[command(name = "badgersimulate", version)]
+#[command(name = "badgersimulate", version, args_conflicts_with_subcommands = true)]
 struct Arguments {
+    #[command(subcommand)]
+    draw: Option<Draw>,
     /// The first seed.
     #[arg(long, default_value_t = 0)]
     seed: u64,
@@ -28,9 +32,26 @@
     beyond: bool,
 }
 
+#[derive(Subcommand)]
+enum Draw {
+    /// Prints a day for the bench, drawn from a seed: several troubles on the same machine within the same second.
+    Day {
+        /// The kind of deployment that it is drawn for.
+        #[arg(long)]
+        site: Site,
+        /// The same seed always draws the same day.
+        #[arg(long)]
+        seed: u64,
+    },
+}
+
 fn main() -> ExitCode {
     env_logger::init();
     let arguments = Arguments::parse();
+    if let Some(Draw::Day { site, seed }) = arguments.draw {
+        print!("{}", Day::draw(site, seed));
+        return ExitCode::SUCCESS;
+    }
     let losses = if arguments.beyond { Losses::BeyondBudget } else { Losses::WithinBudget };
     let mut broken = 0;
     for seed in arguments.seed..arguments.seed + arguments.runs {
