--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -113,6 +113,9 @@
     stamp: u64,
 }
 
+/// So many changes of primaries are kept for whoever asks how long they took.
+pub const PRIMARY_CHANGES_KEPT: usize = 256;
+
 /// A leader knows how many routers there are after so many seconds: by then each has asked.
 const SETTLED: f64 = 2.0;
 
@@ -126,6 +129,8 @@
     leases: Leases,
     services: BTreeMap<String, Failover>,
     grants: BTreeMap<String, Grant>,
+    /// Since when each service whose grant was taken back has had no primary in use.
+    withdrawn: BTreeMap<String, f64>,
     sessions: BTreeMap<u64, Session>,
     telling: Telling,
     turns: Turns,
@@ -160,6 +165,8 @@
     news_due: bool,
     /// Beats that told nothing new, for the other control machines.
     refreshed: Refreshed,
+    /// For how long services had no primary in use, at the changes of late, in seconds.
+    primary_changes: Vec<f64>,
     /// When it was last looked for members that are silent.
     swept: f64,
     /// When this process began.
@@ -189,6 +196,7 @@
             rounds: Rounds::default(),
             news_due: false,
             refreshed: Refreshed::default(),
+            primary_changes: Vec::new(),
             swept: f64::NEG_INFINITY,
             started: now,
         }
@@ -291,6 +299,12 @@
         lead.services.iter().map(of).collect()
     }
 
+    /// For how long services had no primary in use, at changes since this was last asked, in seconds; of the last
+    /// [`PRIMARY_CHANGES_KEPT`] at most.
+    pub fn take_primary_changes(&mut self) -> Vec<f64> {
+        std::mem::take(&mut self.primary_changes)
+    }
+
     /// The routers that hold a lease.
     pub fn routers(&self, now: f64) -> usize {
         self.lead.as_ref().map_or(0, |l| l.leases.held(now))
@@ -329,6 +343,7 @@
             leases: Leases::begin(before_us),
             services: BTreeMap::new(),
             grants: BTreeMap::new(),
+            withdrawn: BTreeMap::new(),
             sessions: BTreeMap::new(),
             telling: Telling::default(),
             turns: Turns::default(),
--- a/crates/control/src/controller/services.rs
+++ b/crates/control/src/controller/services.rs
@@ -1,6 +1,6 @@
 //! The leader's duty for each service: a step of its failover, and what that asks for.
 
-use super::{Controller, Grant, Lead, Origin, Output, Waiting, Wanted};
+use super::{Controller, Grant, Lead, Origin, Output, PRIMARY_CHANGES_KEPT, Waiting, Wanted};
 use crate::failover::{Act, Around, Asked, Candidate, Failover, Timing};
 use crate::members::Member;
 use crate::message::GrantNews;
@@ -204,6 +204,13 @@
                 Act::Grant { id, term, closing } => {
                     let Some(lead) = &mut self.lead else { return };
                     log::info!("event=grant service={service} id={id} term={term} closing={closing}");
+                    if closing {
+                        lead.withdrawn.entry(service.to_owned()).or_insert(now);
+                    } else if let Some(since) = lead.withdrawn.remove(service)
+                        && self.primary_changes.len() < PRIMARY_CHANGES_KEPT
+                    {
+                        self.primary_changes.push(now - since);
+                    }
                     lead.number += 1;
                     lead.leases.grant_changed(lead.number);
                     let news = GrantNews { service: service.to_owned(), id, term, closing };
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,7 +21,7 @@
 pub use consensus::{
     Consensus, ConsensusMessage, ConsensusOutput, ConsensusTiming, Content, Holds, Recipient, Record,
 };
-pub use controller::{Answer, Call, ControlTiming, Controller, Output};
+pub use controller::{Answer, Call, ControlTiming, Controller, Output, PRIMARY_CHANGES_KEPT};
 pub use difference::Difference;
 pub use digest::Digest;
 pub use failover::{Asked, Row, Statement, Timing};
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -8,6 +8,7 @@
 mod status;
 
 use crate::frames::{self, Frame};
+use crate::metrics::CallCounts;
 use crate::notify::Notify;
 use crate::server_queries::{Query, Target};
 use crate::servers::Servers;
@@ -68,6 +69,7 @@
     /// The process is to end: no new duty is begun.
     pub ending: Cell<bool>,
     lease: f64,
+    counts: CallCounts,
 }
 
 /// The spans that this deployment's settings give.
@@ -112,6 +114,16 @@
     (settings.bounds.drain_ms - settings.bounds.quiet_ms).max(0.0) / 1000.0
 }
 
+/// The name of a call, for its count.
+fn name_of(call: &Call) -> &'static str {
+    match call {
+        Call::Beat { .. } => "heartbeat",
+        Call::Depart { .. } => "depart",
+        Call::Replace { .. } => "replace",
+        Call::Read => "read",
+    }
+}
+
 fn node_of(address: IpAddr) -> Option<Node> {
     match address {
         IpAddr::V4(ip) => Some(u32::from(ip)),
@@ -166,6 +178,7 @@
             open: Rc::default(),
             ending: Cell::new(false),
             lease: timing.lease,
+            counts: CallCounts::default(),
         });
         let bind = |at: SocketAddr| http::listen(at).map_err(|e| format!("{at}: {e}"));
         let peers = bind(SocketAddr::from((settings.ip, this.port)))?;
@@ -197,6 +210,8 @@
         loop {
             let out = self.controller.borrow_mut().tick(clock::now());
             self.perform(out);
+            let changes = self.controller.borrow_mut().take_primary_changes();
+            changes.into_iter().for_each(|seconds| self.counts.primary_changed(seconds));
             self.servers.keep(clock::now(), &self.controller.borrow());
             let pause = if self.controller.borrow().leads() { 20 } else { 50 };
             Timer::after(Duration::from_millis(pause)).await;
@@ -221,7 +236,10 @@
                 }
                 Output::Peer(to, message) => self.link(to, message),
                 Output::Router(session, message) => self.sessions.answer(session, message),
-                Output::News(session, news) => self.sessions.tell(session, news),
+                Output::News(session, news) => {
+                    self.counts.told();
+                    self.sessions.tell(session, news);
+                }
                 Output::Ask { id, endpoint, service, statement, fence } => {
                     if let Ok(endpoint) = endpoint.parse() {
                         self.ask(Target { id, service, endpoint }, Query { statement, fence });
@@ -253,6 +271,7 @@
     }
 
     async fn settle(self: &Rc<Self>, call: Call) -> Answer {
+        let name = name_of(&call);
         let id = self.next.get() + 1;
         self.next.set(id);
         let (sender, receiver) = async_channel::bounded(1);
@@ -260,6 +279,8 @@
         let out = self.controller.borrow_mut().call(clock::now(), id, call);
         self.perform(out);
         let none = Answer::error(503, "no answer");
-        receiver.recv().await.unwrap_or(none)
+        let answer = receiver.recv().await.unwrap_or(none);
+        self.counts.answered(name, answer.status);
+        answer
     }
 }
--- a/crates/node/src/control/disk.rs
+++ b/crates/node/src/control/disk.rs
@@ -100,7 +100,9 @@
     /// Puts the record on the disk, and lets the decisions go on from there; gives what is to be done then.
     pub(super) fn save(self: &Rc<Self>) -> Vec<badgerstream_control::Output> {
         let record = self.controller.borrow().record().clone();
+        let began = clock::now();
         let saved = self.disk.borrow_mut().save(&record);
+        self.counts.saved(clock::now() - began, saved.is_ok());
         match saved {
             Ok(()) => self.controller.borrow_mut().saved(clock::now()),
             Err(e) => {
--- a/crates/node/src/control/status.rs
+++ b/crates/node/src/control/status.rs
@@ -1,8 +1,68 @@
 //! How this machine sees the system, for operators.
 
 use super::*;
+use std::collections::BTreeMap;
+
+/// How this machine stands, in numbers.
+pub struct ControlFigures {
+    /// It leads.
+    pub leads: bool,
+    /// A majority is heard, through its leader.
+    pub in_contact: bool,
+    /// The highest ballot that it promised.
+    pub ballot: u64,
+    /// Number of the newest state on its disk.
+    pub sequence: u64,
+    /// Version of the configuration that it knows.
+    pub epoch: u64,
+    /// How many control machines decide.
+    pub voters: usize,
+    /// It is one of them.
+    pub votes: bool,
+    /// Its disk takes no saves.
+    pub disk_failed: bool,
+    /// Routers that hold a lease from it.
+    pub routers: usize,
+    /// Services by the phase of their primary; none where it doesn't lead.
+    pub primaries: BTreeMap<&'static str, usize>,
+    /// Database servers that are ready and that drain.
+    pub servers: BTreeMap<&'static str, usize>,
+}
 
 impl Control {
+    /// What was asked and done since the start of the process.
+    pub fn counts(&self) -> &CallCounts {
+        &self.counts
+    }
+
+    /// How this machine stands, in numbers.
+    pub fn figures(&self, now: f64) -> ControlFigures {
+        let controller = self.controller.borrow();
+        let consensus = controller.consensus();
+        let record = consensus.record();
+        let mut primaries = BTreeMap::new();
+        for (_, phase, _) in controller.primaries() {
+            *primaries.entry(phase).or_default() += 1;
+        }
+        let mut servers = BTreeMap::from([("ready", 0), ("draining", 0)]);
+        for member in controller.members().all().filter(|member| !member.news.gone) {
+            *servers.entry(if member.news.draining { "draining" } else { "ready" }).or_default() += 1;
+        }
+        ControlFigures {
+            leads: controller.leads(),
+            in_contact: consensus.in_contact(now),
+            ballot: record.promised.0,
+            sequence: record.state.seq,
+            epoch: controller.config().0,
+            voters: consensus.voters().len(),
+            votes: consensus.voters().contains(&consensus.me()),
+            disk_failed: consensus.disk_failed(),
+            routers: controller.routers(now),
+            primaries,
+            servers,
+        }
+    }
+
     /// How this machine sees the system, for operators.
     pub(super) fn status(&self) -> Status {
         let controller = self.controller.borrow();
--- a/crates/node/src/edge/client.rs
+++ b/crates/node/src/edge/client.rs
@@ -87,7 +87,9 @@
             let response = match Request::parse(&line) {
                 Ok(Request::Query { id, text }) => {
                     // On the heap while it lasts: a resting session keeps no room for it.
-                    Box::pin(self.query(id, text, arrived)).await
+                    let response = Box::pin(self.query(id, text, arrived)).await;
+                    self.edge.counts.ended(text, response.end());
+                    response
                 }
                 Ok(Request::Bye) => return,
                 Ok(Request::Connect { .. }) => self.malformed("connected already"),
--- a/crates/node/src/edge/client/response.rs
+++ b/crates/node/src/edge/client/response.rs
@@ -1,5 +1,6 @@
 //! The answer that a client gets to its statement.
 
+use crate::metrics::End;
 use badgerstream_pooling::latency::MIN_RETRY_AFTER_S;
 use badgerstream_wire::{Code, State};
 
@@ -18,6 +19,26 @@
     ClientGone,
 }
 
+impl Response {
+    /// How the statement ended for its client.
+    pub(super) fn end(&self) -> End {
+        match self {
+            Self::Forward(raw) => match raw.strip_prefix(b"ERROR ") {
+                Some(rest) => End::Error(Code::parse(first_word(rest))),
+                None => End::Complete,
+            },
+            Self::Error(code, ..) => End::Error(*code),
+            Self::Done => End::Complete,
+            Self::ClientGone => End::ClientGone,
+        }
+    }
+}
+
+fn first_word(line: &[u8]) -> &str {
+    let end = line.iter().position(u8::is_ascii_whitespace).unwrap_or(line.len());
+    std::str::from_utf8(&line[..end]).unwrap_or_default()
+}
+
 pub(super) fn error(code: Code, text: impl Into<String>, state: State) -> Response {
     Response::Error(code, text.into(), state)
 }
--- a/crates/node/src/edge/gate.rs
+++ b/crates/node/src/edge/gate.rs
@@ -32,6 +32,11 @@
         self.queue.borrow().busy()
     }
 
+    /// How many wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.borrow().waiting()
+    }
+
     /// Whoever comes now must wait.
     pub fn is_full(&self) -> bool {
         self.queue.borrow().is_full()
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -10,6 +10,7 @@
 mod pool;
 
 use crate::clock;
+use crate::metrics::StatementCounts;
 use crate::view::{Server, Shared};
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -18,9 +19,9 @@
 use badgerstream_routing::Rotation;
 use badgerstream_wire::Position;
 use net::Scratch;
-use pool::Pool;
+use pool::{Pool, PoolFigures};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::future::poll_fn;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -156,6 +157,7 @@
     next_session: Cell<u64>,
     working: Cell<usize>,
     routers: Cell<usize>,
+    counts: StatementCounts,
     random: RefCell<fastrand::Rng>,
 }
 
@@ -175,6 +177,7 @@
             next_session: Cell::new(0),
             working: Cell::new(0),
             routers: Cell::new(DEFAULT_ROUTERS),
+            counts: StatementCounts::default(),
             random: RefCell::new(fastrand::Rng::with_seed(limits.seed)),
             limits,
         });
@@ -207,6 +210,34 @@
         primaries.collect()
     }
 
+    /// What clients asked, and what became of it.
+    pub fn counts(&self) -> &StatementCounts {
+        &self.counts
+    }
+
+    /// Of each service how old the newest position is that its primary answered, in seconds.
+    pub fn proof_ages(&self, now: f64) -> Vec<(String, f64)> {
+        let all = self.freshness.borrow();
+        let age =
+            |(service, known): (&String, &Freshness)| Some((service.clone(), now - known.history.newest()?));
+        all.iter().filter_map(age).collect()
+    }
+
+    /// Of each service what the pools of its servers hold and who waits there.
+    pub fn pool_figures(&self) -> Vec<PoolFigures> {
+        let mut figures: BTreeMap<String, PoolFigures> = BTreeMap::new();
+        for pool in self.pools.borrow().values() {
+            let of_pool = pool.figures();
+            let sum = figures.entry(of_pool.service.clone()).or_default();
+            sum.service.clone_from(&of_pool.service);
+            sum.idle += of_pool.idle;
+            sum.in_use += of_pool.in_use;
+            sum.working += of_pool.working;
+            sum.waiting += of_pool.waiting;
+        }
+        figures.into_values().collect()
+    }
+
     /// How many clients are connected.
     pub fn clients(&self) -> usize {
         self.sessions.borrow().len()
--- a/crates/node/src/edge/place.rs
+++ b/crates/node/src/edge/place.rs
@@ -117,8 +117,13 @@
     pub async fn place(
         self: &Rc<Self>, request: &PlacementRequest<'_>, session: &Session, tried: &[String], give_up: f64,
     ) -> Result<Placement, f64> {
+        let began = clock::now();
         let placed = self.place_or_wait(request, session, tried, give_up).await;
+        if let Ok(placement) = &placed {
+            self.counts.placed(placement.proof.is_none(), clock::now() - began);
+        }
         placed.map_err(|wait| {
+            self.counts.unplaced();
             let service = &*request.terms.service;
             self.with_freshness(service, |f| f.refusals.refused(clock::now(), wait))
         })
--- a/crates/node/src/edge/pool.rs
+++ b/crates/node/src/edge/pool.rs
@@ -41,7 +41,33 @@
     unanswered: RefCell<Vec<f64>>,
 }
 
+/// What pools hold, and who waits there.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PoolFigures {
+    /// The service.
+    pub service: String,
+    /// Connections that rest.
+    pub idle: usize,
+    /// Connections that somebody has, or opens.
+    pub in_use: usize,
+    /// Places to work that are taken.
+    pub working: usize,
+    /// Statements that wait for either.
+    pub waiting: usize,
+}
+
 impl Pool {
+    /// What it holds, and who waits.
+    pub fn figures(&self) -> PoolFigures {
+        PoolFigures {
+            service: self.server.service.clone(),
+            idle: self.idle.borrow().len(),
+            in_use: self.conns.busy(),
+            working: self.slots.busy(),
+            waiting: self.conns.waiting() + self.slots.waiting(),
+        }
+    }
+
     /// For this server, as one of so many routers.
     pub fn new(server: Server, max_conns: usize, routers: usize) -> Rc<Self> {
         let share = Share::new(max_conns, routers);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod exchange;
 pub mod frames;
 pub mod http;
+pub mod metrics;
 pub mod node;
 pub mod notify;
 pub mod server_queries;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -20,6 +20,9 @@
         /// The settings file; the variable BADGERSTREAM_BOOT names it otherwise.
         #[arg(long, env = "BADGERSTREAM_BOOT")]
         settings: PathBuf,
+        /// Answers `GET /metrics` with this machine's figures on this port of its address; without it nobody can ask.
+        #[arg(long, value_name = "PORT")]
+        metrics: Option<u16>,
     },
     #[command(flatten)]
     Operator(cli::Command),
@@ -27,9 +30,9 @@
 
 fn main() -> ExitCode {
     let ended = match Arguments::parse().command {
-        Command::Node { settings } => {
+        Command::Node { settings, metrics } => {
             env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-            node::run(settings).inspect_err(|e| log::error!("event=failed error={e:?}"))
+            node::run(settings, metrics).inspect_err(|e| log::error!("event=failed error={e:?}"))
         }
         Command::Operator(command) => {
             cli::run(command, &mut std::io::stdout().lock()).map_err(|e| e.to_string())
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,6 +4,7 @@
 use crate::control::Control;
 use crate::edge::{Edge, EdgeLimits};
 use crate::http::{self, Handler};
+use crate::metrics::Metrics;
 use crate::session::{Session, Spans};
 use crate::view::Shared;
 use async_executor::LocalExecutor;
@@ -72,12 +73,12 @@
     Settings::read(&text).map_err(|e| format!("{}: {e}", path.display()))
 }
 
-/// Runs the parts of this machine until SIGTERM.
-pub fn run(path: PathBuf) -> Result<(), String> {
+/// Runs the parts of this machine until SIGTERM; with a port for its figures somebody may ask for these there.
+pub fn run(path: PathBuf, metrics: Option<u16>) -> Result<(), String> {
     clock::now();
     let settings = read(&path)?;
     let tasks = Rc::new(LocalExecutor::new());
-    async_io::block_on(tasks.run(serve(tasks.clone(), path, settings)))
+    async_io::block_on(tasks.run(serve(tasks.clone(), path, settings, metrics)))
 }
 
 /// The router's part of a machine.
@@ -86,7 +87,9 @@
     session: Rc<Session>,
 }
 
-async fn serve(tasks: Rc<LocalExecutor<'static>>, path: PathBuf, settings: Settings) -> Result<(), String> {
+async fn serve(
+    tasks: Rc<LocalExecutor<'static>>, path: PathBuf, settings: Settings, metrics: Option<u16>,
+) -> Result<(), String> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
         .map_err(|e| format!("signals can't be heard: {e}"))?;
     let seed = fastrand::u64(..) >> 1;
@@ -99,6 +102,11 @@
     if let Some(at) = settings.readiness {
         readiness(&tasks, at, &shared)?;
     }
+    if let Some(port) = metrics {
+        let router = router.as_ref().map(|router| (router.edge.clone(), shared.clone()));
+        let metrics = Metrics { router, control: control.clone() };
+        metrics.serve(&tasks, SocketAddr::from((settings.ip, port)))?;
+    }
     log::info!(
         "event=started node={} front={} control={}",
         settings.node_name,
--- /dev/null
+++ b/crates/node/src/tests/metrics.rs
@@ -0,0 +1,88 @@
+//! The text of the figures: its form, its names, and that its labels are bounded.
+
+use super::counters::{CallCounts, End, StatementCounts};
+use super::{Labels, Snapshot};
+use badgerstream_wire::Code;
+
+fn lines(text: &str) -> Vec<&str> {
+    text.lines().collect()
+}
+
+#[test]
+fn the_text_has_the_form_of_openmetrics() {
+    let mut snapshot = Snapshot::default();
+    snapshot.gauge("router_clients", "Clients", 3.0);
+    snapshot.counters("control_calls", "Calls", [(vec![("call", "read".to_owned())], 2)]);
+    let labels: Labels = vec![("service", "a\"b\\c\n".to_owned())];
+    snapshot.gauges("router_waiting", "Waiting", [(labels, 1.5)]);
+    let text = snapshot.text();
+    let expected = [
+        "# HELP badgerpool_router_clients Clients.",
+        "# TYPE badgerpool_router_clients gauge",
+        "badgerpool_router_clients 3.0",
+        "# HELP badgerpool_control_calls Calls.",
+        "# TYPE badgerpool_control_calls counter",
+        "badgerpool_control_calls_total{call=\"read\"} 2",
+        "# HELP badgerpool_router_waiting Waiting.",
+        "# TYPE badgerpool_router_waiting gauge",
+        "badgerpool_router_waiting{service=\"a\\\"b\\\\c\\n\"} 1.5",
+        "# EOF",
+    ];
+    assert_eq!(lines(&text), expected);
+}
+
+#[test]
+fn statements_are_counted_by_word_and_end() {
+    let counts = StatementCounts::default();
+    counts.ended("FETCH a", End::Complete);
+    counts.ended("FETCH b", End::Complete);
+    counts.ended("COMMIT", End::Error(Code::InDoubt));
+    counts.ended("PUT a 1", End::ClientGone);
+    // What clients make up adds no label.
+    for text in ["", "fetch a", "DROP TABLE", "\u{1f980}"] {
+        counts.ended(text, End::Error(Code::Other));
+        counts.ended(text, End::Error(Code::NoDb));
+    }
+    let all: Vec<_> = counts.all_ended().collect();
+    let expected = [
+        ("FETCH", "complete", 2),
+        ("PUT", "client_gone", 1),
+        ("COMMIT", "INDOUBT", 1),
+        ("other", "other", 8),
+    ];
+    assert_eq!(all, expected);
+}
+
+#[test]
+fn placements_and_their_waits_are_counted() {
+    let counts = StatementCounts::default();
+    counts.placed(true, 0.002);
+    counts.placed(false, -0.1);
+    counts.placed(false, 20.0);
+    counts.unplaced();
+    assert_eq!(counts.placements(), [("primary", 1), ("replica", 2), ("none", 1)]);
+    let mut snapshot = Snapshot::default();
+    snapshot.histogram("wait_seconds", "Waits", &counts.wait);
+    let text = snapshot.text();
+    for line in [
+        "badgerpool_wait_seconds_bucket{le=\"0.001\"} 1",
+        "badgerpool_wait_seconds_bucket{le=\"0.005\"} 2",
+        "badgerpool_wait_seconds_bucket{le=\"+Inf\"} 3",
+        "badgerpool_wait_seconds_count 3",
+    ] {
+        assert!(lines(&text).contains(&line), "{line} in {text}");
+    }
+}
+
+#[test]
+fn calls_and_saves_are_counted() {
+    let counts = CallCounts::default();
+    counts.answered("read", 200);
+    counts.answered("read", 503);
+    counts.answered("read", 200);
+    counts.saved(0.01, true);
+    counts.saved(3.0, false);
+    counts.told();
+    assert_eq!(counts.all_answered(), [("read", 200, 2), ("read", 503, 1)]);
+    assert_eq!((counts.failed_saves(), counts.news()), (1, 1));
+}
--- a/crates/pooling/src/queue.rs
+++ b/crates/pooling/src/queue.rs
@@ -50,6 +50,11 @@
         Some(place)
     }
 
+    /// How many wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len() + self.late.len()
+    }
+
     /// One that was let in leaves.
     pub fn leave(&mut self) {
         self.busy -= 1;
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -40,6 +40,11 @@
         self.ids.remove(id);
     }
 
+    /// Whether this write was committed, of those that are remembered.
+    pub fn has_committed(&self, id: &str) -> bool {
+        self.ids.contains(id)
+    }
+
     /// How many rules were broken.
     pub fn broken(&self) -> u64 {
         self.lost + self.twice + self.deposed
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -62,6 +62,9 @@
         /// The settings file.
         #[arg(long)]
         settings: PathBuf,
+        /// The port on which the machine tells its figures.
+        #[arg(long)]
+        metrics: Option<u16>,
     },
 }
 
@@ -83,7 +86,7 @@
         }
         What::Ask { address, database, statements } => future::block_on(ask(address, &database, &statements)),
         What::Tell { address, words } => future::block_on(tell(address, &words)),
-        What::Node { settings } => badgerstream_node::node::run(settings),
+        What::Node { settings, metrics } => badgerstream_node::node::run(settings, metrics),
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/standin/src/plan.rs
+++ b/crates/standin/src/plan.rs
@@ -23,6 +23,8 @@
 const DESK: u16 = 8786;
 const DATABASE: u16 = 5440;
 const PEER: u16 = 7440;
+/// Each machine tells its figures on this port.
+pub const METRICS_PORT: u16 = 9464;
 
 quick_error! {
     /// Why a deployment can't be planned.
--- a/crates/standin/src/up.rs
+++ b/crates/standin/src/up.rs
@@ -1,7 +1,7 @@
 //! The quick start: a whole system on loopback, in one folder.
 
 use crate::children::Children;
-use crate::plan::Plan;
+use crate::plan::{METRICS_PORT, Plan};
 use crate::serve::Stage;
 use crate::world::{Timing, World};
 use crate::{call, desk, operator};
@@ -10,6 +10,7 @@
 use async_signal::{Signal, Signals};
 use badgerstream_node::clock;
 use futures_lite::{StreamExt, future};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -62,8 +63,10 @@
     }
     for (name, file) in plan.write(folder, true).map_err(wrong)? {
         let settings = file.display().to_string();
+        let metrics = METRICS_PORT.to_string();
+        let arguments = ["node", "--settings", &settings, "--metrics", &metrics];
         children
-            .start(&name, program, &["node", "--settings", &settings], &log_file(folder, &name))
+            .start(&name, program, &arguments, &log_file(folder, &name))
             .map_err(|e| format!("{}: {e}", program.display()))?;
     }
     let watch = async {
@@ -122,6 +125,8 @@
         "the databases:   standin tell {} servers    (also ledger, crash ID, start ID, drain ID)",
         plan.desk()
     );
+    let asked = SocketAddr::new(plan.fronts()[0].ip(), METRICS_PORT);
+    println!("the figures:     http://{asked}/metrics    (of each machine at its own address)");
     println!("the logs:        {}", folder.display());
     println!("Ctrl-C ends all of it");
 }
--- a/crates/standin/tests/system.rs
+++ b/crates/standin/tests/system.rs
@@ -8,7 +8,7 @@
 use badgerstream_node::notify::Notify;
 use badgerstream_standin::children::Children;
 use badgerstream_standin::client::Client;
-use badgerstream_standin::plan::{Net, Plan};
+use badgerstream_standin::plan::{METRICS_PORT, Net, Plan};
 use badgerstream_standin::relay::{Fault, Relay, Way};
 use badgerstream_standin::serve::Stage;
 use badgerstream_standin::world::ServerSpec;
@@ -62,6 +62,8 @@
     last: Cell<f64>,
     gap: Cell<f64>,
     stale: RefCell<Vec<String>>,
+    /// Writes whose connection ended without an answer.
+    unanswered: RefCell<Vec<String>>,
     done: Cell<bool>,
     changed: Notify,
 }
@@ -109,9 +111,9 @@
 fn start_node(children: &mut Children, name: &str, file: &Path, folder: &Path) {
     let program = Path::new(env!("CARGO_BIN_EXE_standin"));
     let settings = file.display().to_string();
-    children
-        .start(name, program, &["node", "--settings", &settings], &folder.join(format!("{name}.log")))
-        .unwrap();
+    let metrics = METRICS_PORT.to_string();
+    let arguments = ["node", "--settings", &settings, "--metrics", &metrics];
+    children.start(name, program, &arguments, &folder.join(format!("{name}.log"))).unwrap();
 }
 
 /// Writes 1, 2, 3 and so on into its thing, each once; what was refused is written again as the next value.
@@ -121,7 +123,8 @@
         let Some(session) = session(&mut client, front, "fresh1").await else { continue };
         let value = seen.sent[n].get() + 1;
         seen.sent[n].set(value);
-        let answered = session.ask(&format!("w{n}-{value}"), &format!("PUT t{n} {value}")).await;
+        let id = format!("w{n}-{value}");
+        let answered = session.ask(&id, &format!("PUT t{n} {value}")).await;
         let now = clock::now();
         match answered.as_ref().map(|a| a.outcome.error) {
             Ok(None) => {
@@ -131,7 +134,10 @@
                 seen.last.set(now);
             }
             Ok(Some(code)) if is_promise(code) => seen.refused.set(seen.refused.get() + 1),
-            _ => {
+            unclear => {
+                if unclear.is_err() {
+                    seen.unanswered.borrow_mut().push(id);
+                }
                 seen.unclear.set(seen.unclear.get() + 1);
                 client = None;
             }
@@ -442,3 +448,77 @@
         }
     });
 }
+
+/// Each router in its turn is asked to end while it answers, and a primary is to be replaced in the same moment: whatever it took it
+/// answers, it says that it isn't ready from the first moment on, and it ends by itself within the grace period.
+#[test]
+fn a_router_that_is_asked_to_end_cuts_no_statement() {
+    play_within(LONG_LIMIT, 6, async |rig, seen| {
+        for (n, readiness) in rig.plan.readiness().into_iter().enumerate() {
+            let more = seen.writes.get() + 100;
+            seen.until(PATIENCE, "100 writes", |s| s.writes.get() >= more).await;
+            let name = format!("router-{}", n + 1);
+            rig.children.borrow().signal(&name, Signal::TERM);
+            rig.stage.retire(&rig.primary());
+            let ready = call::once(readiness, 0.5, "GET", "/api/readiness", &[], b"").await;
+            assert!(ready.is_ok_and(|answer| answer.status == 503), "asked to end, it is still ready");
+            let asked = clock::now();
+            let ended = loop {
+                if let Some(ended) = rig.children.borrow_mut().ended() {
+                    break ended;
+                }
+                Timer::after(Duration::from_millis(5)).await;
+            };
+            assert!(ended.0 == name && ended.1.success(), "{ended:?}");
+            assert!(clock::now() - asked < 6.0, "within the grace period");
+            let file = rig.folder.join(format!("{name}.conf"));
+            start_node(&mut rig.children.borrow_mut(), &name, &file, &rig.folder);
+            up::ready(&rig.plan).await.unwrap();
+        }
+        let world = rig.stage.world.borrow();
+        let cut = |id: &&String| world.ledger.has_committed(id);
+        let unanswered = seen.unanswered.borrow();
+        let cut: Vec<&String> = unanswered.iter().filter(cut).collect();
+        assert!(cut.is_empty(), "they ran, and their clients were told nothing: {cut:?}");
+    });
+}
+
+/// Each machine tells its figures, in their form, of what it does; and nothing else at that address.
+#[test]
+fn each_machine_tells_its_figures() {
+    play(7, async |rig, seen| {
+        seen.until(10.0, "100 writes", |s| s.writes.get() >= 100).await;
+        let ask = async |at: SocketAddr, path: &str| {
+            let at = SocketAddr::new(at.ip(), METRICS_PORT);
+            call::once(at, 2.0, "GET", path, &[], b"").await.expect("it answers")
+        };
+        let mut writes = 0.0;
+        for front in rig.plan.fronts() {
+            let answer = ask(front, "/metrics").await;
+            assert!(
+                answer.header("Content-Type").is_some_and(|t| t.starts_with("application/openmetrics-text"))
+            );
+            let text = String::from_utf8(answer.body).unwrap();
+            assert!(text.ends_with("# EOF\n"), "{text}");
+            writes += figure(&text, "badgerpool_router_statements_total{statement=\"PUT\",end=\"complete\"}");
+            assert!(figure(&text, "badgerpool_router_lease_remaining_seconds") > 0.0);
+            assert_eq!(figure(&text, "badgerpool_router_grants"), 1.0);
+            assert_eq!(ask(front, "/").await.status, 404);
+        }
+        assert!(writes >= 100.0, "{writes}");
+        let mut leaders = 0.0;
+        for control in rig.plan.controls() {
+            let text = String::from_utf8(ask(control, "/metrics").await.body).unwrap();
+            leaders += figure(&text, "badgerpool_control_leads");
+            assert_eq!(figure(&text, "badgerpool_control_voters"), 3.0);
+            assert!(figure(&text, "badgerpool_control_save_seconds_count") > 0.0);
+        }
+        assert_eq!(leaders, 1.0);
+    });
+}
+
+/// The figure of this name and these labels.
+fn figure(text: &str, name: &str) -> f64 {
+    let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    line.and_then(|value| value.parse().ok()).unwrap_or_else(|| panic!("no {name} in {text}"))
+}
