--- a/crates/node/src/edge/client/placing.rs
+++ b/crates/node/src/edge/client/placing.rs
@@ -42,22 +42,22 @@
 impl SessionHandle {
     /// What comes of this before a second of the steady clock, and before the router's end refuses what no server was
     /// offered; none if nothing does.
-    pub(super) async fn before_refusal<T>(&self, at: f64, what: impl Future<Output = T>) -> Option<T> {
+    pub(super) fn before_refusal<T>(
+        &self, at: f64, what: impl Future<Output = T>,
+    ) -> impl Future<Output = Option<T>> {
         or(net::until(at, what), async {
             self.reached(SessionEnd::Unplaced).await;
             None
         })
-        .await
     }
 
     /// What comes of an exchange with a server; `Silent` once the router's end lets it wait no longer.
-    pub(super) async fn before_cut_off<T>(
+    pub(super) fn before_cut_off<T>(
         &self, exchange: impl Future<Output = Result<T, ExchangeError>>,
-    ) -> Result<T, ExchangeError> {
+    ) -> impl Future<Output = Result<T, ExchangeError>> {
         or(exchange, async {
             self.reached(SessionEnd::InFlight).await;
             Err(ExchangeError::Silent)
         })
-        .await
     }
 }
--- a/crates/node/src/edge/net.rs
+++ b/crates/node/src/edge/net.rs
@@ -3,11 +3,13 @@
 use crate::clock;
 use async_io::{Async, Timer};
 use badgerstream_wire::LineBuffer;
-use futures_lite::future::or;
+use pin_project_lite::pin_project;
 use std::cell::RefCell;
 use std::future::Future;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 /// What is read at once, in bytes; one buffer for all connections, so that a resting one holds none.
@@ -18,16 +20,39 @@
 
 /// Waits until this second of the steady clock.
 pub async fn sleep_until(at: f64) {
-    Timer::after(Duration::from_secs_f64((at - clock::now()).clamp(0.0, 1e6))).await;
+    Timer::after(duration_until(at)).await;
+}
+
+fn duration_until(at: f64) -> Duration {
+    Duration::from_secs_f64((at - clock::now()).clamp(0.0, 1e6))
 }
 
 /// What comes of this until a second of the steady clock; none if nothing does.
-pub async fn until<T>(at: f64, what: impl Future<Output = T>) -> Option<T> {
-    or(async { Some(what.await) }, async {
-        sleep_until(at).await;
-        None
-    })
-    .await
+pub fn until<F: Future>(at: f64, what: F) -> Until<F> {
+    Until { what, timer: Timer::after(duration_until(at)) }
+}
+
+pin_project! {
+    /// The future of [`until`]. It holds the other one once; an `async` block that awaits what it was given holds it twice, and
+    /// these stand inside each other on every statement's path.
+    pub struct Until<F> {
+        #[pin]
+        what: F,
+        #[pin]
+        timer: Timer,
+    }
+}
+
+impl<F: Future> Future for Until<F> {
+    type Output = Option<F::Output>;
+
+    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
+        let this = self.project();
+        match this.what.poll(cx) {
+            Poll::Ready(value) => Poll::Ready(Some(value)),
+            Poll::Pending => this.timer.poll(cx).map(|_| None),
+        }
+    }
 }
 
 /// Opens a connection. Errors as the system gives them; the caller bounds the wait.
--- a/crates/node/src/frames.rs
+++ b/crates/node/src/frames.rs
@@ -103,12 +103,12 @@
 }
 
 /// This work, unless the time runs out first.
-pub async fn within<T>(seconds: f64, work: impl Future<Output = Result<T>>) -> Result<T> {
-    let late = async {
+pub fn within<T>(seconds: f64, work: impl Future<Output = Result<T>>) -> impl Future<Output = Result<T>> {
+    let late = async move {
         Timer::after(Duration::from_secs_f64(seconds)).await;
         Err(ErrorKind::TimedOut.into())
     };
-    future::or(work, late).await
+    future::or(work, late)
 }
 
 /// Connects; a peer that says nothing more is given up after `dead_s` seconds.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -106,12 +106,18 @@
         snapshot.text()
     }
 
-    /// Answers at this address for as long as the executor runs. An error says why it can't be listened at.
-    pub fn serve(self, tasks: &Rc<LocalExecutor<'static>>, at: SocketAddr) -> Result<(), String> {
-        let listener = http::listen(at).map_err(|e| format!("metrics at {at}: {e}"))?;
+    /// Answers at this address for as long as the executor runs. Where it can't listen nobody can ask, which is logged: the
+    /// machine serves all the same.
+    pub fn serve(self, tasks: &Rc<LocalExecutor<'static>>, at: SocketAddr) {
+        let listener = match http::listen(at) {
+            Ok(listener) => listener,
+            Err(error) => {
+                log::error!("event=metrics_not_bound at={at} error={error}");
+                return;
+            }
+        };
         let open = Rc::new(Cell::new(0));
         tasks.spawn(http::serve(tasks.clone(), listener, Rc::new(self), MAX_BODY_BYTES, open)).detach();
-        Ok(())
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -105,7 +105,7 @@
     if let Some(port) = metrics {
         let router = router.as_ref().map(|router| (router.edge.clone(), shared.clone()));
         let metrics = Metrics { router, control: control.clone() };
-        metrics.serve(&tasks, SocketAddr::from((settings.ip, port)))?;
+        metrics.serve(&tasks, SocketAddr::from((settings.ip, port)));
     }
     log::info!(
         "event=started node={} front={} control={}",
