--- a/crates/node/src/edge/client/dispatch.rs
+++ b/crates/node/src/edge/client/dispatch.rs
@@ -1,11 +1,16 @@
 //! What each statement asks for: answered here, or run at a server.
 
 use super::ClientSession;
-use super::response::{Response, error};
+use super::response::{Response, error, retry_later};
 use super::statement::Statement;
+use crate::edge::SessionEnd;
+use crate::edge::place::RETRY_AFTER_S;
 use badgerstream_pooling::session::{SessionError, Transaction};
 use badgerstream_wire::{Code, Kind, State, Text};
 
+/// Why what arrives too late isn't run.
+const ENDING: &str = "the router ends";
+
 impl ClientSession {
     /// Answers a statement.
     pub(super) async fn query(&mut self, id: &str, text: &str, arrived: f64) -> Response {
@@ -46,6 +51,10 @@
                 self.roll_back();
                 return Response::Done;
             }
+            Text::Commit if self.ends() => {
+                self.roll_back();
+                return error(Code::Aborted, ENDING, State::Idle);
+            }
             Text::Commit => return self.commit(id, text, arrived).await,
             Text::Fetch => (Kind::Fetch, None),
             Text::Put => (Kind::Put, None),
@@ -54,6 +63,9 @@
                 (shape.kind, Some((shape, rest)))
             }
         };
+        if self.ends() {
+            return self.refuse_at_the_end();
+        }
         let execute = execute.as_ref().map(|(shape, rest)| (shape, *rest));
         let statement = Statement { id, text, kind, execute, arrived };
         if transaction == Transaction::None {
@@ -63,6 +75,19 @@
         }
     }
 
+    /// Whether the router ends so soon that what arrives now may not be sent to a server.
+    fn ends(&self) -> bool {
+        self.handle.end.get() >= SessionEnd::Unplaced
+    }
+
+    fn refuse_at_the_end(&mut self) -> Response {
+        if self.session.transaction == Transaction::None {
+            return retry_later(RETRY_AFTER_S, State::Idle);
+        }
+        self.fail_transaction();
+        error(Code::Aborted, ENDING, State::Failed)
+    }
+
     /// A failed transaction takes nothing but its end.
     fn in_failed_transaction(&mut self, parsed: &Text<'_>) -> Response {
         match parsed {
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -37,9 +37,11 @@
 const CLIENTS_IN_EXCESS: usize = 64;
 /// Between two tries to bind the front, in seconds.
 const BIND_RETRY_S: f64 = 0.5;
-/// So long before the end of the grace period what is still at a server gets its last answer, in seconds: the process ends
-/// 0.4 s before it, and a look at the sessions may come `SWEEP_LOOK_S` late.
-const LAST_ANSWERS_S: f64 = 0.7;
+/// The same while the router ends.
+const ENDING_LOOK_S: f64 = 0.05;
+/// The part of the grace period after which what is still at a server gets its last answer. What a server was asked is waited
+/// for during the first five sixths, and the process ends a little later than this (`node::DRAIN_OF_GRACE`).
+const LAST_ANSWERS_OF_GRACE: f64 = 0.86;
 /// On how many routers a server's connections are divided until control tells.
 const DEFAULT_ROUTERS: usize = 9;
 
@@ -108,7 +110,7 @@
 impl SessionEnd {
     /// The stage this long (seconds) after the router was asked to end, of which it has `grace` seconds.
     fn at(past: f64, grace: f64, in_transaction: bool) -> Self {
-        if past > grace - LAST_ANSWERS_S {
+        if past > grace * LAST_ANSWERS_OF_GRACE {
             Self::InFlight
         } else if past > grace / 2.0 {
             Self::Unplaced
@@ -360,7 +362,8 @@
     async fn maintain(self: Rc<Self>) {
         let mut swept = clock::now();
         loop {
-            net::sleep_until(clock::now() + SWEEP_LOOK_S).await;
+            let ending = self.shared.ending.get().is_some();
+            net::sleep_until(clock::now() + if ending { ENDING_LOOK_S } else { SWEEP_LOOK_S }).await;
             let now = clock::now();
             if let Some(ending) = self.shared.ending.get() {
                 for session in self.sessions.borrow().values() {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -31,8 +31,8 @@
 const MIN_DRAIN_OF_GRACE: f64 = 0.4;
 /// A machine without a router stays so long at least, in seconds.
 const MIN_CONTROL_DRAIN_S: f64 = 0.3;
-/// The process ends so long before its grace period does, in seconds.
-const GRACE_MARGIN_S: f64 = 0.4;
+/// The part of the grace period for which a process stays at most: its last answers leave a little earlier.
+const DRAIN_OF_GRACE: f64 = 0.94;
 /// Between two looks at what is still in work.
 const DRAIN_LOOK: Duration = Duration::from_millis(25);
 /// The most bytes that the body of a readiness request may have.
@@ -205,7 +205,7 @@
         let statements = router.map_or(0, |r| r.edge.open());
         let calls = control.map_or(0, |c| c.open.get());
         let left = past > LEAVE_S || control.is_none_or(|control| control.may_end());
-        if (past > least && left && statements + calls == 0) || past > grace - GRACE_MARGIN_S {
+        if (past > least && left && statements + calls == 0) || past > DRAIN_OF_GRACE * grace {
             log::info!("event=ended open={} after_s={past:.2}", statements + calls);
             return;
         }
--- a/crates/node/src/tests/edge.rs
+++ b/crates/node/src/tests/edge.rs
@@ -1,7 +1,7 @@
 //! The data plane between scripted servers and plain clients on loopback, all on one thread. Nothing sleeps: every
 //! wait is for something that is said.
 
-use super::{Edge, EdgeLimits, client};
+use super::{Edge, EdgeLimits, SessionEnd, client};
 use crate::clock;
 use crate::view::{Grant, Server, Shared};
 use async_executor::LocalExecutor;
@@ -673,6 +673,46 @@
     });
 }
 
+/// The stages of a session's end, for grace periods of six and of three seconds: what is at a server is waited for through the
+/// first five sixths, and its last answer leaves before the process does.
+#[test]
+fn a_session_ends_in_stages() {
+    for grace in [3.0, 6.0] {
+        assert_eq!(SessionEnd::at(0.3 * grace, grace, true), SessionEnd::None);
+        assert_eq!(
+            SessionEnd::at(0.49 * grace, grace, true),
+            SessionEnd::None,
+            "half of it is a transaction's"
+        );
+        assert_eq!(SessionEnd::at(0.51 * grace, grace, true), SessionEnd::Unplaced);
+        assert_eq!(SessionEnd::at(grace * 5.0 / 6.0, grace, true), SessionEnd::Unplaced);
+        assert_eq!(SessionEnd::at(0.87 * grace, grace, false), SessionEnd::InFlight);
+    }
+    assert_eq!(SessionEnd::at(1.9, 6.0, false), SessionEnd::None, "some connections still come");
+    assert_eq!(SessionEnd::at(2.1, 6.0, false), SessionEnd::AtRest);
+    assert_eq!(SessionEnd::at(2.1, 6.0, true), SessionEnd::None);
+}
+
+/// A statement that is read when its answer may not be waited for any more isn't run.
+#[test]
+fn what_arrives_at_the_end_is_refused() {
+    play(async |rig| {
+        let mut a = Client::open(rig.front, "lead").await;
+        let mut b = Client::open(rig.front, "lead").await;
+        let mut c = Client::open(rig.front, "lead").await;
+        a.ask("a1", "BEGIN").await;
+        a.ask("a2", "PUT x 1").await;
+        c.ask("c1", "BEGIN").await;
+        rig.edge.sessions.borrow().values().for_each(|s| s.end.set(SessionEnd::Unplaced));
+        assert_eq!(a.ask("a3", "COMMIT").await, "ERROR ABORTED the router ends|IDLE I -");
+        assert_eq!(a.line().await, None);
+        assert_eq!(c.ask("c2", "FETCH x").await, "ERROR ABORTED the router ends|IDLE E -");
+        assert_eq!(b.ask("b1", "PUT x 2").await, "ERROR RETRY 200|IDLE I -");
+        rig.primary.sees(|p| p.rolled_back.get() == 1).await;
+        assert_eq!(rig.primary.writes.get(), 0);
+    });
+}
+
 #[test]
 fn a_commit_that_waits_for_the_lease_is_ended_with_the_router() {
     play(async |rig| {
