--- a/crates/calls/src/config.rs
+++ b/crates/calls/src/config.rs
@@ -197,6 +197,52 @@
     txn_idle_ms: Option<u64>,
 }
 
+/// The fields that mean something here, by where they stand.
+const KNOWN_PLACES: [&str; 25] = [
+    "epoch",
+    "routes",
+    "routes[].name",
+    "routes[].authority",
+    "routes[].path_prefix",
+    "routes[].mode",
+    "routes[].deadline_ms",
+    "routes[].target_ms",
+    "routes[].rank",
+    "routes[].backend",
+    "routes[].tries",
+    "routes[].staleness_ms",
+    "backends",
+    "backends[].name",
+    "backends[].probe",
+    "backends[].max_conns",
+    "backends[].protocol",
+    "backends[].tls",
+    "backends[].sync_replicas",
+    "limits",
+    "limits.header_bytes",
+    "limits.body_bytes",
+    "limits.header_timeout_ms",
+    "limits.idle_timeout_ms",
+    "limits.txn_idle_ms",
+];
+
+/// Fields that are kept as they were sent and have no effect here, by where they stand: those of contracts that are not in force,
+/// as `routes[].split` is, and those that were mistyped. Of what stands inside such a field nothing is told.
+pub fn without_effect(body: &[u8]) -> Result<Vec<String>, ConfigError> {
+    let places = json::places(body)?;
+    let known = |place: &str| KNOWN_PLACES.contains(&place);
+    let mut found: Vec<String> = Vec::new();
+    for place in places {
+        let inside = |outer: &String| {
+            place.strip_prefix(outer.as_str()).is_some_and(|rest| rest.starts_with(['.', '[']))
+        };
+        if !known(&place) && !found.iter().any(inside) {
+            found.push(place);
+        }
+    }
+    Ok(found)
+}
+
 impl Config {
     /// Reads the body of `POST /api/Config.Replace` and checks it. Fields that aren't known are passed over.
     pub fn read(body: &[u8]) -> Result<Config, ConfigError> {
--- a/crates/calls/src/json.rs
+++ b/crates/calls/src/json.rs
@@ -53,8 +53,27 @@
 
 /// Whether the bytes are one whole JSON value and nothing else.
 pub fn check(bytes: &[u8]) -> Result<(), JsonError> {
+    scan(bytes, &mut |_, _| {})
+}
+
+/// Where keys stand in the value, each place once: `routes[].name` say.
+pub fn places(bytes: &[u8]) -> Result<BTreeSet<String>, JsonError> {
+    let mut places = BTreeSet::new();
+    let mut steps: Vec<String> = Vec::new();
+    scan(bytes, &mut |depth, key| {
+        // Levels without a key are lists.
+        steps.truncate(depth - 1);
+        steps.resize(depth - 1, "[]".to_owned());
+        steps.push(String::from_utf8_lossy(key).into_owned());
+        places.insert(steps.join(".").replace(".[]", "[]"));
+    })?;
+    Ok(places)
+}
+
+/// Goes over one whole value and nothing else; `on_key` gets each key and how deep it stands, 1 in the outermost object.
+fn scan<'a>(bytes: &'a [u8], on_key: &mut dyn FnMut(usize, &'a [u8])) -> Result<(), JsonError> {
     let mut scan = Scan { bytes, at: 0 };
-    scan.value()?;
+    scan.value(on_key)?;
     scan.blanks();
     if scan.at < bytes.len() { scan.fail("text after the end") } else { Ok(()) }
 }
@@ -82,7 +101,7 @@
 
     /// One value with everything in it, by a stack of its own: the text says how deep it goes, and may not
     /// use up the thread's.
-    fn value(&mut self) -> Result<(), JsonError> {
+    fn value(&mut self, on_key: &mut dyn FnMut(usize, &'a [u8])) -> Result<(), JsonError> {
         // What is open: of an object the keys so far, of a list none.
         let mut open: Vec<Option<BTreeSet<&'a [u8]>>> = Vec::new();
         loop {
@@ -98,8 +117,9 @@
                     self.blanks();
                     // The closing bracket stands two places behind the opening one.
                     if self.peek() != Some(c + 2) {
+                        let depth = open.len();
                         if let Some(Some(keys)) = open.last_mut() {
-                            self.key(keys)?;
+                            on_key(depth, self.key(keys)?);
                         }
                         continue;
                     }
@@ -113,6 +133,7 @@
             }
             // Behind a value, or at the end of an empty list or object.
             loop {
+                let depth = open.len();
                 let Some(top) = open.last_mut() else { return Ok(()) };
                 self.blanks();
                 let close = if top.is_some() { b'}' } else { b']' };
@@ -125,7 +146,7 @@
                         self.at += 1;
                         if let Some(keys) = top {
                             self.blanks();
-                            self.key(keys)?;
+                            on_key(depth, self.key(keys)?);
                         }
                         break;
                     }
@@ -135,7 +156,7 @@
         }
     }
 
-    fn key(&mut self, keys: &mut BTreeSet<&'a [u8]>) -> Result<(), JsonError> {
+    fn key(&mut self, keys: &mut BTreeSet<&'a [u8]>) -> Result<&'a [u8], JsonError> {
         let start = self.at;
         if self.peek() != Some(b'"') {
             return self.fail("no key");
@@ -149,7 +170,7 @@
             return self.fail("no colon after the key");
         }
         self.at += 1;
-        Ok(())
+        Ok(key)
     }
 
     /// A string, at its opening quote; gives what is between the quotes, as it stands.
--- a/crates/calls/src/tests/config.rs
+++ b/crates/calls/src/tests/config.rs
@@ -1,4 +1,4 @@
-use crate::config::{Config, ConfigError, Limits, Mode, diff};
+use crate::config::{Config, ConfigError, Limits, Mode, diff, without_effect};
 use arbtest::arbtest;
 
 /// The configuration on the users' page.
@@ -71,6 +71,21 @@
     }
 }
 
+/// Fields of contracts that are not in force are taken and have no effect, and so is a field that was mistyped: both are told.
+#[test]
+fn fields_without_effect_are_told_by_place() {
+    assert_eq!(without_effect(PAGE.as_bytes()), Ok(Vec::new()));
+    let split = r#""split":[{"backend":"wuno96b","weight":3,"homes":["a"]}],"dedline_ms":5,"#;
+    let text = PAGE
+        .replace(r#""epoch""#, r#""tenants":{"t":{"quota":5}},"epoch""#)
+        .replace(r#""authority""#, &format!(r#"{split}"authority""#))
+        .replace(r#""probe""#, r#""weights":[[{"a":1}]],"probe""#);
+    assert_eq!(Config::read(text.as_bytes()), Ok(page()));
+    let told = ["backends[].weights", "routes[].dedline_ms", "routes[].split", "tenants"];
+    assert_eq!(without_effect(text.as_bytes()), Ok(told.map(str::to_owned).to_vec()));
+    assert!(without_effect(&text.as_bytes()[..text.len() - 1]).is_err());
+}
+
 #[test]
 fn what_follows_makes_it_unreadable_and_blanks_do_not() {
     assert_eq!(Config::read(format!(" \r\n{PAGE}\n\n").as_bytes()), Ok(page()));
--- a/crates/node/src/cli/config.rs
+++ b/crates/node/src/cli/config.rs
@@ -18,6 +18,8 @@
     epoch: Option<u64>,
     routes: Option<usize>,
     services: Option<usize>,
+    /// Fields that are kept and have no effect, by where they stand.
+    without_effect: Vec<String>,
     error: Option<String>,
 }
 
@@ -39,7 +41,8 @@
 
 /// Checks a configuration and prints the verdict.
 pub(super) fn check(file: &Path, json: bool, out: &mut impl Write) -> Result<(), CliError> {
-    let (_, config) = read_config(file)?;
+    let (body, config) = read_config(file)?;
+    let without_effect = config::without_effect(&body).unwrap_or_default();
     if json {
         let config_ref = config.as_ref();
         let verdict = ConfigVerdict {
@@ -48,6 +51,7 @@
             epoch: config_ref.ok().map(|c| c.epoch),
             routes: config_ref.ok().map(|c| c.routes.len()),
             services: config_ref.ok().map(|c| c.services.len()),
+            without_effect: without_effect.clone(),
             error: config_ref.err().map(CliError::to_string),
         };
         print(out, (verdict.serialize_json() + "\n").as_bytes())?;
@@ -57,8 +61,11 @@
         return Ok(());
     }
     let (routes, services) = (config.routes.len(), config.services.len());
-    let text =
+    let mut text =
         format!("{}: valid: version {}, {routes} routes, {services} services\n", name(file), config.epoch);
+    for place in without_effect {
+        text += &format!("{}: note: {} is kept and has no effect\n", name(file), text::clean(&place));
+    }
     print(out, text.as_bytes())
 }
 
--- a/crates/node/src/tests/cli.rs
+++ b/crates/node/src/tests/cli.rs
@@ -181,6 +181,18 @@
     assert!(error.unwrap().starts_with("/nowhere/boot.conf: "));
 }
 
+#[test]
+fn config_check_tells_what_has_no_effect() {
+    let text = CONFIG.replace(r#""mode""#, r#""split":[{"weight":1}],"mode""#);
+    let file = File::new("without-effect", &text);
+    let (out, error) = run(&["config", "check", file.name()]);
+    let name = file.name();
+    let note = format!("{name}: note: routes[].split is kept and has no effect\n");
+    assert_eq!((out, error), (format!("{name}: valid: version 7, 1 routes, 1 services\n{note}"), None));
+    let (out, _) = run(&["config", "check", "--json", name]);
+    assert!(out.contains(r#""without_effect":["routes[].split"]"#), "{out}");
+}
+
 #[test]
 fn config_check_tells_the_place() {
     let file = File::new("config", CONFIG);
