--- a/crates/simulation/src/days.rs
+++ b/crates/simulation/src/days.rs
@@ -226,7 +226,7 @@
 impl fmt::Display for Day {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let site = format!("{:?}", self.site).to_lowercase();
-        writeln!(f, "# Drawn with `badgerscale day --site {site} --seed {}`.", self.seed)?;
+        writeln!(f, "# Drawn with `badgersimulate day --site {site} --seed {}`.", self.seed)?;
         writeln!(f, "name = \"drawn-{site}-{}\"", self.seed)?;
         writeln!(f, "slot = \"trouble\"")?;
         writeln!(f, "seed = {}", self.seed)?;
@@ -262,7 +262,7 @@
         pick(rng, &["power_off_all", "power_off_all", "kill_all", "wipe_after_ack", "wipe_after_ack", ""]);
     let how = match kind {
         "" => return None,
-        "wipe_after_ack" => pick(rng, &["", "aimed", "timed", "taken"]),
+        "wipe_after_ack" => pick(rng, &["", "aimed", "timed", "taken", "oldest"]),
         _ => pick(rng, &["", "", "timed", "taken"]),
     };
     Some(Closing { kind, down_s: number(rng, 0.4, 1.5), how })
--- a/crates/simulation/src/days/faults.rs
+++ b/crates/simulation/src/days/faults.rs
@@ -30,6 +30,7 @@
     ReplicaLag,
     SlowMachines,
     RoutersCut,
+    ServersCut,
     ServersFlap,
     FalseHealth,
 }
@@ -67,7 +68,7 @@
         }
         Loss::Cut => cut(rng, at, count),
         Loss::Replacement => {
-            let how = join(&[pick(rng, &["", "planned"]), &target(rng)]);
+            let how = join(&[pick(rng, &["", "planned", "oldest"]), &target(rng)]);
             Entry::new(at, "replace_core").number("x", number(rng, 0.3, 3.0)).how(how)
         }
         Loss::PowerAtAnOrder => {
@@ -75,7 +76,7 @@
             Entry::new(at, "after_ack_kill").count(count).lasting(number(rng, 0.4, 3.0)).how(how)
         }
         Loss::Wipe => {
-            let how = pick(rng, &["", "", "timed", "taken"]);
+            let how = pick(rng, &["", "", "timed", "taken", "oldest"]);
             Entry::new(at, "after_ack_wipe").count(count).lasting(number(rng, 0.4, 2.0)).how(how)
         }
         Loss::DiskFull => disk(rng, at, "disk_full", count),
@@ -87,7 +88,27 @@
 /// A cut within the control machines; of three, one lasts for twenty seconds or so.
 fn cut(rng: &mut Rng, at: f64, count: u64) -> Entry {
     let seconds = if chance(rng, 0.33) { number(rng, 15.0, 22.0) } else { number(rng, 0.5, 6.0) };
-    let side = pick(rng, &["", "", "one_way", "one_way", "seeds", "both", "reset", "refuse"]);
+    let side = pick(
+        rng,
+        &[
+            "",
+            "",
+            "one_way",
+            "one_way",
+            "seeds",
+            "both",
+            "reset",
+            "refuse",
+            "split",
+            "split one_way",
+            "behind",
+            "lure",
+            "relieve",
+            "near",
+            "all",
+            "oldest",
+        ],
+    );
     let how = join(&[&target(rng), side, &meeting(rng)]);
     Entry::new(at, "core_cut").count(count).lasting(seconds).how(how)
 }
@@ -111,6 +132,7 @@
         Companion::ReplicaLag,
         Companion::SlowMachines,
         Companion::RoutersCut,
+        Companion::ServersCut,
     ];
     if site == Site::Grown {
         among.extend([Companion::ServersFlap, Companion::FalseHealth]);
@@ -160,6 +182,11 @@
             let how = pick(rng, &["", "reset", "refuse"]);
             Entry::new(at, "node_cut").number("share", 0.3).lasting(seconds).how(how)
         }
+        Companion::ServersCut => {
+            let how = pick(rng, &["", "fronts", "some", "some lossy", "one_way", "reset"]);
+            let cut = Entry::new(at, "srv_cut").number("share", 0.4).number("x", 0.5);
+            cut.lasting(seconds).how(how)
+        }
         Companion::ServersFlap => {
             Entry::new(at, "srv_flap").number("share", 0.1).number("gap_s", 1.4).lasting(seconds)
         }
@@ -172,7 +199,7 @@
 
 /// Planned work that goes on while the moment's losses strike.
 pub(super) fn planned(rng: &mut Rng, at: f64) -> Entry {
-    match rng.u8(0..6) {
+    match rng.u8(0..7) {
         0 | 1 => Entry::new(at, "release").how("primary"),
         2 => Entry::new(at, "release").number("share", 0.5).number("x", 2.0).number("gap_s", 0.4),
         3 => {
@@ -180,14 +207,19 @@
             let roll = Entry::new(at, "roll_term").text("on", "core").number("share", 1.0).number("x", 1.0);
             roll.number("gap_s", number(rng, 0.3, 1.5)).how(how)
         }
-        4 => Entry::new(at, "bad_config").count(4).number("gap_s", 0.3),
+        4 => {
+            let roll = Entry::new(at, "roll_term").text("on", "front").number("share", 0.6);
+            let several = roll.number("x", pick(rng, &[1.0, 2.0, 4.0]));
+            several.number("gap_s", number(rng, 1.0, 4.0)).how(pick(rng, &["", "busy"]))
+        }
+        5 => Entry::new(at, "bad_config").count(4).number("gap_s", 0.3),
         _ => Entry::new(at, "hup").number("share", 0.6).number("gap_s", 0.5),
     }
 }
 
 /// All control machines at once, which no budget bounds.
 pub(super) fn all_killed(rng: &mut Rng, at: f64) -> Entry {
-    let how = pick(rng, &["", "", "power", "taken"]);
+    let how = pick(rng, &["", "", "power", "off", "taken", "taken all"]);
     Entry::new(at, "herd_kill").text("on", "core").lasting(number(rng, 0.3, 0.9)).how(how)
 }
 
--- a/crates/simulation/src/tests/days.rs
+++ b/crates/simulation/src/tests/days.rs
@@ -7,7 +7,7 @@
 const SEEDS: std::ops::Range<u64> = 0..300;
 
 /// The kinds that the bench's `kinds` lists for each of the sites.
-const KINDS: [&str; 26] = [
+const KINDS: [&str; 27] = [
     "ack_lost",
     "after_ack_kill",
     "after_ack_wipe",
@@ -34,6 +34,7 @@
     "roll_term",
     "seed_turnover",
     "srv_crash",
+    "srv_cut",
 ];
 
 /// Kinds of which the small sites know nothing.
