Store: a start syncs the folder whose names it relies on

Cause, by reading and by a test on a folder of our own: the first open makes the file under another name, renames it and syncs the folder. A process that was killed between the two left a name that a loss of power may take away; the next start found the file, went on without syncing the folder, and what it saved and acknowledged could go with the name (LOST), or come back under the name that the next open removes. Names are a trait now, played with a kill before each operation and each name kept or lost by itself; the folder itself, too.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,18 +5,18 @@
 
 mod backend;
 mod error;
+mod folder;
 mod format;
 #[cfg(test)]
 mod tests;
 
-use std::fs::{self, File, OpenOptions};
 use std::io;
 use std::path::{Path, PathBuf};
 
 use redb::{Builder, Database, ReadableDatabase, StorageBackend, TableDefinition};
 
-use crate::backend::Disk;
 pub use crate::error::StoreError;
+use crate::folder::{Folder, RealFolder};
 
 /// The file that holds the record.
 pub const FILE: &str = "control.redb";
@@ -82,42 +82,40 @@
     /// # Errors
     /// Whatever can't be read or isn't ours is named, and left as it is: a start from nothing would break promises.
     pub fn open(dir: &Path, identity_if_new: u64) -> Result<(Store, Record, Fresh), StoreError> {
-        let missing = !dir.try_exists().map_err(io_at("look for", dir))?;
-        if missing {
-            fs::create_dir_all(dir).map_err(io_at("make", dir))?;
-            if let Some(parent) = dir.parent().filter(|parent| !parent.as_os_str().is_empty()) {
-                sync_dir(parent)?;
-            }
-        }
+        Store::open_in(&RealFolder(dir), dir, identity_if_new)
+    }
+
+    /// As [`open`](Store::open), in this folder, which errors call `dir`.
+    fn open_in<F: Folder>(
+        folder: &F, dir: &Path, identity_if_new: u64,
+    ) -> Result<(Store, Record, Fresh), StoreError> {
+        folder.make().map_err(io_at("make", dir))?;
         let (mut kept, mut unfinished) = (false, false);
-        for entry in fs::read_dir(dir).map_err(io_at("list", dir))? {
-            let entry = entry.map_err(io_at("list", dir))?;
-            match entry.file_name().to_str() {
+        for name in folder.names().map_err(io_at("list", dir))? {
+            match name.to_str() {
                 Some(FILE) => kept = true,
                 Some(UNFINISHED) => unfinished = true,
-                _ => return Err(StoreError::Foreign(entry.path())),
+                _ => return Err(StoreError::Foreign(dir.join(name))),
             }
         }
         let (path, making) = (dir.join(FILE), dir.join(UNFINISHED));
         if unfinished {
             // Power was lost while the first open was under way: it never returned, so nobody relies on it.
-            fs::remove_file(&making).map_err(io_at("remove", &making))?;
+            folder.remove(UNFINISHED).map_err(io_at("remove", &making))?;
         }
         if kept {
-            let file = File::options().read(true).write(true).open(&path).map_err(io_at("open", &path))?;
-            let (store, record) = Store::read(Disk::new(file), path)?;
+            // The process that made it may have been killed before it had synced the folder: what is saved from here on would
+            // go with the name.
+            folder.sync().map_err(io_at("sync", dir))?;
+            let file = folder.open(FILE).map_err(io_at("open", &path))?;
+            let (store, record) = Store::read(file, path)?;
             return Ok((store, record, Fresh::Kept));
         }
-        let file = OpenOptions::new()
-            .read(true)
-            .write(true)
-            .create_new(true)
-            .open(&making)
-            .map_err(io_at("make", &making))?;
-        let (store, record) = Store::make(Disk::new(file), path.clone(), identity_if_new)?;
+        let file = folder.create(UNFINISHED).map_err(io_at("make", &making))?;
+        let (store, record) = Store::make(file, path.clone(), identity_if_new)?;
         // The name comes last, so a file under it is always whole; the open file keeps its place under the new name.
-        fs::rename(&making, &path).map_err(io_at("name", &path))?;
-        sync_dir(dir)?;
+        folder.rename(UNFINISHED, FILE).map_err(io_at("name", &path))?;
+        folder.sync().map_err(io_at("sync", dir))?;
         Ok((store, record, Fresh::New))
     }
 
@@ -218,10 +216,6 @@
     builder
 }
 
-fn sync_dir(dir: &Path) -> Result<(), StoreError> {
-    File::open(dir).and_then(|dir| dir.sync_all()).map_err(io_at("sync", dir))
-}
-
 fn io_at<'a>(doing: &'static str, path: &'a Path) -> impl FnOnce(io::Error) -> StoreError + 'a {
     move |cause| StoreError::Io(doing, path.to_path_buf(), cause)
 }
--- a/crates/store/src/tests.rs
+++ b/crates/store/src/tests.rs
@@ -1,16 +1,18 @@
 //! Power is cut at every write, on a disk of our own that keeps what was synced and does as it likes with the rest; and real
 //! folders are opened, damaged and told apart.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ffi::OsString;
 use std::fs;
 use std::io;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use arbtest::{arbitrary, arbtest};
 use redb::StorageBackend;
 
+use crate::folder::Folder as Names;
 use crate::{FILE, Fresh, MAX_VALUE, Record, Store, StoreError, UNFINISHED, format};
 
 const IDENTITY: u64 = 77;
@@ -517,3 +519,144 @@
         assert_eq!(found, record(4, 70_000));
     }
 }
+
+/// A folder whose names are kept or lost by a loss of power, and whose files hold what was written.
+#[derive(Clone, Default)]
+struct Entries {
+    state: Arc<Mutex<EntriesState>>,
+}
+
+#[derive(Clone, Default)]
+struct EntriesState {
+    /// The folder is there; and would be after a loss of power.
+    made: (bool, bool),
+    /// What each name stands for; and what it would after a loss of power.
+    names: BTreeMap<String, (Option<Recorder>, Option<Recorder>)>,
+    /// So many operations more are done, and at the next one the process is killed.
+    left: Option<u64>,
+}
+
+impl Entries {
+    fn killed_after(&self, operations: Option<u64>) {
+        self.state.lock().unwrap().left = operations;
+    }
+
+    /// Counts an operation; an error if the process is killed before it.
+    fn begin(&self) -> io::Result<std::sync::MutexGuard<'_, EntriesState>> {
+        let mut state = self.state.lock().unwrap();
+        match &mut state.left {
+            Some(0) => return Err(io::Error::other("killed")),
+            Some(left) => *left -= 1,
+            None => {}
+        }
+        Ok(state)
+    }
+
+    /// The folder after a loss of power: of each name that wasn't synced, and of the folder, this lot says whether it is kept.
+    fn after_cut(&self, lot: u64) -> Entries {
+        let state = self.state.lock().unwrap().clone();
+        let keeps = |bit: usize| lot >> bit & 1 == 1;
+        let there = state.made.1 || state.made.0 && keeps(0);
+        let mut after = EntriesState { made: (there, there), ..EntriesState::default() };
+        for (bit, (name, (now, synced))) in state.names.into_iter().enumerate() {
+            let kept = if keeps(bit + 1) { now } else { synced };
+            if there && let Some(file) = kept {
+                let file = Recorder::holding(file.state.lock().unwrap().0.clone());
+                after.names.insert(name, (Some(file.clone()), Some(file)));
+            }
+        }
+        Entries { state: Arc::new(Mutex::new(after)) }
+    }
+
+    fn open_store(&self) -> Result<(Store, Record, Fresh), StoreError> {
+        Store::open_in(self, Path::new("/state"), IDENTITY)
+    }
+}
+
+impl Names for Entries {
+    type File = Recorder;
+
+    fn make(&self) -> io::Result<()> {
+        self.begin()?.made.0 = true;
+        Ok(())
+    }
+
+    fn names(&self) -> io::Result<Vec<OsString>> {
+        let state = self.begin()?;
+        let there = state.names.iter().filter(|(_, (now, _))| now.is_some());
+        Ok(there.map(|(name, _)| name.into()).collect())
+    }
+
+    fn create(&self, name: &str) -> io::Result<Recorder> {
+        let file = Recorder::default();
+        // The store syncs it before it does anything else with the folder, so that its first name lasts.
+        self.begin()?.names.insert(name.to_owned(), (Some(file.clone()), Some(file.clone())));
+        Ok(file)
+    }
+
+    fn open(&self, name: &str) -> io::Result<Recorder> {
+        let found = self.begin()?.names.get(name).and_then(|(now, _)| now.clone());
+        found.ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        if let Some((now, _)) = self.begin()?.names.get_mut(name) {
+            *now = None;
+        }
+        Ok(())
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        let mut state = self.begin()?;
+        let file = state.names.get_mut(from).and_then(|(now, _)| now.take());
+        state.names.entry(to.to_owned()).or_default().0 = file;
+        Ok(())
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        let mut state = self.begin()?;
+        state.made.1 = state.made.0;
+        state.names.values_mut().for_each(|(now, synced)| synced.clone_from(now));
+        Ok(())
+    }
+}
+
+/// The process is killed before each operation on the folder in turn, is started again and saves; then power is lost, and of
+/// each name that wasn't synced it is drawn by lot whether it is kept. What was saved is read back, whichever are.
+#[test]
+fn names_that_were_not_synced_take_nothing_along() {
+    const OPERATIONS: u64 = 8;
+    for kills in 0..OPERATIONS * OPERATIONS {
+        let folder = Entries::default();
+        for killed in [kills / OPERATIONS, kills % OPERATIONS] {
+            folder.killed_after(Some(killed));
+            let _ = folder.open_store();
+            folder.killed_after(None);
+        }
+        let (mut store, first, _) = folder.open_store().unwrap();
+        let saved = Record { promised: 9, identity: first.identity, ..record(4, 300) };
+        store.save(&saved).unwrap();
+        std::mem::forget(store);
+        for lot in 0..8 {
+            let after = folder.after_cut(lot);
+            let (_, read, fresh) = after.open_store().unwrap();
+            assert_eq!((&read, fresh), (&saved, Fresh::Kept), "killed at {kills}, names kept by {lot}");
+        }
+    }
+}
+
+/// A first open during which power is lost leaves a folder that can be opened, whichever names are kept.
+#[test]
+fn a_first_open_may_lose_power_at_any_operation() {
+    for killed in 0..8 {
+        let folder = Entries::default();
+        folder.killed_after(Some(killed));
+        let opened = folder.open_store();
+        folder.killed_after(None);
+        for lot in 0..8 {
+            let (_, read, fresh) = folder.after_cut(lot).open_store().unwrap();
+            assert_eq!(read, Record { identity: IDENTITY, ..Record::default() });
+            assert!(opened.is_err() || fresh == Fresh::Kept, "it had returned");
+        }
+    }
+}
