Control: holders of the duty take turns no sooner than bounds.lease_ms says

A new leader promoted 2.55 s after it began at the earliest, whatever was told. Where lease_ms is told, it waits for that, too.

--- a/crates/calls/src/settings.rs
+++ b/crates/calls/src/settings.rs
@@ -139,6 +139,8 @@
     pub recovery_s: f64,
     /// Whether the platform refuses a fence lower than one it has seen; false by default.
     pub fencing: bool,
+    /// Within what holders of a duty don't take turns, in milliseconds; 0 by default, as not every deployment tells it.
+    pub lease_ms: f64,
     /// How long after a freeze a process is excused, in milliseconds; 300 by default.
     pub thaw_ms: f64,
 }
@@ -232,6 +234,7 @@
                 stretch_ms: fields.number("bounds.stretch_ms", 12000.0)?,
                 recovery_s: fields.number("bounds.recovery_s", 12.0)?,
                 fencing: fields.flag("bounds.fencing", false)?,
+                lease_ms: fields.number("bounds.lease_ms", 0.0)?,
                 thaw_ms: fields.number("bounds.thaw_ms", 300.0)?,
             },
             provider: match fields.address("provider.endpoint")? {
--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -36,6 +36,8 @@
     pub contact: f64,
     /// What a call to the platform may take, at most.
     pub platform: f64,
+    /// Holders of the duty at the platform don't take turns within so long; 0 where nothing is asked.
+    pub turn: f64,
     /// What a call of an operator may take before it is told to come again.
     pub call: f64,
     /// A server that sends no beats for so long is forgotten.
--- a/crates/control/src/controller/services.rs
+++ b/crates/control/src/controller/services.rs
@@ -150,7 +150,7 @@
         let same_address = |one: &str, other: &str| self.members.share_an_address(one, other);
         // What another leader granted or asked for may hold until then, and what it knew must be known here.
         let not_before = match informed {
-            true => leases.before_us() + self.timing.platform,
+            true => (leases.before_us() + self.timing.platform).max(lead.since + self.timing.turn),
             false => f64::INFINITY,
         };
         let acts = failover.tick(&Around {
--- a/crates/control/src/tests/authority.rs
+++ b/crates/control/src/tests/authority.rs
@@ -2,7 +2,7 @@
 //! once it knows enough.
 
 use super::fleet::timing;
-use crate::controller::{Answer, Call, Controller, Output};
+use crate::controller::{Answer, Call, ControlTiming, Controller, Output};
 use crate::{
     Asked, Ballot, Beat, ConsensusMessage, FOUNDING, Holds, MemberNews, Node, PeerMessage, Phase, Recipient,
     Record, Row, State, Statement, ToControl, ToRouter, Voter,
@@ -37,10 +37,15 @@
 impl Led {
     /// It leads, with a service of three servers whose primary is a.
     fn new() -> Led {
+        Led::with(timing())
+    }
+
+    /// The same with these spans.
+    fn with(timing: ControlTiming) -> Led {
         let first = State::first(vec![1, 2, 3]);
         let record = Record { state: Rc::new(first), ..Record::default() };
         let mut led = Led {
-            controller: Controller::new(voter(1), record, 0.0, 7, timing()),
+            controller: Controller::new(voter(1), record, 0.0, 7, timing),
             now: 0.0,
             follows: true,
             answers: Vec::new(),
@@ -250,3 +255,28 @@
     led.run(2.0);
     assert!(led.promotions > 0, "{:?}", led.controller.primaries());
 }
+
+/// Holders of the duty don't take turns within what the settings say: a new leader promotes nobody before it has led for as long.
+#[test]
+fn the_duty_changes_hands_no_sooner_than_the_settings_say() {
+    for (turn, later) in [(0.0, false), (9.0, true)] {
+        let mut led = Led::with(ControlTiming { turn, ..timing() });
+        for (seq, id) in (1..).zip(["a", "b", "c"]) {
+            led.beat(id, seq);
+        }
+        let fence = led.controller.consensus().leads().expect("it leads");
+        let roster = PeerMessage::Roster { ballot: fence, news: Vec::<MemberNews>::new() };
+        let out = led.controller.peer(led.now, voter(2), roster);
+        led.perform(out);
+        led.run(1.0);
+        led.refuses_from = led.now;
+        for seq in 10..16 {
+            led.run(1.0);
+            led.beat("b", seq);
+            led.beat("c", seq);
+        }
+        assert_eq!(led.promotions == 0, later, "{turn}");
+        led.run(4.0);
+        assert!(led.promotions > 0);
+    }
+}
--- a/crates/control/src/tests/fleet.rs
+++ b/crates/control/src/tests/fleet.rs
@@ -19,7 +19,16 @@
 pub fn timing() -> ControlTiming {
     let service =
         Timing { ask: 0.2, ask_replica: 1.0, silence: 0.6, answer: 0.6, heartbeat: HEARTBEAT, drain: 7.0 };
-    ControlTiming { lease: 1.0, suspect: 0.6, contact: 1.0, platform: 1.0, call: 0.9, forget: 4.8, service }
+    ControlTiming {
+        lease: 1.0,
+        suspect: 0.6,
+        contact: 1.0,
+        platform: 1.0,
+        turn: 0.0,
+        call: 0.9,
+        forget: 4.8,
+        service,
+    }
 }
 
 /// A router as far as its session goes.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -90,6 +90,7 @@
         suspect,
         contact: suspect + 0.4,
         platform: 1.0,
+        turn: settings.bounds.lease_ms / 1000.0,
         call: 0.9,
         forget: 4.0 * heartbeat,
         service,
--- a/crates/node/src/tests/servers.rs
+++ b/crates/node/src/tests/servers.rs
@@ -44,8 +44,8 @@
     };
     let service =
         Timing { ask: 0.2, ask_replica: 1.0, silence: 0.6, answer: 0.6, heartbeat: 1.2, drain: 7.0 };
-    let (lease, suspect, contact, platform, call, forget) = (1.5, 0.6, 1.0, 1.0, 0.9, 4.8);
-    let timing = ControlTiming { lease, suspect, contact, platform, call, forget, service };
+    let (lease, suspect, contact, platform, turn, call, forget) = (1.5, 0.6, 1.0, 1.0, 0.0, 0.9, 4.8);
+    let timing = ControlTiming { lease, suspect, contact, platform, turn, call, forget, service };
     let mut controller =
         Controller::new(Voter { node: 1, incarnation: FOUNDING }, Record::default(), 0.0, 7, timing);
     controller.recall(0.0, known.iter().map(member).collect(), 0.0);
