Failover: who answers routers isn't gone, though control doesn't reach it

Silence towards control proved nothing about the copy's part in commits.

Routers now tell when servers of a service that has a silent replica last answered them, as they do of silent primaries. Who answers them is kept as a member, is waited for by a planned change, and counts as a copy that may hold more than the others after a crash. A copy that can't be asked may be left out once the old primary has told where its log stood after all routers had let go of it, as nothing is acknowledged behind that. Who answers nobody keeps nobody waiting, as before.

--- a/crates/control/src/controller/news.rs
+++ b/crates/control/src/controller/news.rs
@@ -252,9 +252,12 @@
             return vec![Output::Router(session, elsewhere)];
         };
         for seen in &call.evidence {
+            let answered = now - seen.answered;
             if let Some(failover) = lead.services.get_mut(&seen.service) {
-                failover.evidence(&seen.id, now - seen.answered);
+                failover.evidence(&seen.id, answered);
             }
+            // Whoever answers a router is there, though control doesn't reach it.
+            self.members.answered(answered, &seen.id);
         }
         let ballot = Ballot(lead.fence);
         let known = if call.known.0 == ballot { call.known.1 } else { 0 };
--- a/crates/control/src/controller/services.rs
+++ b/crates/control/src/controller/services.rs
@@ -1,7 +1,7 @@
 //! The leader's duty for each service: a step of its failover, and what that asks for.
 
 use super::{Controller, Grant, Lead, Origin, Output, PRIMARY_CHANGES_KEPT, Waiting, Wanted};
-use crate::failover::{Act, Around, Asked, Candidate, Failover, Timing};
+use crate::failover::{Act, Around, Asked, Candidate, Failover, Timing, Unheard};
 use crate::members::Member;
 use crate::message::GrantNews;
 use crate::promotion::PromotionOutcome;
@@ -77,11 +77,12 @@
     turns.map(|(service, _)| service.clone()).take(SERVICES_A_TICK).collect()
 }
 
-/// The services that routers are to tell evidence of: those whose primary nobody heard for the longest.
+/// The services that routers are to tell evidence of: those whose primary nobody heard for the longest, then those with a replica
+/// that is silent.
 fn evidence_wanted(now: f64, lead: &Lead) -> Vec<String> {
     let silent = |(service, failover): (_, &Failover)| Some((failover.unheard(now)?, service));
-    let mut wanted: Vec<(f64, &String)> = lead.services.iter().filter_map(silent).collect();
-    wanted.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+    let mut wanted: Vec<((Unheard, f64), &String)> = lead.services.iter().filter_map(silent).collect();
+    wanted.sort_by(|((a, for_a), _), ((b, for_b), _)| b.cmp(a).then(for_b.total_cmp(for_a)));
     wanted.into_iter().take(EVIDENCE_WANTED).map(|(_, service)| service.clone()).collect()
 }
 
--- a/crates/control/src/failover.rs
+++ b/crates/control/src/failover.rs
@@ -20,6 +20,7 @@
 
 use crate::promotion::{PendingPromotion, PromotionOutcome};
 use grant::Revocation;
+pub(crate) use load::Unheard;
 use observation::Observation;
 use std::collections::BTreeMap;
 pub(crate) use types::{Act, Around, Candidate};
--- a/crates/control/src/failover/choosing.rs
+++ b/crates/control/src/failover/choosing.rs
@@ -55,20 +55,27 @@
     ///
     /// A commit is acknowledged once it is at so many replicas besides the primary: if no more than these can't be
     /// asked, whoever else is furthest has all. Of the others it must be known that they had nothing that this one
-    /// lacks, as the primary had no more when they were gone already.
+    /// lacks, as the primary had no more when they were gone already, or once nothing was acknowledged any more. Whoever answers
+    /// routers isn't gone, though it doesn't answer here.
     fn spare_copies(&self, around: &Around<'_>, old: Option<&str>, at: Position) -> i64 {
         let mut spare = i64::from(around.sync) - i64::from(old.is_some());
         for member in around.members.iter().filter(|m| Some(m.id.as_str()) != old) {
             let seen = self.observed(&member.id);
             if seen.paused.is_none() && !self.is_represented(around, &member.id) {
-                let since = seen.failing.unwrap_or(around.now);
-                spare -= i64::from(!self.covered(since + FAILING_GRACE_S, at));
+                let gone = seen.failing.unwrap_or(around.now).max(seen.served) + FAILING_GRACE_S;
+                spare -= i64::from(!self.covered(self.settled_by(gone), at));
             }
         }
         for (_, since) in around.lost.iter().filter(|(id, _)| Some(id.as_str()) != old) {
             let long_gone = self.trail.is_empty() && *since < around.since - LONG_GONE_S;
-            spare -= i64::from(!self.covered(*since, at) && !long_gone);
+            spare -= i64::from(!self.covered(self.settled_by(*since), at) && !long_gone);
         }
         spare
     }
+
+    /// When a copy that is gone from that second on could add nothing any more: then, or once all routers had let go of the
+    /// primary, as none of them acknowledges anything from there on.
+    fn settled_by(&self, gone: f64) -> f64 {
+        self.given_since.map_or(gone, |given| gone.min(given))
+    }
 }
--- a/crates/control/src/failover/closing.rs
+++ b/crates/control/src/failover/closing.rs
@@ -106,7 +106,8 @@
                 self.ask(now, &member.id, every, Statement::Status, acts);
                 continue;
             }
-            pausing.complete &= is_excused(around, member, &seen) || self.is_represented(around, &member.id);
+            let excused = is_excused(around, member, &seen) || self.is_final(&seen);
+            pausing.complete &= excused || self.is_represented(around, &member.id);
             pausing.outrun |= seen.failing.is_none() && seen.row.is_some_and(|r| r.term.max(r.held) >= term);
             let statement = match seen.leads() {
                 // A primary can't be paused: once nobody uses it, it becomes a replica.
@@ -121,6 +122,15 @@
     }
 }
 
+impl Failover {
+    /// Whether this copy, which doesn't answer, may be left out as the primary has told where its log stood when routers had let go of
+    /// it: whoever is chosen must have all of that.
+    fn is_final(&self, seen: &Observation) -> bool {
+        let told_since = |given: f64| self.trail.iter().any(|(asked, _)| *asked > given);
+        seen.failing.is_some() && self.given_since.is_some_and(told_since)
+    }
+}
+
 /// A replica that can't be asked may be left out once it has been gone for a while and the primary went on without it.
 fn is_excused(around: &Around<'_>, member: &Candidate, seen: &Observation) -> bool {
     let Some(since) = seen.failing else { return false };
--- a/crates/control/src/failover/load.rs
+++ b/crates/control/src/failover/load.rs
@@ -8,6 +8,15 @@
 /// A late step counts for so many seconds.
 const LATE_COUNTS: f64 = 1.0;
 
+/// Which server of a service says nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Unheard {
+    /// One of its replicas only.
+    Replica,
+    /// The primary in use.
+    Primary,
+}
+
 /// How regularly the steps come.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pace {
@@ -49,9 +58,25 @@
         self.phase == Phase::Steady
     }
 
-    /// If this machine had no answer of the primary in use for so long that routers are to tell what they saw of it: for how
-    /// long nobody had one.
-    pub fn unheard(&self, now: f64) -> Option<f64> {
+    /// If routers are to tell what they saw of this service's servers: how much that matters, and for how long nobody had an
+    /// answer of the one that is silent.
+    pub fn unheard(&self, now: f64) -> Option<(Unheard, f64)> {
+        let primary = self.unheard_primary(now).map(|seconds| (Unheard::Primary, seconds));
+        primary.or_else(|| Some((Unheard::Replica, self.unheard_replica(now)?)))
+    }
+
+    /// A replica that says nothing here may go on, and hold alone what its primary acknowledged: routers know.
+    fn unheard_replica(&self, now: f64) -> Option<f64> {
+        let primary = self.primary.as_ref().map(|primary| &primary.id);
+        let silent = self
+            .seen
+            .iter()
+            .filter(|(id, seen)| Some(*id) != primary && seen.failing.is_some() && !seen.refused);
+        silent.map(|(_, seen)| now - seen.answered.max(seen.served)).reduce(f64::max)
+    }
+
+    /// If this machine had no answer of the primary in use for so long that it matters: for how long nobody had one.
+    fn unheard_primary(&self, now: f64) -> Option<f64> {
         if !matches!(self.phase, Phase::Steady | Phase::HandingOver(_)) {
             return None;
         }
--- a/crates/control/src/failover/observation.rs
+++ b/crates/control/src/failover/observation.rs
@@ -14,6 +14,8 @@
     pub(super) row_asked: f64,
     /// When it last answered anything.
     pub(super) answered: f64,
+    /// When it last answered any router, as far as routers have told.
+    pub(super) served: f64,
     /// Since when it doesn't answer.
     pub(super) failing: Option<f64>,
     /// Its address refused the last question.
@@ -110,6 +112,9 @@
         if self.primary.as_ref().is_some_and(|p| p.id == id) {
             self.evidence = self.evidence.max(at);
         }
+        if let Some(seen) = self.seen.get_mut(id) {
+            seen.served = seen.served.max(at);
+        }
     }
 
     /// What a question came to.
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -174,10 +174,10 @@
         }
     }
 
-    /// It has answered a question of ours: it is there, whoever takes its beats.
-    pub fn answered(&mut self, now: f64, id: &str) {
+    /// It answered a question of ours, or a router's, at that second: it is there, whoever takes its beats.
+    pub fn answered(&mut self, at: f64, id: &str) {
         if let Some(member) = self.all.get_mut(id).filter(|m| !m.news.gone) {
-            member.heard = now;
+            member.heard = member.heard.max(at);
         }
     }
 
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -143,7 +143,7 @@
     pub known: (Ballot, u64),
     /// The configuration it goes by.
     pub epoch: u64,
-    /// What it saw of the primaries that control asked about.
+    /// What it saw of the servers of services that control asked about.
     pub evidence: Vec<Evidence>,
 }
 
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -60,12 +60,12 @@
     pub grace_s: f64,
 }
 
-/// What the traffic tells of a primary.
+/// What the traffic tells of a server.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Evidence {
     /// The service.
     pub service: String,
-    /// The primary.
+    /// The server.
     pub id: String,
     /// When it last answered anything, in seconds of the steady clock; 0 for never.
     pub last_answer: f64,
@@ -196,20 +196,17 @@
         self.with_freshness(service, |f| f.history.sample(covers_from, position));
     }
 
-    /// What the traffic tells of the primaries in use.
-    pub fn evidence(&self, now: f64) -> Vec<Evidence> {
-        let view = self.shared.view.borrow();
+    /// What the traffic tells of the servers of these services.
+    pub fn evidence(&self, services: &[String], now: f64) -> Vec<Evidence> {
         let pools = self.pools.borrow();
-        let primaries = view.grants.iter().filter_map(|(service, grant)| {
-            let pool = pools.get(&grant.id)?;
-            Some(Evidence {
-                service: service.clone(),
-                id: grant.id.clone(),
-                last_answer: pool.last_answer(),
-                failing_since: pool.failing_since(now),
-            })
-        });
-        primaries.collect()
+        let wanted = pools.values().filter(|pool| services.contains(&pool.server.service));
+        let of_pool = |pool: &Rc<Pool>| Evidence {
+            service: pool.server.service.clone(),
+            id: pool.server.id.clone(),
+            last_answer: pool.last_answer(),
+            failing_since: pool.failing_since(now),
+        };
+        wanted.map(of_pool).collect()
     }
 
     /// What clients asked, and what became of it.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -138,7 +138,9 @@
     };
     let edge = Edge::start(tasks, shared.clone(), front, limits);
     let observed = edge.clone();
-    let evidence = move |now: f64| observed.evidence(now).into_iter().map(|e| to_control(e, now)).collect();
+    let evidence = move |services: &[String], now: f64| {
+        observed.evidence(services, now).into_iter().map(|e| to_control(e, now)).collect()
+    };
     // A machine that leads no longer is left while the lease still has time to be had from the next one.
     let spans = Spans {
         renew: settings.own.renew_ms as f64 / 1000.0,
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -56,7 +56,7 @@
     others: RefCell<Vec<Node>>,
     /// Servers that the newest leader has not told of, and since when.
     untold: RefCell<HashMap<String, f64>>,
-    evidence: Box<dyn Fn(f64) -> Vec<Evidence>>,
+    evidence: Box<dyn Fn(&[String], f64) -> Vec<Evidence>>,
     /// The text of the configuration in force, against which changes are told; empty if it has to be told whole.
     config_text: RefCell<Rc<[u8]>>,
     /// Services of whose primaries control wants to be told.
@@ -67,7 +67,7 @@
     /// A router of this name, in a life that was drawn at its start.
     pub fn new(
         router: String, life: u64, port: u16, spans: Spans, shared: Shared,
-        evidence: impl Fn(f64) -> Vec<Evidence> + 'static,
+        evidence: impl Fn(&[String], f64) -> Vec<Evidence> + 'static,
     ) -> Rc<Session> {
         Rc::new(Session {
             router,
@@ -255,14 +255,13 @@
         config
     }
 
-    /// What is known of the primaries that control asked about.
+    /// What is known of the servers that control asked about.
     fn wanted_evidence(&self, now: f64) -> Vec<Evidence> {
         let wanted = self.evidence_wanted.borrow();
         if wanted.is_empty() {
             return Vec::new();
         }
-        let all = (self.evidence)(now).into_iter();
-        all.filter(|seen| wanted.contains(&seen.service)).collect()
+        (self.evidence)(&wanted, now)
     }
 
     /// Takes news into the view; true if it answers a call of ours.
--- a/crates/node/src/tests/edge.rs
+++ b/crates/node/src/tests/edge.rs
@@ -728,20 +728,34 @@
     });
 }
 
+/// It tells of the servers that were asked, replicas too: whoever answers here is there, though control may not reach it.
 #[test]
-fn evidence_tells_of_the_primary_only() {
+fn evidence_tells_of_the_servers_of_a_service() {
     play(async |rig| {
+        let services = ["db".to_owned()];
         let mut a = Client::open(rig.front, "lead").await;
         a.ask("a1", "FETCH x").await;
-        let well = rig.edge.evidence(clock::now());
+        let well = rig.edge.evidence(&services, clock::now());
         assert_eq!((well.len(), well[0].id.as_str(), well[0].failing_since), (1, "i-0", None));
         assert!(well[0].last_answer > 0.0);
+        assert!(rig.edge.evidence(&["other".to_owned()], clock::now()).is_empty());
+        let mut b = Client::open(rig.front, "bounded").await;
+        b.ask("b1", "FETCH x").await;
+        let told = rig.edge.evidence(&services, clock::now());
+        let mut answered: Vec<&str> =
+            told.iter().filter(|seen| seen.last_answer > 0.0).map(|seen| seen.id.as_str()).collect();
+        answered.sort_unstable();
+        assert_eq!((answered.len(), answered[0]), (2, "i-0"));
         rig.primary.tricks.borrow_mut().push(("PUT", Trick::Silence));
         a.say("QUERY a2 PUT x 1\r\n").await;
         rig.primary.sees(|p| p.writes.get() == 1).await;
         let now = clock::now();
-        assert_eq!(rig.edge.evidence(now)[0].failing_since, None);
-        assert!(rig.edge.evidence(now + 5.0)[0].failing_since.is_some_and(|since| since <= now));
+        let primary = |now: f64| {
+            let seen = rig.edge.evidence(&services, now).into_iter().find(|seen| seen.id == "i-0");
+            seen.expect("it was asked").failing_since
+        };
+        assert_eq!(primary(now), None);
+        assert!(primary(now + 5.0).is_some_and(|since| since <= now));
     });
 }
 
--- a/crates/node/src/tests/session.rs
+++ b/crates/node/src/tests/session.rs
@@ -30,13 +30,14 @@
         let listener = Async::<TcpListener>::bind(SocketAddr::from((at, 0))).unwrap();
         let address = listener.get_ref().local_addr().unwrap();
         let shared = Shared::default();
-        let seen = |_: f64| {
+        let seen = |wanted: &[String], _: f64| {
             let seen = |service: &str| Evidence {
                 service: service.to_owned(),
                 id: format!("{service}-primary"),
                 answered: 0.1,
             };
-            vec![seen("a"), seen("b")]
+            let all = [seen("a"), seen("b")].into_iter();
+            all.filter(|seen| wanted.contains(&seen.service)).collect()
         };
         let session = Session::new("edge-1".to_owned(), 7, address.port(), SPANS, shared.clone(), seen);
         session.seeds(&[address]);
@@ -217,7 +218,7 @@
     });
 }
 
-/// A renewal tells what was seen of the primaries that control asked about, and of no others.
+/// A renewal tells what was seen of the services that control asked about, and of no others.
 #[test]
 fn evidence_is_told_where_it_is_wanted() {
     Rig::play(Ipv4Addr::new(127, 0, 0, 57), async |rig| {
--- a/crates/simulation/src/routers.rs
+++ b/crates/simulation/src/routers.rs
@@ -4,7 +4,7 @@
 use crate::servers::{Health, SERVICE};
 use crate::world::{Event, World};
 use badgerstream_control::{Ballot, ConfigNews, Evidence, GrantNews, Node, ToControl, ToRouter};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
 #[derive(Clone, Debug)]
@@ -38,7 +38,8 @@
     pub in_force: u64,
     /// The control machines that it knows.
     nodes: Vec<Node>,
-    pub(crate) evidence: Option<(String, f64)>,
+    /// When each server last answered it anything, by its own clock.
+    pub(crate) evidence: BTreeMap<String, f64>,
     pub(crate) inbox: Vec<Event>,
 }
 
@@ -103,7 +104,7 @@
             config: Rc::from([]),
             in_force: 0,
             nodes: self.seeds.clone(),
-            evidence: None,
+            evidence: BTreeMap::new(),
             inbox: Vec::new(),
         });
         self.put(0.001, Event::RouterTick(at));
@@ -115,6 +116,8 @@
         if it.frozen || !self.traffic {
             return;
         }
+        self.read_at_replicas(router);
+        let it = &self.routers[router];
         let Some(grant) = it.primary(self.now + it.offset) else { return };
         let server = grant.id.clone();
         let (seen, sent) = (self.acked.len(), self.now);
@@ -123,6 +126,15 @@
         self.put(way, Event::At { router, server, write, seen, sent });
     }
 
+    /// Reads at all replicas that are up, of which only counts that they are answered.
+    fn read_at_replicas(&mut self, router: usize) {
+        let up = self.servers.values().filter(|server| server.health == Health::Up && !server.leader);
+        let up: Vec<String> = up.map(|server| server.id.clone()).collect();
+        for server in up {
+            self.put(2.0 * self.delay, Event::Answered { router, server });
+        }
+    }
+
     pub(crate) fn at(&mut self, router: usize, id: &str, write: bool, seen: usize, sent: f64) {
         let way = self.way();
         let commit = self.next_commit + 1;
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -481,7 +481,7 @@
             Event::At { router, server, write, seen, sent } => self.at(*router, server, *write, *seen, *sent),
             Event::Answered { router, server } => {
                 let clock = self.now + self.routers[*router].offset;
-                self.routers[*router].evidence = Some((server.clone(), clock));
+                self.routers[*router].evidence.insert(server.clone(), clock);
             }
             Event::Replicate => {
                 self.replicate();
--- a/crates/simulation/tests/failover.rs
+++ b/crates/simulation/tests/failover.rs
@@ -313,6 +313,67 @@
 
 /// A primary that was promoted by us and a replica go one after the other, with commits that the third server lacks: the primary
 /// and the third one.
+/// A replica that control alone can't reach, for longer than after which the silent are forgotten, is there: it receives, and commits
+/// rest on it. The primary is to leave; while the choice is promoted the other replica receives nothing.
+#[test]
+fn a_replica_that_only_control_does_not_reach_may_hold_the_newest_commits() {
+    for seed in 0..20 {
+        let mut world = World::new(seed);
+        world.run_until(6.0, "a primary in use", |w| w.in_use().as_deref() == Some("a"));
+        world.run(1.0);
+        world.mute.insert("c".to_owned());
+        world.servers.get_mut("c").expect("it is there").beats = false;
+        world.run(6.5);
+        world.drain("a");
+        for _ in 0..800 {
+            world.run(0.01);
+            if world.phase() == "promoting" {
+                world.servers.get_mut("b").expect("it is there").deaf = true;
+            }
+        }
+        world.mute.clear();
+        let servers = &mut world.servers;
+        servers.get_mut("c").expect("it is there").beats = true;
+        servers.get_mut("b").expect("it is there").deaf = false;
+        world.run_until(8.0, "another primary in use", |w| w.in_use().is_some_and(|id| id != "a"));
+    }
+}
+
+/// The same, and the primary crashes: nobody is promoted before control reaches that replica, or the primary is back.
+#[test]
+fn a_crash_waits_for_a_replica_that_only_control_does_not_reach() {
+    for seed in 0..20 {
+        let mut world = World::new(seed);
+        world.run_until(6.0, "a primary in use", |w| w.in_use().as_deref() == Some("a"));
+        world.run(1.0);
+        world.mute.insert("c".to_owned());
+        world.servers.get_mut("c").expect("it is there").beats = false;
+        world.run(6.5);
+        world.servers.get_mut("b").expect("it is there").deaf = true;
+        world.run(0.4);
+        world.crash("a");
+        world.run(3.0);
+        assert!(world.promoted.is_empty(), "{:?}", world.promoted);
+        world.mute.clear();
+        world.servers.get_mut("c").expect("it is there").beats = true;
+        world.run_until(6.0, "another primary in use", |w| w.in_use().as_deref() == Some("c"));
+    }
+}
+
+/// A replica that nobody reaches, routers neither, keeps nobody waiting.
+#[test]
+fn a_crash_waits_for_no_replica_that_is_dark() {
+    for seed in 0..20 {
+        let mut world = World::new(seed);
+        world.run_until(6.0, "a primary in use", |w| w.in_use().as_deref() == Some("a"));
+        world.run(1.0);
+        world.darken("c");
+        world.run(3.0);
+        world.crash("a");
+        world.run_until(4.0, "another primary in use", |w| w.in_use().as_deref() == Some("b"));
+    }
+}
+
 fn two_of_three_lost(seed: u64) -> (World, String, &'static str) {
     let mut world = steady(seed);
     world.crash("a");
