--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -42,6 +42,9 @@
     pub suspect: f64,
 }
 
+/// Tells what the data plane saw of the servers of these services, at that second of the steady clock.
+type TellEvidence = dyn Fn(&[String], f64) -> Vec<Evidence>;
+
 /// The session of one router.
 pub struct Session {
     router: String,
@@ -56,7 +59,7 @@
     others: RefCell<Vec<Node>>,
     /// Servers that the newest leader has not told of, and since when.
     untold: RefCell<HashMap<String, f64>>,
-    evidence: Box<dyn Fn(&[String], f64) -> Vec<Evidence>>,
+    evidence: Box<TellEvidence>,
     /// The text of the configuration in force, against which changes are told; empty if it has to be told whole.
     config_text: RefCell<Rc<[u8]>>,
     /// Services of whose primaries control wants to be told.
