--- a/crates/simulation/tests/failover.rs
+++ b/crates/simulation/tests/failover.rs
@@ -313,17 +313,29 @@
 
 /// A primary that was promoted by us and a replica go one after the other, with commits that the third server lacks: the primary
 /// and the third one.
+/// A primary a is in use, and control has not reached the replica c for longer than after which the silent are forgotten.
+fn out_of_reach_of_control(seed: u64) -> World {
+    let mut world = World::new(seed);
+    world.run_until(6.0, "a primary in use", |w| w.in_use().as_deref() == Some("a"));
+    world.run(1.0);
+    world.mute.insert("c".to_owned());
+    world.servers.get_mut("c").expect("it is there").beats = false;
+    world.run(6.5);
+    world
+}
+
+/// Control reaches c again.
+fn reach_again(world: &mut World) {
+    world.mute.clear();
+    world.servers.get_mut("c").expect("it is there").beats = true;
+}
+
 /// A replica that control alone can't reach, for longer than after which the silent are forgotten, is there: it receives, and commits
 /// rest on it. The primary is to leave; while the choice is promoted the other replica receives nothing.
 #[test]
 fn a_replica_that_only_control_does_not_reach_may_hold_the_newest_commits() {
     for seed in 0..20 {
-        let mut world = World::new(seed);
-        world.run_until(6.0, "a primary in use", |w| w.in_use().as_deref() == Some("a"));
-        world.run(1.0);
-        world.mute.insert("c".to_owned());
-        world.servers.get_mut("c").expect("it is there").beats = false;
-        world.run(6.5);
+        let mut world = out_of_reach_of_control(seed);
         world.drain("a");
         for _ in 0..800 {
             world.run(0.01);
@@ -331,10 +343,8 @@
                 world.servers.get_mut("b").expect("it is there").deaf = true;
             }
         }
-        world.mute.clear();
-        let servers = &mut world.servers;
-        servers.get_mut("c").expect("it is there").beats = true;
-        servers.get_mut("b").expect("it is there").deaf = false;
+        reach_again(&mut world);
+        world.servers.get_mut("b").expect("it is there").deaf = false;
         world.run_until(8.0, "another primary in use", |w| w.in_use().is_some_and(|id| id != "a"));
     }
 }
@@ -343,19 +353,13 @@
 #[test]
 fn a_crash_waits_for_a_replica_that_only_control_does_not_reach() {
     for seed in 0..20 {
-        let mut world = World::new(seed);
-        world.run_until(6.0, "a primary in use", |w| w.in_use().as_deref() == Some("a"));
-        world.run(1.0);
-        world.mute.insert("c".to_owned());
-        world.servers.get_mut("c").expect("it is there").beats = false;
-        world.run(6.5);
+        let mut world = out_of_reach_of_control(seed);
         world.servers.get_mut("b").expect("it is there").deaf = true;
         world.run(0.4);
         world.crash("a");
         world.run(3.0);
         assert!(world.promoted.is_empty(), "{:?}", world.promoted);
-        world.mute.clear();
-        world.servers.get_mut("c").expect("it is there").beats = true;
+        reach_again(&mut world);
         world.run_until(6.0, "another primary in use", |w| w.in_use().as_deref() == Some("c"));
     }
 }
--- a/crates/simulation/tests/rosters.rs
+++ b/crates/simulation/tests/rosters.rs
@@ -49,6 +49,29 @@
     assert!(played > 3, "{played}");
 }
 
+/// Once call 9 is acknowledged all control machines lose power, and the leader its disk; they are back half a second later.
+fn lose_all_once_acknowledged(world: &mut World) {
+    while !world.replies.contains_key(&9) {
+        world.step();
+    }
+    assert_eq!(world.replies[&9].0, 200);
+    let leader = world.leader().expect("somebody leads");
+    world.wipe(leader);
+    for node in (1..=3).filter(|node| *node != leader) {
+        world.power_off(node);
+    }
+    world.run(0.5);
+    (1..=3).for_each(|node| world.start(node));
+    world.run_until(4.0, "another leader", |w| w.leader().is_some());
+}
+
+/// Whether the leader knows that this server, which serves on, drains.
+fn drains(world: &World, id: &str) -> bool {
+    let leader = world.leader().expect("somebody leads");
+    let controller = world.controls[&leader].controller.as_ref().expect("it runs");
+    controller.members().get(id).expect("it serves on").news.draining
+}
+
 /// A server says that it drains; all machines lose power in the moment in which that was acknowledged, one of them its disk, and
 /// the server's beats stay away behind a cut: it drains still, and a beat from before that comes late doesn't bring it back.
 #[test]
@@ -62,25 +85,11 @@
         let endpoint = server.endpoint.clone();
         let asked = 1 + (seed % 3) as Node;
         world.call(asked, 9, Call::Beat { id: "b".to_owned(), beat: beat(&endpoint, 1000, true) });
-        while !world.replies.contains_key(&9) {
-            world.step();
-        }
-        assert_eq!(world.replies[&9].0, 200);
-        let leader = world.leader().expect("somebody leads");
-        world.wipe(leader);
-        for node in (1..=3).filter(|node| *node != leader) {
-            world.power_off(node);
-        }
-        world.run(0.5);
-        (1..=3).for_each(|node| world.start(node));
-        world.run_until(4.0, "another leader", |w| w.leader().is_some());
+        lose_all_once_acknowledged(&mut world);
         let leader = world.leader().expect("somebody leads");
         world.call(leader, 10, Call::Beat { id: "b".to_owned(), beat: beat(&endpoint, 999, false) });
         world.run(1.0);
-        let leader = world.leader().expect("somebody leads");
-        let controller = world.controls[&leader].controller.as_ref().expect("it runs");
-        let member = controller.members().get("b").expect("it serves on");
-        assert!(member.news.draining, "it is taken for one that stays");
+        assert!(drains(&world, "b"), "it is taken for one that stays");
     }
 }
 
@@ -95,22 +104,8 @@
         world.servers.get_mut("b").expect("a replica").left = true;
         let asked = 1 + (seed % 3) as Node;
         world.call(asked, 9, Call::Depart { id: "b".to_owned() });
-        while !world.replies.contains_key(&9) {
-            world.step();
-        }
-        assert_eq!(world.replies[&9].0, 200);
-        let leader = world.leader().expect("somebody leads");
-        world.wipe(leader);
-        for node in (1..=3).filter(|node| *node != leader) {
-            world.power_off(node);
-        }
-        world.run(0.5);
-        (1..=3).for_each(|node| world.start(node));
-        world.run_until(4.0, "another leader", |w| w.leader().is_some());
+        lose_all_once_acknowledged(&mut world);
         world.run(1.0);
-        let leader = world.leader().expect("somebody leads");
-        let controller = world.controls[&leader].controller.as_ref().expect("it runs");
-        let member = controller.members().get("b").expect("it serves on");
-        assert!(member.news.draining, "it is taken for one that stays");
+        assert!(drains(&world, "b"), "it is taken for one that stays");
     }
 }
