--- a/crates/control/src/tests/answers.rs
+++ b/crates/control/src/tests/answers.rs
@@ -1,29 +1,14 @@
 //! One caller for an answer: calls that a control machine passes on to the leader.
 
+use super::fleet::timing;
 use crate::consensus::{ConsensusMessage, Record};
-use crate::controller::{Call, ControlTiming, Controller, Output};
-use crate::failover::Timing;
+use crate::controller::{Call, Controller, Output};
 use crate::membership::{FOUNDING, Voter};
 use crate::message::{CallId, LeaderCall, PeerMessage};
 use crate::state::{State, Text};
 use crate::{Ballot, Recipient};
 use std::rc::Rc;
 
-fn timing() -> ControlTiming {
-    let service =
-        Timing { ask: 0.2, ask_replica: 1.0, silence: 0.6, answer: 0.6, heartbeat: 1.2, drain: 7.0 };
-    ControlTiming {
-        lease: 1.0,
-        suspect: 0.6,
-        contact: 1.0,
-        platform: 1.0,
-        turn: 0.0,
-        call: 0.9,
-        forget: 4.8,
-        service,
-    }
-}
-
 fn voter(node: u32) -> Voter {
     Voter { node, incarnation: FOUNDING }
 }
