Review case 2: a planned change promotes a replica that lags far behind a healthy primary

Cause: a replica that is cut off but goes on receiving counts as departed after four heartbeats; the handover then compares its target with no replica at all, and never with the primary's own position.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -398,9 +398,14 @@
             let server = &mut cluster.servers[index];
             server.draining = true;
             server.call_seq += 1;
+            let role = if server.is_primary {
+                "leader"
+            } else {
+                "follower"
+            };
             let body = format!(
                 "{{\"backend\":\"{}\",\"endpoint\":\"{}\",\"zone\":\"{}\",\"epoch\":\"v1\",\
-                 \"capacity\":7,\"phase\":\"draining\",\"cold_left_ms\":0,\"db_role\":\"follower\",\
+                 \"capacity\":7,\"phase\":\"draining\",\"cold_left_ms\":0,\"db_role\":\"{role}\",\
                  \"call_seq\":{}}}",
                 self.service, server.endpoint, server.zone, server.call_seq
             );
@@ -1311,6 +1316,42 @@
     run.end(code)
 }
 
+/// A replica is cut off from all machines of the system, but not from the primary; the other
+/// replica receives nothing for a while, and the primary, which runs and is reachable all the time,
+/// leaves in order.
+fn case_planned_change(mut run: Run) -> ! {
+    run.start_clients(12, 60);
+    sleep_ms(4000);
+    if run.trouble {
+        run.database.lock().servers[REPLICA_B].is_cut = true;
+        run.record
+            .tell("one replica is cut off from all machines for 5.5 s");
+        sleep_ms(2900);
+        run.database.lock().servers[REPLICA_A].deaf = true;
+        run.record
+            .tell("the other replica receives nothing for 6 s");
+        sleep_ms(200);
+    }
+    if !run.database.drain(PRIMARY) {
+        run.end(2);
+    }
+    let drains_until = Instant::now() + Duration::from_millis(7300);
+    let promoted = run.wait_for_promotion(2400);
+    if run.trouble {
+        run.database.lock().servers[REPLICA_B].is_cut = false;
+        run.record
+            .tell(&format!("the cut has healed; promoted by then: {promoted}"));
+        sleep_ms(3400);
+        run.database.lock().servers[REPLICA_A].deaf = false;
+        run.record.tell("the other replica receives again");
+    }
+    thread::sleep(drains_until.saturating_duration_since(Instant::now()));
+    run.database.depart(PRIMARY);
+    sleep_ms(3000);
+    let code = run.check_lost();
+    run.end(code)
+}
+
 /// A replica leaves in order while the other one receives nothing; then the primary crashes, and
 /// so does the leading control machine.
 fn case_departed_replica(mut run: Run) -> ! {
@@ -1362,6 +1403,7 @@
     match case.as_str() {
         "cut-replica" => case_cut_replica(run),
         "departed-replica" => case_departed_replica(run),
+        "planned-change" => case_planned_change(run),
         _ => fail("unknown case"),
     }
 }
