--- a/review/standin.rs
+++ b/review/standin.rs
@@ -29,6 +29,8 @@
 const LINK: Duration = Duration::from_millis(12);
 const HEARTBEAT_MS: u64 = 1200;
 const PROMOTE_MS: u64 = 300;
+/// A run that takes longer is given up.
+const MAX_RUN: Duration = Duration::from_secs(110);
 const CONTROL_PORT: u16 = 8782;
 const FRONT_PORT: u16 = 8784;
 const READINESS_PORT: u16 = 8785;
@@ -1397,6 +1399,10 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     std::panic::set_hook(Box::new(|panic| fail(&panic.to_string())));
+    thread::spawn(|| {
+        thread::sleep(MAX_RUN);
+        fail("the run took too long");
+    });
     let record = Record::new(Path::new(record));
     record.tell(&format!("case {case}, trouble {trouble}"));
     let run = start(Path::new(pooler), Path::new(folder), &record, trouble);
