--- a/crates/core/control/src/controller/failover_driver.rs
+++ b/crates/core/control/src/controller/failover_driver.rs
@@ -228,6 +228,11 @@
                     server_id,
                     primary_term,
                 } => self.propose_completion(now, service, server_id, primary_term, out),
+                FailoverAction::MarkSuperseded { server_id } => {
+                    if let Some(superseded) = self.members.mark_superseded(&server_id) {
+                        self.heartbeat_batch.add(superseded);
+                    }
+                }
                 FailoverAction::Promote { server_id } => {
                     out.push(self.promotion_request(service, server_id));
                 }
--- a/crates/core/control/src/controller/member_replication.rs
+++ b/crates/core/control/src/controller/member_replication.rs
@@ -10,7 +10,7 @@
 
 use super::{ControlResponse, Controller, Output};
 use crate::consensus::Recipient;
-use crate::members::must_be_persisted;
+use crate::members::{Member, must_be_persisted};
 use crate::message::{MemberInfo, PeerMessage};
 use crate::term::Term;
 use crate::voter_set::{NodeId, Voter};
@@ -160,10 +160,7 @@
     }
 
     fn all_members(&self) -> Vec<MemberInfo> {
-        self.members
-            .all()
-            .map(|member| member.info.clone())
-            .collect()
+        self.members.all().map(Member::peer_info).collect()
     }
 
     /// Returns all voters except this machine.
--- a/crates/core/control/src/failover.rs
+++ b/crates/core/control/src/failover.rs
@@ -15,7 +15,8 @@
 //! Before another server is promoted, every router must have acknowledged the revocation of the
 //! grant (or its lease must have expired), and all other replicas must have been paused and queried
 //! for their log position. Every write that was acknowledged to a client is then on the replica
-//! that is furthest ahead.
+//! that is furthest ahead, unless a server that can't be queried, or has departed, may have more of
+//! the log (`log_coverage`).
 //!
 //! A draining primary is replaced while it still serves. All replicas except the target are
 //! paused, so that every write acknowledged after that is on the target. Routers stop using the old
@@ -46,6 +47,7 @@
 mod fencing;
 mod handover;
 mod interface;
+mod log_coverage;
 mod observation;
 mod polling;
 mod promoting;
--- a/crates/core/control/src/failover/handover.rs
+++ b/crates/core/control/src/failover/handover.rs
@@ -188,8 +188,7 @@
                 || progress.furthest == (0, 0))
     }
 
-    /// Returns whether the target has all writes that departed servers had. Possibly no member
-    /// except the primary still has some of these writes.
+    /// Returns whether the target has all writes that departed servers had.
     fn has_writes_of_departed(
         &self,
         context: &FailoverContext<'_>,
--- a/crates/core/control/src/failover/interface.rs
+++ b/crates/core/control/src/failover/interface.rs
@@ -92,7 +92,7 @@
     pub now: f64,
     /// The members of the service.
     pub members: &'a [ServerCandidate],
-    /// Former members that left or timed out and are still remembered.
+    /// Former members that left or timed out, and whose log may be missing elsewhere.
     pub departed: &'a [DepartedMember],
     /// The primary that the control machines committed last. The record's term is a lower bound
     /// until the change is complete, that is, until no router can use another server any more.
@@ -183,6 +183,9 @@
         server_id: String,
         primary_term: u64,
     },
+    /// Record that the log of this departed server is superseded: the primary and `sync_replicas`
+    /// replicas have everything that it may have had, so nobody waits for it any more.
+    MarkSuperseded { server_id: String },
     /// Request the platform to promote this server, and report the outcome with
     /// [`Failover::promotion_completed`](super::Failover::promotion_completed).
     Promote { server_id: String },
--- a/crates/core/control/src/failover/observation.rs
+++ b/crates/core/control/src/failover/observation.rs
@@ -245,13 +245,4 @@
             .map(|status| status.primary_term)
             .fold(self.current_primary_term(), u64::max)
     }
-
-    /// Returns whether the primary, at a query sent after the time `since`, was not ahead of
-    /// `position`. A server that was down by that time has nothing that a replica at `position`
-    /// lacks.
-    pub(super) fn primary_was_at_or_before(&self, position: Position, since: f64) -> bool {
-        self.primary_positions
-            .iter()
-            .any(|sample| sample.queried_at > since && sample.position <= position)
-    }
 }
--- a/crates/core/control/src/failover/promotion_target.rs
+++ b/crates/core/control/src/failover/promotion_target.rs
@@ -6,13 +6,6 @@
 };
 use std::cmp::Reverse;
 
-/// A server that can't be reached may have received more of the log until this long after it began
-/// to fail, or after it last answered a router.
-const FAILING_GRACE_S: f64 = 0.5;
-/// A server that departed this long before this machine became the leader is ignored if this leader
-/// has no position of the primary: other replicas have followed the primary since.
-const LONG_DEPARTED_S: f64 = 5.0;
-
 /// A server that could be promoted, with the end of its log.
 pub(super) struct RankedCandidate<'a> {
     pub(super) server_id: &'a str,
@@ -144,68 +137,4 @@
             .filter(|member| (context.same_address)(server_id, &member.id))
             .any(|member| self.observed(&member.id).paused.is_some())
     }
-
-    /// Returns how many more replicas could be unreachable without loss of an acknowledged write,
-    /// if the replica at this position is promoted. Below zero, such a write may be lost.
-    ///
-    /// A write is acknowledged once `sync_replicas` replicas have it in addition to the primary. If
-    /// no more servers than that are unreachable, the furthest of the others has every acknowledged
-    /// write. An unreachable server doesn't count if it is known to have nothing that the chosen
-    /// one lacks: the primary had no more at a time when that server was already down, or when no
-    /// writes were acknowledged any more. A server that answers routers isn't down, even if it
-    /// doesn't answer this machine.
-    fn spare_replica_count(
-        &self,
-        context: &FailoverContext<'_>,
-        old_primary_id: Option<&str>,
-        position: Position,
-    ) -> i64 {
-        let unreachable = context
-            .members_except(old_primary_id)
-            .filter(|member| self.may_have_later_writes(context, member, position))
-            .count();
-        let departed = context
-            .departed
-            .iter()
-            .filter(|departed| Some(departed.id.as_str()) != old_primary_id)
-            .filter(|departed| {
-                let long_departed = self.primary_positions.is_empty()
-                    && departed.inactive_since < context.leading_since - LONG_DEPARTED_S;
-                let unchanged_since = self.unchanged_since(departed.inactive_since);
-                !self.primary_was_at_or_before(position, unchanged_since) && !long_departed
-            })
-            .count();
-        i64::from(context.sync_replicas)
-            - i64::from(old_primary_id.is_some())
-            - unreachable as i64
-            - departed as i64
-    }
-
-    /// Returns whether this member isn't paused and may have acknowledged writes beyond this
-    /// position.
-    fn may_have_later_writes(
-        &self,
-        context: &FailoverContext<'_>,
-        member: &ServerCandidate,
-        position: Position,
-    ) -> bool {
-        let observation = self.observed(&member.id);
-        if observation.paused.is_some() || self.is_paused_under_other_id(context, &member.id) {
-            return false;
-        }
-        let down_since = observation
-            .failing_since
-            .unwrap_or(context.now)
-            .max(observation.answered_router_at)
-            + FAILING_GRACE_S;
-        !self.primary_was_at_or_before(position, self.unchanged_since(down_since))
-    }
-
-    /// Returns the time since which a server that has been down since `down_since` can't have
-    /// received new acknowledged writes: that time, or the time when the revocation was complete
-    /// if that is earlier, since no router gets an acknowledgement after it.
-    fn unchanged_since(&self, down_since: f64) -> f64 {
-        self.revoked_since
-            .map_or(down_since, |revoked_since| down_since.min(revoked_since))
-    }
 }
--- a/crates/core/control/src/members.rs
+++ b/crates/core/control/src/members.rs
@@ -5,142 +5,22 @@
 //! machines (`controller::member_replication`). The registry sends nothing and decides nothing
 //! about primaries. Reports may arrive late, repeatedly and through several machines; the registry
 //! orders them by the call numbers that the servers assign.
+//!
+//! A departed server is remembered for as long as its log may be needed: it may have received
+//! writes that were acknowledged to clients and that no other server has except the primary. It is
+//! discarded once enough other servers have its log (`superseded`), or a server has replaced it at
+//! its address. See `departed`.
+
+mod departed;
+mod member;
 
 use crate::message::MemberInfo;
+pub(crate) use departed::DepartedMember;
+pub(crate) use member::must_be_persisted;
+use member::{ENDED_SEQ, UNDRAINED_DEPARTURE_SEQ};
+pub use member::{Heartbeat, Member, MemberPhase};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Call number assigned to a server that departs without having drained. After it, heartbeats of
-/// the server are ignored; only its end still counts.
-const UNDRAINED_DEPARTURE_SEQ: u64 = u64::MAX - 1;
-/// Call number assigned to a server that has ended. After it, all reports are ignored.
-const ENDED_SEQ: u64 = u64::MAX;
-/// Factor by which the member timeout is longer for a server that departs undrained. Its
-/// heartbeats are ignored, and it has ended by the end of the longer timeout.
-const UNDRAINED_TIMEOUT_FACTOR: f64 = 4.0;
-/// A running server is seen again within this many heartbeat intervals.
-const SEEN_WITHIN_HEARTBEATS: f64 = 2.0;
-/// A server that reported its end neither receives nor acknowledges anything after this time.
-const ENDS_WITHIN_S: f64 = 0.1;
-/// A departed server is remembered for this long, so that a late heartbeat doesn't revive it.
-const DEPARTED_RETENTION_S: f64 = 60.0;
-
-/// The phase that a server reports.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum MemberPhase {
-    /// The server is in service.
-    Ready,
-    /// The server is about to end: it finishes its present work, and should get no new work.
-    Draining,
-}
-
-/// A heartbeat of a server.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Heartbeat {
-    /// The server's service.
-    pub service: String,
-    /// The server's address and port.
-    pub endpoint: String,
-    /// The server's zone (failure domain).
-    pub zone: String,
-    /// Number of statements that the server runs at once.
-    pub slots: u32,
-    /// The server's phase.
-    pub phase: MemberPhase,
-    /// Call number, which rises with every call of this server.
-    pub call_seq: u64,
-}
-
-/// What a control machine knows about a server. Times are seconds of the machine's steady clock.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Member {
-    /// The description that is sent to other control machines and to routers.
-    pub info: MemberInfo,
-    /// Time at which the server was last seen alive.
-    pub last_seen: f64,
-    /// Time at which this machine first learned that the server drains.
-    pub draining_since: Option<f64>,
-    /// Number of the update to routers that contains the server's last change; 0 if this machine
-    /// didn't lead.
-    pub changed_in_update: u64,
-    /// Whether a majority of the control machines has acknowledged the server's last change.
-    pub majority_knows: bool,
-}
-
-impl Member {
-    /// Creates a member that becomes known now.
-    fn new(now: f64, info: MemberInfo, update_number: u64) -> Member {
-        Member {
-            last_seen: now,
-            draining_since: info.draining.then_some(now),
-            changed_in_update: update_number,
-            majority_knows: false,
-            info,
-        }
-    }
-
-    /// Returns whether the server departs without having drained, and may still run.
-    fn is_departing_undrained(&self) -> bool {
-        self.info.call_seq == UNDRAINED_DEPARTURE_SEQ
-    }
-
-    /// Returns the time in seconds after which the server counts as departed if it isn't seen.
-    fn timeout(&self, member_timeout: f64) -> f64 {
-        if self.is_departing_undrained() {
-            UNDRAINED_TIMEOUT_FACTOR * member_timeout
-        } else {
-            member_timeout
-        }
-    }
-
-    /// Returns the time since which the server, if it has departed, can't have received or
-    /// acknowledged anything.
-    fn inactive_since(&self, heartbeat_interval: f64) -> f64 {
-        let active_after_seen = match self.info.call_seq {
-            ENDED_SEQ => ENDS_WITHIN_S,
-            UNDRAINED_DEPARTURE_SEQ => {
-                UNDRAINED_TIMEOUT_FACTOR * SEEN_WITHIN_HEARTBEATS * heartbeat_interval
-            }
-            _ => SEEN_WITHIN_HEARTBEATS * heartbeat_interval,
-        };
-        self.last_seen + active_after_seen
-    }
-
-    /// Returns whether `other` is a different server of the same service at the same address.
-    fn shares_address_with(&self, other: &Member) -> bool {
-        let (this, other) = (&self.info, &other.info);
-        this.id != other.id && this.service == other.service && this.endpoint == other.endpoint
-    }
-
-    /// Returns whether `other` is at the address of this server and was seen after it.
-    fn is_replaced_by(&self, other: &Member) -> bool {
-        self.shares_address_with(other) && other.last_seen > self.last_seen
-    }
-
-    /// Returns whether `info` says the same about the server, apart from the call number.
-    fn is_unchanged_by(&self, info: &MemberInfo) -> bool {
-        let renumbered = MemberInfo {
-            call_seq: info.call_seq,
-            ..self.info.clone()
-        };
-        renumbered == *info
-    }
-}
-
-/// Returns whether this report must be persisted before it is acknowledged. A draining server must
-/// get no new work, even if all control machines lose power and its heartbeats don't arrive.
-pub(crate) fn must_be_persisted(info: &MemberInfo) -> bool {
-    info.draining && !info.departed
-}
-
-/// A server that left or timed out and is still remembered.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct DepartedMember {
-    /// The server's id.
-    pub id: String,
-    /// Time since which the server has neither received nor acknowledged anything.
-    pub inactive_since: f64,
-}
-
 /// All servers that a control machine knows.
 #[derive(Clone, Debug, Default)]
 pub struct MemberRegistry {
@@ -199,26 +79,6 @@
         self.merge_and_return(now, info, update_number)
     }
 
-    /// Applies a refused connection to a server. Nothing listens at the server's address, so it has
-    /// ended if it departed undrained. Returns the changed description, if there is a change.
-    pub(crate) fn connection_refused(
-        &mut self,
-        now: f64,
-        id: &str,
-        update_number: u64,
-    ) -> Option<MemberInfo> {
-        let member = self
-            .by_id
-            .get(id)
-            .filter(|member| member.is_departing_undrained() && !member.info.departed)?;
-        let info = MemberInfo {
-            departed: true,
-            call_seq: ENDED_SEQ,
-            ..member.info.clone()
-        };
-        self.merge_and_return(now, info, update_number)
-    }
-
     fn merge_and_return(
         &mut self,
         now: f64,
@@ -240,14 +100,17 @@
         };
         // Reports may arrive late or twice. A newer one revives a server that timed out.
         if info.call_seq <= member.info.call_seq {
-            return false;
+            return info.is_superseded() && self.merge_superseded(&info, update_number);
         }
+        let superseded = info.is_superseded();
+        let info = info.with_known_endpoint(&member.info);
         let is_unchanged = member.is_unchanged_by(&info);
         let service_changed = member.info.service != info.service;
         if info.draining && member.draining_since.is_none() {
             member.draining_since = Some(now);
         }
         member.last_seen = now;
+        member.superseded = superseded;
         member.info = info.clone();
         if !is_unchanged {
             member.changed_in_update = update_number;
@@ -280,8 +143,8 @@
     }
 
     /// Marks servers as departed that haven't been seen for `member_timeout` seconds (longer if
-    /// they depart undrained), and removes those that departed long ago. Returns whether any server
-    /// departed.
+    /// they depart undrained), and discards departed servers that nobody needs any more. Returns
+    /// whether any server departed.
     pub fn expire(&mut self, now: f64, member_timeout: f64, update_number: u64) -> bool {
         let mut any_departed = false;
         for member in self.by_id.values_mut() {
@@ -294,43 +157,26 @@
             any_departed = true;
             self.change_count += 1;
         }
-        self.remove_old_departed(now);
+        self.discard_departed(now);
         any_departed
     }
 
-    fn remove_old_departed(&mut self, now: f64) {
-        let ids_by_service = &mut self.ids_by_service;
-        self.by_id.retain(|id, member| {
-            let is_kept = !member.info.departed || now - member.last_seen < DEPARTED_RETENTION_S;
-            if !is_kept {
-                for ids in ids_by_service.values_mut() {
-                    ids.remove(id);
-                }
-            }
-            is_kept
-        });
-        ids_by_service.retain(|_, ids| !ids.is_empty());
-    }
-
     /// Returns a count that rises with every change, but not when a server is merely seen again.
     pub fn change_count(&self) -> u64 {
         self.change_count
     }
 
-    /// Returns the members to be persisted for the next incarnation of this process. Call numbers
-    /// are kept only for draining servers, whose older heartbeats must not revive them. For other
+    /// Returns the servers to be persisted for the next incarnation of this process: the members,
+    /// and the departed servers whose log may be missing elsewhere. Call numbers are kept only for
+    /// servers that said that they leave, whose older heartbeats must not revive them. For other
     /// servers, a heartbeat with any number counts.
     pub fn to_persist(&self) -> Vec<MemberInfo> {
         self.by_id
             .values()
+            .filter(|member| !member.info.departed || self.may_hold_the_only_copy(member))
             .map(|member| &member.info)
-            .filter(|info| !info.departed)
             .map(|info| MemberInfo {
-                call_seq: if must_be_persisted(info) {
-                    info.call_seq
-                } else {
-                    0
-                },
+                call_seq: if info.draining { info.call_seq } else { 0 },
                 ..info.clone()
             })
             .collect()
@@ -412,29 +258,6 @@
             .filter(move |member| member.info.service == service)
     }
 
-    /// Returns the departed members of a service that are still remembered, except those that
-    /// another server of the service has replaced at their address, since that server has their
-    /// log.
-    pub(crate) fn departed_of(
-        &self,
-        service: &str,
-        heartbeat_interval: f64,
-    ) -> Vec<DepartedMember> {
-        self.all_of_service(service)
-            .filter(|member| member.info.departed && !self.has_replacement(member))
-            .map(|member| DepartedMember {
-                id: member.info.id.clone(),
-                inactive_since: member.inactive_since(heartbeat_interval),
-            })
-            .collect()
-    }
-
-    /// Returns whether another server of the service was seen at the address of this one after it.
-    fn has_replacement(&self, member: &Member) -> bool {
-        self.all_of_service(&member.info.service)
-            .any(|other| member.is_replaced_by(other))
-    }
-
     /// Returns whether the server `old_id` was replaced by the server `new_id` at its address. The
     /// new server then has the old one's log.
     pub(crate) fn is_replaced_by(&self, old_id: &str, new_id: &str) -> bool {
--- a/crates/core/control/src/message.rs
+++ b/crates/core/control/src/message.rs
@@ -99,7 +99,8 @@
     pub id: String,
     /// The server's service.
     pub service: String,
-    /// Address and port to which routers connect.
+    /// Address and port to which routers connect. Empty if the log of a departed server is
+    /// superseded: see [`MemberInfo::superseded`].
     pub endpoint: String,
     /// The server's zone (failure domain).
     pub zone: String,
@@ -113,6 +114,39 @@
     pub call_seq: u64,
 }
 
+impl MemberInfo {
+    /// Returns the description of this departed server as one whose log is superseded: so many
+    /// other servers have everything that it may have had that nobody waits for it any more.
+    ///
+    /// It has no endpoint and the same call number. Control machines of earlier releases ignore it
+    /// for a server that they know, since the call number isn't higher; at a message variant that
+    /// they don't know, they would close the connection.
+    pub(crate) fn superseded(&self) -> MemberInfo {
+        MemberInfo {
+            endpoint: String::new(),
+            departed: true,
+            ..self.clone()
+        }
+    }
+
+    /// Returns whether the log of the server is superseded.
+    pub(crate) fn is_superseded(&self) -> bool {
+        self.departed && self.endpoint.is_empty()
+    }
+
+    /// Returns this description with the endpoint of the `known` one, if it has none itself.
+    pub(crate) fn with_known_endpoint(self, known: &MemberInfo) -> MemberInfo {
+        if self.endpoint.is_empty() {
+            MemberInfo {
+                endpoint: known.endpoint.clone(),
+                ..self
+            }
+        } else {
+            self
+        }
+    }
+}
+
 /// The server that routers may use as the primary of a service while they hold a lease.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct PrimaryGrant {
--- a/crates/core/control/src/tests/members.rs
+++ b/crates/core/control/src/tests/members.rs
@@ -105,10 +105,122 @@
         ..members.all().next().unwrap().info.clone()
     };
     assert!(!members.merge(3.0, late, 4));
+    assert!(members.mark_superseded("a").is_some());
+    members.expire(60.0, MEMBER_TIMEOUT_S, 5);
+    assert_eq!(
+        members.all().count(),
+        1,
+        "a late heartbeat may still arrive"
+    );
     members.expire(70.0, MEMBER_TIMEOUT_S, 5);
     assert_eq!(members.all().count(), 0);
 }
 
+/// Guards against a departed server that is forgotten although it may have had the only copy of an
+/// acknowledged write: neither time nor a restart discards it.
+#[test]
+fn departed_server_is_remembered_until_its_log_is_superseded() {
+    for leaves_in_order in [true, false] {
+        let mut members = MemberRegistry::default();
+        members.heartbeat(0.0, "a", &heartbeat(1, MemberPhase::Draining), 1);
+        members.heartbeat(0.0, "b", &heartbeat_at("b:1", 1, MemberPhase::Ready), 1);
+        if leaves_in_order {
+            members.depart(1.0, "a", 2);
+        }
+        members.expire(5.0, MEMBER_TIMEOUT_S, 2);
+        let known_after = |members: &mut MemberRegistry, at: f64| {
+            members.expire(at, MEMBER_TIMEOUT_S, 3);
+            let departed = members.departed_of("s", HEARTBEAT_INTERVAL_S);
+            departed.iter().map(|member| member.id.clone()).collect()
+        };
+        let known: Vec<String> = known_after(&mut members, 1e6);
+        assert_eq!(known, ["a", "b"], "forgotten after a while");
+        let mut restored = MemberRegistry::default();
+        restored.restore(0.0, members.to_persist(), 0.0);
+        let known: Vec<String> = known_after(&mut restored, 1e6);
+        assert_eq!(known, ["a", "b"], "forgotten by a restart");
+        assert!(restored.mark_superseded("a").is_some());
+        assert!(restored.mark_superseded("a").is_none(), "reported twice");
+        let persisted = restored.to_persist();
+        assert!(persisted.iter().all(|member| member.id == "b"));
+        let known: Vec<String> = known_after(&mut restored, 2e6);
+        assert_eq!(known, ["b"]);
+    }
+}
+
+/// The leader's finding that a log is superseded arrives at machines that know the server in any
+/// way. It doesn't outlast a newer heartbeat of the server.
+#[test]
+fn superseded_log_is_merged_in_any_order() {
+    let mut leader = MemberRegistry::default();
+    leader.heartbeat(0.0, "a", &heartbeat(3, MemberPhase::Ready), 1);
+    leader.expire(5.0, MEMBER_TIMEOUT_S, 2);
+    let description = leader.mark_superseded("a").expect("a change");
+    let known_with = |call_seq: u64| {
+        let mut members = MemberRegistry::default();
+        members.heartbeat(4.0, "a", &heartbeat(call_seq, MemberPhase::Ready), 1);
+        members
+    };
+    for (mut members, changes) in [
+        (MemberRegistry::default(), true),
+        (known_with(2), true),
+        (known_with(3), true),
+        (known_with(4), false),
+    ] {
+        let change_count = members.change_count();
+        assert_eq!(members.merge(5.1, description.clone(), 1), changes);
+        assert_eq!(members.change_count() > change_count, changes);
+        assert_eq!(members.get("a").is_none(), changes);
+        assert!(departed_of_service(&members).is_empty());
+        assert!(!members.merge(5.2, description.clone(), 1), "merged twice");
+        assert!(
+            members
+                .heartbeat(6.0, "a", &heartbeat(5, MemberPhase::Ready), 2)
+                .is_some()
+        );
+        members.expire(20.0, MEMBER_TIMEOUT_S, 3);
+        assert_eq!(
+            departed_of_service(&members).len(),
+            1,
+            "it may have received more of the log since"
+        );
+        let address = &members.all().next().unwrap().info.endpoint;
+        assert_eq!(address, "10.0.0.1:1");
+    }
+}
+
+/// Of more departed servers than the maximum, those that nobody needs are discarded first, and then
+/// those that were seen longest ago.
+#[test]
+fn departed_servers_are_bounded() {
+    const MAX_DEPARTED_PER_SERVICE: usize = 64;
+    const MAX_DEPARTED: usize = 4096;
+    let report_at = |address: &str, service: usize| Heartbeat {
+        service: format!("service-{service}"),
+        ..heartbeat_at(address, 1, MemberPhase::Ready)
+    };
+    let mut members = MemberRegistry::default();
+    for number in 0..MAX_DEPARTED_PER_SERVICE + 2 {
+        let at = 0.001 * number as f64;
+        let report = report_at(&format!("address-{number}"), 0);
+        members.heartbeat(at, &format!("{number}"), &report, 1);
+    }
+    members.expire(10.0, MEMBER_TIMEOUT_S, 2);
+    assert_eq!(members.all().count(), MAX_DEPARTED_PER_SERVICE);
+    assert!(!members.is_known("0") && !members.is_known("1") && members.is_known("2"));
+    assert!(members.mark_superseded("40").is_some());
+    members.heartbeat(11.0, "new", &report_at("new", 0), 3);
+    members.expire(20.0, MEMBER_TIMEOUT_S, 4);
+    assert_eq!(members.all().count(), MAX_DEPARTED_PER_SERVICE);
+    assert!(!members.is_known("40") && members.is_known("2"));
+    for number in 0..MAX_DEPARTED {
+        let address = format!("other-{number}");
+        members.heartbeat(21.0, &address, &report_at(&address, 1 + number / 40), 5);
+    }
+    members.expire(30.0, MEMBER_TIMEOUT_S, 6);
+    assert_eq!(members.all().count(), MAX_DEPARTED);
+}
+
 /// A server that departs without having drained keeps serving. It is a draining member until
 /// nothing listens at its address any more.
 #[test]
--- a/crates/core/control/tests/encoding.rs
+++ b/crates/core/control/tests/encoding.rs
@@ -200,6 +200,14 @@
     }
 }
 
+/// Returns a departed server whose log other servers have.
+fn superseded_server() -> MemberInfo {
+    MemberInfo {
+        endpoint: String::new(),
+        ..departed_server()
+    }
+}
+
 fn grant() -> PrimaryGrant {
     PrimaryGrant {
         service: "catalog".to_owned(),
@@ -248,6 +256,7 @@
         sample("LeaderRequest.ReadConfig", LeaderRequest::ReadConfig),
         sample("MemberInfo.draining", draining_server()),
         sample("MemberInfo.departed", departed_server()),
+        sample("MemberInfo.superseded", superseded_server()),
         sample("PrimaryGrant", grant()),
         sample("HealthReport", health_report()),
         sample("ConfigUpdate.Full", ConfigUpdate::Full(config())),
--- a/crates/runtime/pooler/src/members_file.rs
+++ b/crates/runtime/pooler/src/members_file.rs
@@ -4,7 +4,8 @@
 //! The control driver owns the file and writes it when the membership has changed. An incomplete or
 //! damaged file is ignored. A server in the file that has departed in the meantime times out like
 //! any other server. A server reports only once that it drains or departs, so the report is written
-//! to the file before it is acknowledged.
+//! to the file before it is acknowledged. A departed server stays in the file until other servers
+//! are known to have its log.
 
 use badgerstream_control::{Controller, MemberInfo};
 use std::cell::Cell;
--- a/crates/runtime/pooler/src/tests/members_file.rs
+++ b/crates/runtime/pooler/src/tests/members_file.rs
@@ -7,6 +7,7 @@
     ControlConfig, Controller, FOUNDING_INCARNATION, FailoverConfig, HardState, MemberInfo, Voter,
 };
 use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 #[test]
 fn damaged_file_fails_its_checksum() {
@@ -132,11 +133,16 @@
     vec![draining, in_service]
 }
 
-/// The file of an earlier release is read, and writing the same servers produces the same bytes.
-#[test]
-fn file_has_the_bytes_of_its_fixture() {
-    let pinned = unhex(include_str!("fixtures/servers.txt").trim());
-    let name = format!("badgerstream-pooler-servers-pinned-{}", std::process::id());
+/// Writes the servers that a controller knows after it was told of `known`, and compares the file
+/// with the fixture. Returns the servers that are read from the fixture.
+fn check_fixture(fixture: &str, known: Vec<MemberInfo>) -> Vec<MemberInfo> {
+    static FILES: AtomicUsize = AtomicUsize::new(0);
+    let pinned = unhex(fixture.trim());
+    let number = FILES.fetch_add(1, Ordering::Relaxed);
+    let name = format!(
+        "badgerstream-pooler-servers-pinned-{}-{number}",
+        std::process::id()
+    );
     let directory = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&directory).unwrap();
     let path = directory.join("servers");
@@ -144,14 +150,49 @@
     let read = MembersFile::new(path.clone()).read();
     std::fs::remove_file(&path).unwrap();
     let mut controller = controller(&[]);
-    controller.restore_members(0.0, pinned_servers(9), 0.0);
+    controller.restore_members(0.0, known, 0.0);
     assert!(MembersFile::new(path.clone()).persist(1.0, &controller));
     let written = std::fs::read(&path).unwrap();
     std::fs::remove_dir_all(&directory).unwrap();
+    assert_eq!(hex(&written), hex(&pinned));
+    read
+}
+
+/// The file of an earlier release is read, and writing the same servers produces the same bytes.
+#[test]
+fn file_has_the_bytes_of_its_fixture() {
+    let read = check_fixture(include_str!("fixtures/servers.txt"), pinned_servers(9));
     assert_eq!(
         read,
         pinned_servers(0),
         "only the call sequence number of a draining server is stored"
     );
-    assert_eq!(hex(&written), hex(&pinned));
+}
+
+/// Departed servers are in the file, in the format of earlier releases, until their logs are
+/// superseded.
+#[test]
+fn file_lists_departed_servers() {
+    let departed = |id: &str, service: &str, endpoint: &str, zone: &str| MemberInfo {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        endpoint: endpoint.to_owned(),
+        zone: zone.to_owned(),
+        slots: 8,
+        draining: false,
+        departed: true,
+        call_seq: 0,
+    };
+    let in_order = MemberInfo {
+        slots: 500,
+        draining: true,
+        call_seq: u64::MAX,
+        ..departed("i-0c", "catalog", "10.0.0.3:5432", "lima-c")
+    };
+    let silent = departed("i-0d", "billing", "10.0.0.4:5433", "lima-b");
+    let superseded = departed("i-0e", "billing", "", "lima-b");
+    let listed = vec![pinned_servers(0).remove(0), in_order, silent];
+    let known = [&listed[..], &[superseded]].concat();
+    let read = check_fixture(include_str!("fixtures/servers_with_departed.txt"), known);
+    assert_eq!(read, listed);
 }
