Failover: a handover gives the primary up before its drain ends

Callers saw: requests at a primary for up to 7.66 s after it said that it drains, with drain_ms 7 s, when a replica can't be paused (simulation; no deployment reported it).

--- a/crates/core/control/src/failover.rs
+++ b/crates/core/control/src/failover.rs
@@ -32,7 +32,7 @@
 //! - `Revoking`: changes to `Steady` when the primary is back or another primary is found, and to
 //!   `Proposing` when a replica is chosen as the promotion target.
 //! - `Handover`: changes to `Proposing` when the target has caught up, to `Steady` when it hasn't
-//!   caught up in time, and to `Revoking` when the primary dies.
+//!   caught up in time, and to `Revoking` when the primary dies or its drain is about to end.
 //! - `Proposing`: changes to `Promoting` when the target is committed, and to `Discovering` when
 //!   the proposal fails.
 //! - `Promoting`: when the target has become primary, changes to `Steady`, or to `Completing` if
--- a/crates/core/control/src/failover/handover.rs
+++ b/crates/core/control/src/failover/handover.rs
@@ -1,6 +1,7 @@
 //! The phase [`Phase::Handover`]: the primary drains but still serves, while another server is
 //! prepared to replace it.
 
+use super::steady::log_drained_unreplaced;
 use super::{
     Failover, FailoverAction, FailoverContext, Handover, Phase, Position, PromotionTarget,
     ServerCommand,
@@ -86,6 +87,9 @@
                 planned: true,
             };
             self.propose_target(target, actions);
+        } else if self.is_drain_of_server_ending(context, &primary.server_id) {
+            log_drained_unreplaced(&primary.server_id);
+            self.abandon_primary(actions);
         } else if now - handover.started_at > HANDOVER_TIMEOUT_S {
             log::info!("event=handover_timed_out to={target_id}");
             self.retry_at = now + RETRY_BACKOFF_S;
--- a/crates/core/control/src/failover/promoting.rs
+++ b/crates/core/control/src/failover/promoting.rs
@@ -1,6 +1,7 @@
 //! The phases [`Phase::Proposing`] and [`Phase::Promoting`]: the control machines commit the
 //! promotion target, and then the platform is requested to promote it.
 
+use super::steady::log_drained_unreplaced;
 use super::{
     Failover, FailoverAction, FailoverContext, Phase, Primary, PromotionAttempt, PromotionTarget,
     Revocation, ServerCommand,
@@ -184,11 +185,8 @@
         let Some(Primary { server_id, .. }) = self.primary.clone() else {
             return;
         };
-        if context
-            .draining_since(&server_id)
-            .is_some_and(|since| self.is_drain_ending(context.now, since))
-        {
-            log::info!("event=primary_drained_unreplaced server={server_id}");
+        if self.is_drain_of_server_ending(context, &server_id) {
+            log_drained_unreplaced(&server_id);
             self.revoke_grant(actions);
         }
     }
--- a/crates/core/control/src/failover/steady.rs
+++ b/crates/core/control/src/failover/steady.rs
@@ -56,8 +56,8 @@
                 primary.server_id
             );
             self.abandon_primary(actions);
-        } else if let Some(draining_since) = context.draining_since(&primary.server_id) {
-            self.replace_draining(context, &primary.server_id, draining_since, actions);
+        } else if context.draining_since(&primary.server_id).is_some() {
+            self.replace_draining(context, &primary.server_id, actions);
         }
     }
 
@@ -162,25 +162,34 @@
             .then_some(PrimaryDeath { refused, silent_s })
     }
 
-    /// Begins to replace a primary that has been draining since the time `draining_since`.
+    /// Begins to replace a primary that drains.
     fn replace_draining(
         &mut self,
         context: &FailoverContext<'_>,
         primary_id: &str,
-        draining_since: f64,
         actions: &mut Vec<FailoverAction>,
     ) {
-        if self.is_drain_ending(context.now, draining_since) {
-            log::info!("event=primary_drained_unreplaced server={primary_id}");
+        if self.is_drain_of_server_ending(context, primary_id) {
+            log_drained_unreplaced(primary_id);
             self.abandon_primary(actions);
         } else if context.now > self.retry_at && context.now >= context.not_before {
             self.begin_handover(context, actions);
         }
     }
 
-    /// Returns whether a server that has been draining since the time `draining_since` is about to
-    /// reach its drain timeout.
-    pub(super) fn is_drain_ending(&self, now: f64, draining_since: f64) -> bool {
-        now - draining_since > self.config.drain_timeout - DRAIN_MARGIN_S
+    /// Returns whether a server drains and is about to reach its drain timeout.
+    pub(super) fn is_drain_of_server_ending(
+        &self,
+        context: &FailoverContext<'_>,
+        server_id: &str,
+    ) -> bool {
+        context
+            .draining_since(server_id)
+            .is_some_and(|since| context.now - since > self.config.drain_timeout - DRAIN_MARGIN_S)
     }
 }
+
+/// Logs that a draining primary is given up before another one is ready.
+pub(super) fn log_drained_unreplaced(primary_id: &str) {
+    log::info!("event=primary_drained_unreplaced server={primary_id}");
+}
--- a/crates/testing/simulation/tests/failover.rs
+++ b/crates/testing/simulation/tests/failover.rs
@@ -984,6 +984,29 @@
         .budget_ms(arbtest_budget_ms());
 }
 
+/// Guards against a handover that is tried again and again and outlasts the drain: the primary is
+/// given up in time although a replica can't be paused.
+#[test]
+fn draining_primary_is_given_up_in_time_while_a_replica_cannot_be_paused() {
+    for seed in 0..20 {
+        let mut simulation = steady_simulation(seed);
+        let unreachable = &mut simulation.service.unresponsive_to_control;
+        unreachable.insert("c".to_owned());
+        simulation.server_mut("c").sends_heartbeats = false;
+        simulation.run(0.1 * seed as f64);
+        simulation.drain("a");
+        let drained_at = simulation.now();
+        simulation.run_until(9.0, "the primary is given up", |simulation| {
+            simulation.primary_in_use().is_none()
+        });
+        let after = simulation.now() - drained_at;
+        assert!(after < 7.0, "after {after}");
+        simulation.run_until(3.0, "another is in use", |simulation| {
+            simulation.primary_in_use().is_some_and(|p| p != "a")
+        });
+    }
+}
+
 #[test]
 fn draining_primary_is_given_up_in_time_without_the_platform() {
     let mut simulation = steady_simulation(5);
