--- a/crates/core/control/src/controller/failover_driver.rs
+++ b/crates/core/control/src/controller/failover_driver.rs
@@ -8,7 +8,6 @@
     CommandOutcome, Failover, FailoverAction, FailoverConfig, FailoverContext, ServerCandidate,
     ServerCommand, UnresponsiveRole,
 };
-use crate::members::Member;
 use crate::message::PrimaryGrant;
 use crate::promotion::PromotionOutcome;
 use std::collections::{BTreeMap, HashMap};
@@ -61,8 +60,20 @@
                 self.members.seen_alive(now, server_id);
             }
             CommandOutcome::Refused => self.handle_refused_connection(now, server_id),
-            CommandOutcome::TimedOut | CommandOutcome::NotSent => {}
+            CommandOutcome::TimedOut => self.members.connection_timed_out(server_id),
+            CommandOutcome::NotSent => {}
         }
+        self.report_outcome(now, service, server_id, outcome);
+    }
+
+    /// Reports the outcome of a command to the failover of the service.
+    fn report_outcome(
+        &mut self,
+        now: f64,
+        service: &str,
+        server_id: &str,
+        outcome: CommandOutcome,
+    ) {
         let Some(lead) = &mut self.leadership else {
             return;
         };
@@ -160,8 +171,7 @@
         config: FailoverConfig,
         out: &mut Vec<Output>,
     ) {
-        let members: Vec<ServerCandidate> =
-            self.members.of_service(service).map(candidate).collect();
+        let members = self.service_candidates(service);
         let not_before = self.failover_not_before();
         let Some(lead) = &mut self.leadership else {
             return;
@@ -193,6 +203,20 @@
         self.perform_actions(now, service, actions, out);
     }
 
+    /// Returns what a failover needs to know about the members of its service.
+    fn service_candidates(&self, service: &str) -> Vec<ServerCandidate> {
+        let heartbeat_interval = self.config.failover.heartbeat_interval;
+        self.members
+            .of_service(service)
+            .map(|member| ServerCandidate {
+                id: member.info.id.clone(),
+                draining_since: member.draining_since,
+                last_seen: member.last_seen,
+                inactivity: member.inactivity(heartbeat_interval),
+            })
+            .collect()
+    }
+
     /// Returns the time from which failovers may change anything. Until then, grants and platform
     /// requests of former leaders may be in force. The time is infinite while this leader may not
     /// know all members that former leaders knew.
@@ -220,6 +244,9 @@
                 FailoverAction::SendCommand { server_id, command } => {
                     self.send_command(now, service, server_id, command, out);
                 }
+                FailoverAction::QueryDeparted { server_id } => {
+                    self.query_departed(service, server_id, out);
+                }
                 FailoverAction::ProposePrimary {
                     server_id,
                     after_term,
@@ -264,16 +291,35 @@
         let Some(member) = self.members.get(&server_id) else {
             // The failover awaits an outcome, but the server's address isn't known, so the command
             // can't be sent.
-            self.command_completed(now, service, &server_id, CommandOutcome::TimedOut);
+            self.report_outcome(now, service, &server_id, CommandOutcome::TimedOut);
             return;
         };
-        out.push(Output::SendCommand {
-            endpoint: member.info.endpoint.clone(),
+        let endpoint = member.info.endpoint.clone();
+        out.push(self.command_output(service, server_id, endpoint, command));
+    }
+
+    /// Queries the status of a server that has departed.
+    fn query_departed(&self, service: &str, server_id: String, out: &mut Vec<Output>) {
+        if let Some(endpoint) = self.members.endpoint(&server_id) {
+            let endpoint = endpoint.to_owned();
+            out.push(self.command_output(service, server_id, endpoint, ServerCommand::Status));
+        }
+    }
+
+    fn command_output(
+        &self,
+        service: &str,
+        server_id: String,
+        endpoint: String,
+        command: ServerCommand,
+    ) -> Output {
+        Output::SendCommand {
+            endpoint,
             server_id,
             service: service.to_owned(),
             command,
             fencing_token: self.fencing_token(),
-        });
+        }
     }
 
     fn promotion_request(&self, service: &str, server_id: String) -> Output {
@@ -381,11 +427,3 @@
         .map(|(_, service)| service.clone())
         .collect()
 }
-
-fn candidate(member: &Member) -> ServerCandidate {
-    ServerCandidate {
-        id: member.info.id.clone(),
-        draining_since: member.draining_since,
-        last_seen: member.last_seen,
-    }
-}
--- a/crates/core/control/src/failover.rs
+++ b/crates/core/control/src/failover.rs
@@ -139,6 +139,11 @@
     primary_reported_at: f64,
     /// The newest log positions of the primary, oldest first.
     primary_positions: Vec<PositionSample>,
+    /// Time of the last query to each departed server whose log may be missing elsewhere.
+    departed_queried_at: BTreeMap<String, f64>,
+    /// The servers for which the last promotion was held back: they may have writes that the
+    /// replica to be promoted lacks.
+    promotion_held_by: Vec<String>,
     /// Until this time no handover begins, and no primary counts as missing.
     retry_at: f64,
     /// Until this time the completed change of the primary is not proposed again.
@@ -161,6 +166,8 @@
             revocation: Revocation::None,
             primary_reported_at: f64::NEG_INFINITY,
             primary_positions: Vec::new(),
+            departed_queried_at: BTreeMap::new(),
+            promotion_held_by: Vec::new(),
             retry_at: 0.0,
             record_retry_at: f64::NEG_INFINITY,
             polling_delay: PollingDelay::default(),
--- a/crates/core/control/src/failover/handover.rs
+++ b/crates/core/control/src/failover/handover.rs
@@ -203,10 +203,6 @@
             .observed(target_id)
             .status
             .map_or((0, 0), |status| status.received);
-        context
-            .departed
-            .iter()
-            .filter(|departed| departed.id != primary_id)
-            .all(|departed| self.primary_was_at_or_before(received, departed.inactive_since))
+        !self.may_departed_have_later_writes(context, primary_id, received)
     }
 }
--- a/crates/core/control/src/failover/interface.rs
+++ b/crates/core/control/src/failover/interface.rs
@@ -1,7 +1,7 @@
 //! The inputs and outputs of a [`Failover`](super::Failover): its settings, the context of each
 //! step, the commands to servers with their outcomes, and the actions for its owner.
 
-use crate::members::DepartedMember;
+use crate::members::{DepartedMember, Inactivity};
 use crate::state::PrimaryRecord;
 
 /// A position in a service's log: the primary term and the number within that term, compared in
@@ -83,6 +83,8 @@
     pub draining_since: Option<f64>,
     /// Time at which the server was last seen alive by a control machine or a router.
     pub last_seen: f64,
+    /// What proves that the server, if it doesn't answer, no longer receives the log.
+    pub inactivity: Inactivity,
 }
 
 /// Everything outside the [`Failover`](super::Failover) itself that a step depends on. Times are
@@ -174,6 +176,9 @@
         server_id: String,
         command: ServerCommand,
     },
+    /// Query the status of a departed server, which may still run. Its answer isn't awaited; a
+    /// refused connection proves that it doesn't run.
+    QueryDeparted { server_id: String },
     /// Propose to the control machines that this server becomes the primary of a term above
     /// `after_term`, and report the result with
     /// [`Failover::proposal_decided`](super::Failover::proposal_decided).
--- a/crates/core/control/src/failover/log_coverage.rs
+++ b/crates/core/control/src/failover/log_coverage.rs
@@ -2,79 +2,119 @@
 //!
 //! A write is acknowledged once `sync_replicas` replicas have it in addition to the primary. The
 //! servers that can be queried are compared by their log positions. A server that can't be queried,
-//! or has departed, may hold such a write, unless the primary reported a position that isn't ahead
-//! at a time when the server was already down, or when no writes were acknowledged any more.
+//! or has departed, may hold such a write until one of these proves that it doesn't:
+//!
+//! - The primary reported its position after the revocation was complete. No router received an
+//!   acknowledgement after that.
+//! - The server had ended, by its own report, and the primary reported its position after that.
+//! - Connections to the server are refused, and the newest position that the primary reported since
+//!   then isn't ahead.
+//!
+//! Silence proves nothing: the server may be cut off from the control machines and the routers, but
+//! not from its primary.
 
 use super::{Failover, FailoverAction, FailoverContext, Position, Primary, ServerCandidate};
-use crate::members::DepartedMember;
+use crate::members::{DepartedMember, Inactivity};
 
-/// A server that can't be reached may have received more of the log until this long after it began
-/// to fail, or after it last answered a router.
-const FAILING_GRACE_S: f64 = 0.5;
+/// A server that refuses connections may have acknowledged more of the log until this long after
+/// the first refusal.
+const REFUSING_GRACE_S: f64 = 0.5;
 
 impl Failover {
-    /// Returns how many more replicas could be unreachable without loss of an acknowledged write,
-    /// if the replica at this position is promoted. Below zero, such a write may be lost.
+    /// Returns whether a replica at this position has every acknowledged write, as far as this
+    /// machine can prove it.
     ///
-    /// If no more servers than the primary and `sync_replicas` replicas are unreachable or gone,
-    /// the furthest of the others has every acknowledged write.
-    pub(super) fn spare_replica_count(
+    /// If no more servers than the primary and `sync_replicas` replicas may have later writes, the
+    /// furthest of the others has every acknowledged write.
+    pub(super) fn has_acknowledged_writes(
+        &mut self,
+        context: &FailoverContext<'_>,
+        old_primary_id: Option<&str>,
+        position: Position,
+    ) -> bool {
+        let unproven = self.servers_with_later_writes(context, old_primary_id, position);
+        let copies = context.sync_replicas as usize + 1;
+        let lost = unproven.len() + usize::from(old_primary_id.is_some());
+        if lost < copies {
+            return true;
+        }
+        if self.promotion_held_by != unproven {
+            log::info!(
+                "event=promotion_held position={}.{} unproven={}",
+                position.0,
+                position.1,
+                unproven.join(",")
+            );
+            self.promotion_held_by = unproven;
+        }
+        false
+    }
+
+    /// Returns the servers, apart from the old primary, that may have acknowledged writes beyond
+    /// this position: members that can't be queried, and departed servers.
+    fn servers_with_later_writes(
         &self,
         context: &FailoverContext<'_>,
         old_primary_id: Option<&str>,
         position: Position,
-    ) -> i64 {
+    ) -> Vec<String> {
         let unreachable = context
             .members_except(old_primary_id)
-            .filter(|member| self.may_have_later_writes(context, member, position))
-            .count();
+            .filter(|member| !self.is_paused(context, member))
+            .map(|member| (&member.id, member.inactivity));
         let departed = context
             .departed
             .iter()
             .filter(|departed| Some(departed.id.as_str()) != old_primary_id)
-            .filter(|departed| {
-                let unchanged_since = self.unchanged_since(departed.inactive_since);
-                !self.primary_was_at_or_before(position, unchanged_since)
-            })
-            .count();
-        i64::from(context.sync_replicas)
-            - i64::from(old_primary_id.is_some())
-            - unreachable as i64
-            - departed as i64
+            .map(|departed| (&departed.id, departed.inactivity));
+        unreachable
+            .chain(departed)
+            .filter(|(_, inactivity)| self.may_have_later_writes(*inactivity, position))
+            .map(|(id, _)| id.clone())
+            .collect()
     }
 
-    /// Returns whether this member isn't paused and may have acknowledged writes beyond this
-    /// position. A server that answers routers isn't down, even if it doesn't answer this machine.
-    fn may_have_later_writes(
+    fn is_paused(&self, context: &FailoverContext<'_>, member: &ServerCandidate) -> bool {
+        self.observed(&member.id).paused.is_some()
+            || self.is_paused_under_other_id(context, &member.id)
+    }
+
+    /// Returns whether a departed server may have writes that the server at this position lacks.
+    /// Possibly no member except the primary still has these writes.
+    pub(super) fn may_departed_have_later_writes(
         &self,
         context: &FailoverContext<'_>,
-        member: &ServerCandidate,
+        primary_id: &str,
         position: Position,
     ) -> bool {
-        let observation = self.observed(&member.id);
-        if observation.paused.is_some() || self.is_paused_under_other_id(context, &member.id) {
-            return false;
-        }
-        let down_since = observation
-            .failing_since
-            .unwrap_or(context.now)
-            .max(observation.answered_router_at)
-            + FAILING_GRACE_S;
-        !self.primary_was_at_or_before(position, self.unchanged_since(down_since))
+        context
+            .departed
+            .iter()
+            .filter(|departed| departed.id != primary_id)
+            .any(|departed| self.may_have_later_writes(departed.inactivity, position))
     }
 
-    /// Returns the time since which a server that has been down since `down_since` can't have
-    /// received new acknowledged writes: that time, or the time when the revocation was complete
-    /// if that is earlier, since no router gets an acknowledgement after it.
-    fn unchanged_since(&self, down_since: f64) -> f64 {
-        self.revoked_since
-            .map_or(down_since, |revoked_since| down_since.min(revoked_since))
+    /// Returns whether a server that doesn't answer may have acknowledged writes beyond this
+    /// position.
+    fn may_have_later_writes(&self, inactivity: Inactivity, position: Position) -> bool {
+        let has_final_position = self
+            .revoked_since
+            .is_some_and(|since| self.primary_was_at_or_before(position, since));
+        if has_final_position {
+            return false;
+        }
+        match inactivity {
+            Inactivity::Unproven => true,
+            Inactivity::Refusing { since } => self
+                .newest_primary_position(since + REFUSING_GRACE_S)
+                .is_none_or(|newest| newest > position),
+            Inactivity::Ended { since } => !self.primary_was_at_or_before(position, since),
+        }
     }
 
-    /// Returns whether the primary, at a query sent after the time `since`, was not ahead of
-    /// `position`. A server that was down by that time has nothing that a replica at `position`
-    /// lacks.
-    pub(super) fn primary_was_at_or_before(&self, position: Position, since: f64) -> bool {
+    /// Returns whether the primary, at the first query sent after the time `since`, was not ahead
+    /// of `position`.
+    fn primary_was_at_or_before(&self, position: Position, since: f64) -> bool {
         self.first_primary_position(since)
             .is_some_and(|first| first <= position)
     }
@@ -88,23 +128,38 @@
             .map(|sample| sample.position)
     }
 
-    /// Records the departed servers whose log is superseded, while the primary is in use.
-    pub(super) fn record_superseded(
-        &self,
+    /// Returns the position that the primary reported at the last query, if that was sent after the
+    /// time `since`.
+    fn newest_primary_position(&self, since: f64) -> Option<Position> {
+        self.primary_positions
+            .last()
+            .filter(|sample| sample.queried_at > since)
+            .map(|sample| sample.position)
+    }
+
+    /// Examines the departed servers while the primary is in use: records those whose log is
+    /// superseded, and queries those that may still run.
+    pub(super) fn examine_departed(
+        &mut self,
         context: &FailoverContext<'_>,
         primary: &Primary,
         actions: &mut Vec<FailoverAction>,
     ) {
-        let superseded = context
+        self.departed_queried_at
+            .retain(|id, _| context.departed.iter().any(|departed| departed.id == *id));
+        let departed_replicas = context
             .departed
             .iter()
-            .filter(|departed| departed.id != primary.server_id)
-            .filter(|departed| self.is_superseded(context, primary, departed));
-        for departed in superseded {
-            log::info!("event=departed_superseded server={}", departed.id);
-            actions.push(FailoverAction::MarkSuperseded {
-                server_id: departed.id.clone(),
-            });
+            .filter(|departed| departed.id != primary.server_id);
+        for departed in departed_replicas {
+            if self.is_superseded(context, primary, departed) {
+                log::info!("event=departed_superseded server={}", departed.id);
+                actions.push(FailoverAction::MarkSuperseded {
+                    server_id: departed.id.clone(),
+                });
+            } else if !matches!(departed.inactivity, Inactivity::Ended { .. }) {
+                self.query_departed(context.now, &departed.id, actions);
+            }
         }
     }
 
@@ -116,7 +171,12 @@
         primary: &Primary,
         departed: &DepartedMember,
     ) -> bool {
-        let Some(position) = self.first_primary_position(departed.inactive_since) else {
+        let inactive_since = match departed.inactivity {
+            Inactivity::Unproven => return false,
+            Inactivity::Refusing { since } => since + REFUSING_GRACE_S,
+            Inactivity::Ended { since } => since,
+        };
+        let Some(position) = self.first_primary_position(inactive_since) else {
             return false;
         };
         let replicas = context
@@ -134,4 +194,16 @@
                 .status
                 .is_some_and(|status| !status.is_primary && status.received >= position)
     }
+
+    /// Queries a departed server, unless that was done a short while ago.
+    fn query_departed(&mut self, now: f64, server_id: &str, actions: &mut Vec<FailoverAction>) {
+        let last_query_at = self.departed_queried_at.get(server_id);
+        if last_query_at.is_some_and(|at| now - at < self.config.replica_poll_interval) {
+            return;
+        }
+        self.departed_queried_at.insert(server_id.to_owned(), now);
+        actions.push(FailoverAction::QueryDeparted {
+            server_id: server_id.to_owned(),
+        });
+    }
 }
--- a/crates/core/control/src/failover/promotion_target.rs
+++ b/crates/core/control/src/failover/promotion_target.rs
@@ -88,7 +88,7 @@
             return;
         };
         if context.sync_replicas > 0
-            && self.spare_replica_count(context, old_primary_id, position) < 0
+            && !self.has_acknowledged_writes(context, old_primary_id, position)
         {
             return;
         }
--- a/crates/core/control/src/failover/revocation.rs
+++ b/crates/core/control/src/failover/revocation.rs
@@ -50,6 +50,7 @@
         self.primary = Some(primary);
         self.revocation = Revocation::None;
         self.revoked_since = None;
+        self.promotion_held_by.clear();
         // The primary timeout starts now, as routers couldn't report on this primary before.
         self.primary_reported_at = now;
         self.phase = Phase::Steady;
--- a/crates/core/control/src/failover/steady.rs
+++ b/crates/core/control/src/failover/steady.rs
@@ -49,7 +49,7 @@
             return;
         }
         self.record_completed_change(context, &primary, actions);
-        self.record_superseded(context, &primary, actions);
+        self.examine_departed(context, &primary, actions);
         if let Some(PrimaryDeath { refused, silent_s }) = self.primary_death(context.now) {
             log::info!(
                 "event=primary_dead server={} refused={refused} silent_s={silent_s:.2}",
--- a/crates/core/control/src/members.rs
+++ b/crates/core/control/src/members.rs
@@ -12,10 +12,12 @@
 //! its address. See `departed`.
 
 mod departed;
+mod inactivity;
 mod member;
 
 use crate::message::MemberInfo;
 pub(crate) use departed::DepartedMember;
+pub(crate) use inactivity::Inactivity;
 pub(crate) use member::must_be_persisted;
 use member::{ENDED_SEQ, UNDRAINED_DEPARTURE_SEQ};
 pub use member::{Heartbeat, Member, MemberPhase};
@@ -110,6 +112,7 @@
             member.draining_since = Some(now);
         }
         member.last_seen = now;
+        member.refused_since = None;
         member.superseded = superseded;
         member.info = info.clone();
         if !is_unchanged {
@@ -133,11 +136,13 @@
     /// Records that the server answered this machine or a router at the time `at`. It is alive,
     /// whichever machine receives its heartbeats. A departed server stays departed.
     pub fn seen_alive(&mut self, at: f64, id: &str) {
-        if let Some(member) = self
-            .by_id
-            .get_mut(id)
-            .filter(|member| !member.info.departed)
-        {
+        let Some(member) = self.by_id.get_mut(id) else {
+            return;
+        };
+        if member.refused_since.is_some_and(|since| since < at) {
+            member.refused_since = None;
+        }
+        if !member.info.departed {
             member.last_seen = member.last_seen.max(at);
         }
     }
@@ -238,6 +243,12 @@
         self.by_id.get(id).filter(|member| !member.info.departed)
     }
 
+    /// Returns the address of this server, also if it has departed.
+    pub(crate) fn endpoint(&self, id: &str) -> Option<&str> {
+        let member = self.by_id.get(id)?;
+        Some(&member.info.endpoint)
+    }
+
     /// Returns all members, including departed ones that are still remembered.
     pub fn all(&self) -> impl Iterator<Item = &Member> {
         self.by_id.values()
--- a/crates/core/control/src/members/departed.rs
+++ b/crates/core/control/src/members/departed.rs
@@ -7,7 +7,7 @@
 //! writes are as safe as newly acknowledged ones. Neither the time since the departure, nor a
 //! change of the leader, nor a restart of the control machines replaces that finding.
 
-use super::{ENDED_SEQ, Member, MemberRegistry};
+use super::{ENDED_SEQ, Inactivity, Member, MemberRegistry};
 use crate::message::MemberInfo;
 use std::collections::{BTreeSet, HashMap};
 
@@ -26,23 +26,24 @@
 pub(crate) struct DepartedMember {
     /// The server's id.
     pub id: String,
-    /// Time since which the server has neither received nor acknowledged anything.
-    pub inactive_since: f64,
+    /// What proves that the server no longer receives the log.
+    pub inactivity: Inactivity,
 }
 
 impl MemberRegistry {
-    /// Applies a refused connection to a server. Nothing listens at the server's address, so it has
-    /// ended if it departed undrained. Returns the changed description, if there is a change.
+    /// Records that a connection to a server was refused: nothing listens at its address. A server
+    /// that departed undrained has ended. Returns its changed description, if there is a change.
     pub(crate) fn connection_refused(
         &mut self,
         now: f64,
         id: &str,
         update_number: u64,
     ) -> Option<MemberInfo> {
-        let member = self
-            .by_id
-            .get(id)
-            .filter(|member| member.is_departing_undrained() && !member.info.departed)?;
+        let member = self.by_id.get_mut(id)?;
+        member.refused_since.get_or_insert(now);
+        if !member.is_departing_undrained() || member.info.departed {
+            return None;
+        }
         let info = MemberInfo {
             departed: true,
             call_seq: ENDED_SEQ,
@@ -51,6 +52,14 @@
         self.merge_and_return(now, info, update_number)
     }
 
+    /// Records that a server neither answered nor refused a connection. It may have started again
+    /// since the last refusal.
+    pub(crate) fn connection_timed_out(&mut self, id: &str) {
+        if let Some(member) = self.by_id.get_mut(id) {
+            member.refused_since = None;
+        }
+    }
+
     /// Records the leader's finding that the log of a departed server is superseded. Returns the
     /// description that tells other control machines; `None` if there is no change.
     pub(crate) fn mark_superseded(&mut self, id: &str) -> Option<MemberInfo> {
@@ -100,7 +109,7 @@
             .filter(|member| self.may_hold_the_only_copy(member))
             .map(|member| DepartedMember {
                 id: member.info.id.clone(),
-                inactive_since: member.inactive_since(heartbeat_interval),
+                inactivity: member.inactivity(heartbeat_interval),
             })
             .collect()
     }
--- a/crates/core/control/src/members/member.rs
+++ b/crates/core/control/src/members/member.rs
@@ -1,5 +1,6 @@
 //! One database server, as a control machine knows it.
 
+use super::inactivity::Inactivity;
 use crate::message::MemberInfo;
 
 /// Call number assigned to a server that departs without having drained. After it, heartbeats of
@@ -10,8 +11,9 @@
 /// Factor by which the member timeout is longer for a server that departs undrained. Its
 /// heartbeats are ignored, and it has ended by the end of the longer timeout.
 const UNDRAINED_TIMEOUT_FACTOR: f64 = 4.0;
-/// A running server is seen again within this many heartbeat intervals.
-const SEEN_WITHIN_HEARTBEATS: f64 = 2.0;
+/// A server that reported that it leaves, and then fell silent, has ended this many heartbeat
+/// intervals after it was last seen.
+const LEAVING_ENDS_WITHIN_HEARTBEATS: f64 = 16.0;
 /// A server that reported its end neither receives nor acknowledges anything after this time.
 const ENDS_WITHIN_S: f64 = 0.1;
 
@@ -55,6 +57,9 @@
     pub changed_in_update: u64,
     /// Whether a majority of the control machines has acknowledged the server's last change.
     pub majority_knows: bool,
+    /// Time since which all of this machine's connections to the server have been refused; `None`
+    /// if the server has been seen, or has been silent, since the last refusal.
+    pub(super) refused_since: Option<f64>,
     /// Whether enough other servers have the log of this server, which has departed. See
     /// [`MemberInfo::superseded`].
     pub(super) superseded: bool,
@@ -68,6 +73,7 @@
             draining_since: info.draining.then_some(now),
             changed_in_update: update_number,
             majority_knows: false,
+            refused_since: None,
             superseded: info.is_superseded(),
             info,
         }
@@ -96,17 +102,22 @@
         }
     }
 
-    /// Returns the time since which the server, if it has departed, can't have received or
-    /// acknowledged anything.
-    pub(super) fn inactive_since(&self, heartbeat_interval: f64) -> f64 {
-        let active_after_seen = match self.info.call_seq {
-            ENDED_SEQ => ENDS_WITHIN_S,
-            UNDRAINED_DEPARTURE_SEQ => {
-                UNDRAINED_TIMEOUT_FACTOR * SEEN_WITHIN_HEARTBEATS * heartbeat_interval
-            }
-            _ => SEEN_WITHIN_HEARTBEATS * heartbeat_interval,
-        };
-        self.last_seen + active_after_seen
+    /// Returns what proves that the server no longer receives the log of its primary. A departed
+    /// server need not have ended: it departs by mere silence, too.
+    pub(crate) fn inactivity(&self, heartbeat_interval: f64) -> Inactivity {
+        let departed = self.info.departed;
+        if departed && self.info.call_seq == ENDED_SEQ {
+            let since = self.last_seen + ENDS_WITHIN_S;
+            return Inactivity::Ended { since };
+        }
+        if let Some(since) = self.refused_since {
+            return Inactivity::Refusing { since };
+        }
+        if departed && self.info.draining {
+            let since = self.last_seen + LEAVING_ENDS_WITHIN_HEARTBEATS * heartbeat_interval;
+            return Inactivity::Ended { since };
+        }
+        Inactivity::Unproven
     }
 
     /// Returns whether `other` is a different server of the same service at the same address.
--- a/crates/core/control/src/tests/members.rs
+++ b/crates/core/control/src/tests/members.rs
@@ -2,7 +2,7 @@
 //! that share an address. Also the leases of routers, without a controller.
 
 use crate::leases::Leases;
-use crate::members::{DepartedMember, Heartbeat, MemberPhase, MemberRegistry};
+use crate::members::{DepartedMember, Heartbeat, Inactivity, MemberPhase, MemberRegistry};
 use crate::message::MemberInfo;
 
 const MEMBER_TIMEOUT_S: f64 = 4.8;
@@ -23,10 +23,19 @@
     }
 }
 
-fn departed(id: &str, inactive_since: f64) -> DepartedMember {
+/// A departed server that reported its end.
+fn ended(id: &str, since: f64) -> DepartedMember {
     DepartedMember {
         id: id.to_owned(),
-        inactive_since,
+        inactivity: Inactivity::Ended { since },
+    }
+}
+
+/// A departed server that fell silent.
+fn silent(id: &str) -> DepartedMember {
+    DepartedMember {
+        id: id.to_owned(),
+        inactivity: Inactivity::Unproven,
     }
 }
 
@@ -97,7 +106,7 @@
             .is_none()
     );
     assert!(members.get("a").is_none() && members.services().is_empty());
-    assert_eq!(departed_of_service(&members), [departed("a", 1.1)]);
+    assert_eq!(departed_of_service(&members), [ended("a", 1.1)]);
     // A late update of another control machine doesn't revive it either.
     let late = MemberInfo {
         departed: false,
@@ -252,7 +261,7 @@
     );
     let end = members.connection_refused(19.1, "a", 5).expect("a change");
     assert!(end.departed && members.get("a").is_none());
-    assert_eq!(departed_of_service(&members), [departed("a", 19.1 + 0.1)]);
+    assert_eq!(departed_of_service(&members), [ended("a", 19.1 + 0.1)]);
     assert!(members.connection_refused(19.2, "a", 5).is_none());
     // A refused connection to a server that isn't departing doesn't mean that it has ended.
     members.heartbeat(20.0, "b", &heartbeat(1, MemberPhase::Ready), 6);
@@ -292,6 +301,47 @@
     assert_eq!(restored.get("b").unwrap().draining_since, None);
 }
 
+/// Guards against a server that counts as ended because it is silent: only its own report, or
+/// connections that are refused without exception, show since when it receives nothing.
+#[test]
+fn silence_does_not_prove_that_a_server_has_ended() {
+    let inactivity = |members: &MemberRegistry| {
+        let departed = departed_of_service(members);
+        departed[0].inactivity
+    };
+    let mut members = MemberRegistry::default();
+    members.heartbeat(0.0, "a", &heartbeat(1, MemberPhase::Ready), 1);
+    members.connection_refused(1.0, "a", 1);
+    members.connection_refused(2.0, "a", 1);
+    members.expire(5.0, MEMBER_TIMEOUT_S, 2);
+    assert_eq!(inactivity(&members), Inactivity::Refusing { since: 1.0 });
+    members.seen_alive(0.9, "a");
+    assert_eq!(inactivity(&members), Inactivity::Refusing { since: 1.0 });
+    members.connection_timed_out("a");
+    assert_eq!(inactivity(&members), Inactivity::Unproven);
+    members.connection_refused(6.0, "a", 2);
+    assert_eq!(inactivity(&members), Inactivity::Refusing { since: 6.0 });
+    members.seen_alive(6.1, "a");
+    assert_eq!(inactivity(&members), Inactivity::Unproven);
+    // A server that reported that it drains has ended a while after it fell silent.
+    members.heartbeat(7.0, "a", &heartbeat(2, MemberPhase::Draining), 3);
+    members.expire(12.0, MEMBER_TIMEOUT_S, 4);
+    let ends_by = 7.0 + 4.0 * MEMBER_TIMEOUT_S;
+    assert_eq!(inactivity(&members), Inactivity::Ended { since: ends_by });
+}
+
+/// An operator who knows that a silent server is lost for good reports its departure in its place.
+#[test]
+fn reported_departure_of_a_silent_server_proves_that_it_ends() {
+    let mut members = MemberRegistry::default();
+    members.heartbeat(0.0, "a", &heartbeat(1, MemberPhase::Ready), 1);
+    members.expire(5.0, MEMBER_TIMEOUT_S, 2);
+    assert_eq!(departed_of_service(&members), [silent("a")]);
+    assert!(members.depart(8.0, "a", 3).is_some());
+    let ends_by = 8.0 + 4.0 * MEMBER_TIMEOUT_S;
+    assert_eq!(departed_of_service(&members), [ended("a", ends_by)]);
+}
+
 #[test]
 fn silent_server_times_out_until_its_next_heartbeat() {
     let mut members = MemberRegistry::default();
@@ -299,7 +349,7 @@
     assert!(!members.expire(4.7, MEMBER_TIMEOUT_S, 2));
     assert!(members.expire(4.9, MEMBER_TIMEOUT_S, 2) && !members.expire(5.0, MEMBER_TIMEOUT_S, 2));
     assert!(members.get("a").is_none());
-    assert_eq!(departed_of_service(&members), [departed("a", 2.4)]);
+    assert_eq!(departed_of_service(&members), [silent("a")]);
     assert!(
         members
             .heartbeat(5.1, "a", &heartbeat(1, MemberPhase::Ready), 3)
@@ -331,15 +381,12 @@
             && !members.is_replaced_by("b", "c")
             && !members.is_replaced_by("c", "a")
     );
-    assert_eq!(departed_of_service(&members), [departed("b", 2.4)]);
+    assert_eq!(departed_of_service(&members), [silent("b")]);
     // Of several departed servers at one address only the last counts.
     members.expire(11.0, MEMBER_TIMEOUT_S, 4);
-    assert_eq!(
-        departed_of_service(&members),
-        [departed("b", 2.4), departed("c", 8.4)]
-    );
+    assert_eq!(departed_of_service(&members), [silent("b"), silent("c")]);
     members.heartbeat(12.0, "d", &ready_at("10.0.0.1:1", 1), 5);
-    assert_eq!(departed_of_service(&members), [departed("b", 2.4)]);
+    assert_eq!(departed_of_service(&members), [silent("b")]);
     // A server that is seen again itself doesn't count as replaced any more.
     members.heartbeat(13.0, "a", &ready_at("10.0.0.1:1", 2), 6);
     assert!(!members.is_replaced_by("a", "d") && members.is_replaced_by("d", "a"));
--- a/crates/core/control/src/tests/promotions.rs
+++ b/crates/core/control/src/tests/promotions.rs
@@ -2,6 +2,7 @@
 //! and `STEPDOWN`. These tests follow the table in `docs/design/calls.md`.
 
 use crate::failover::{Failover, FailoverAction, FailoverContext, ServerCandidate};
+use crate::members::Inactivity;
 use crate::promotion::{PendingPromotion, PromotionOutcome};
 use crate::state::PrimaryRecord;
 use crate::{CommandOutcome, FailoverConfig, ServerCommand, ServerStatus};
@@ -95,6 +96,7 @@
             id: id.to_owned(),
             draining_since: None,
             last_seen: 0.0,
+            inactivity: Inactivity::Unproven,
         };
         let members = ["a", "b", "c"].map(candidate).to_vec();
         FailoverHarness {
--- a/crates/testing/simulation/src/edge/statements.rs
+++ b/crates/testing/simulation/src/edge/statements.rs
@@ -53,11 +53,14 @@
     }
 }
 
-/// Sends a read to each replica that is up. Only the answers are simulated, not the data that they
-/// return.
+/// Sends a read to each replica that is up and that routers reach. Only the answers are simulated,
+/// not the data that they return.
 fn read_at_replicas(kernel: &mut Kernel, service: &Service, index: usize) {
     let servers = service.servers.values();
-    for replica in servers.filter(|server| server.is_up() && !server.is_primary) {
+    let replicas = servers
+        .filter(|server| server.is_up() && !server.is_primary)
+        .filter(|server| !service.unresponsive_to_routers.contains(&server.id));
+    for replica in replicas {
         let answer = RouterEvent::AnswerArrived {
             router: index,
             server_id: replica.id.clone(),
--- a/crates/testing/simulation/src/service/replicas.rs
+++ b/crates/testing/simulation/src/service/replicas.rs
@@ -21,6 +21,8 @@
     pub servers: BTreeMap<String, Server>,
     /// Servers that are up but answer no control machine.
     pub unresponsive_to_control: HashSet<String>,
+    /// Servers that are up but answer no router's reads at replicas.
+    pub unresponsive_to_routers: HashSet<String>,
     /// The probability that a command is executed but its answer is lost, in thousandths.
     pub command_answers_lost_per_mille: u64,
     /// Whether a server keeps and reports the highest term it has seen. Otherwise it reports the
--- a/crates/testing/simulation/tests/failover.rs
+++ b/crates/testing/simulation/tests/failover.rs
@@ -434,9 +434,11 @@
     }
 }
 
-/// A failover doesn't wait for a replica that routers don't reach either.
+/// A failover waits for a replica that routers don't reach either: it may be cut off from them and
+/// from control, and still have the newest commits. It is waited for as long as it is silent, and no
+/// longer; `crashed_replica_does_not_delay_a_failover` has the replica that is known to be down.
 #[test]
-fn failover_does_not_wait_for_an_unresponsive_replica() {
+fn failover_waits_for_an_unresponsive_replica() {
     for seed in 0..20 {
         let mut simulation = Simulation::new(seed);
         simulation.run_until(6.0, "a primary in use", |simulation| {
@@ -446,9 +448,15 @@
         simulation.make_unresponsive("c");
         simulation.run(3.0);
         simulation.crash("a");
+        simulation.run(4.0);
+        assert!(simulation.service.promotions.is_empty());
+        simulation.recover("c");
         simulation.run_until(4.0, "another primary in use", |simulation| {
-            simulation.primary_in_use().as_deref() == Some("b")
+            simulation
+                .primary_in_use()
+                .is_some_and(|id| id == "b" || id == "c")
         });
+        simulation.run_until(2.0, "writes", Simulation::acknowledges_writes);
     }
 }
 
@@ -782,7 +790,8 @@
 }
 
 /// One replica is unresponsive for longer than the member timeout, the other has received nothing
-/// since before: the planned failover waits until the latter has the commits of the former.
+/// since before: the planned failover waits until the latter has the commits of the former. As the
+/// silent replica may still receive, routers let go of the primary first, at the end of its drain.
 #[test]
 fn planned_failover_waits_for_commits_of_a_lost_replica() {
     let mut simulation = steady_simulation(24);
@@ -797,6 +806,11 @@
             && simulation.primary_in_use().as_deref() == Some("a")
     );
     simulation.server_mut("c").receives_nothing = false;
+    // The drain ends 4 s later.
+    simulation.run_until(4.0, "the routers let go of the primary", |simulation| {
+        simulation.primary_in_use().is_none()
+    });
+    assert!(simulation.service.promotions.is_empty());
     simulation.run_until(3.0, "the new primary in use", |simulation| {
         simulation.primary_in_use().as_deref() == Some("c")
     });
