Members file: a failed write is repeated

Callers saw: nothing yet; read on the paths on which a member list is saved. A server that joined while the disk took no bytes was missing in the file until the servers changed again.

Cause: a write noted which changes it covered before it was tried.

Change: a failed write covers nothing, and is tried again after half a second.

--- a/crates/runtime/pooler/src/members_file.rs
+++ b/crates/runtime/pooler/src/members_file.rs
@@ -23,8 +23,8 @@
 struct LastWrite {
     /// Seconds of the monotonic clock.
     at: f64,
-    /// The membership's change count at that time.
-    change_count: u64,
+    /// The membership's change count at that time; `None` if the write failed.
+    change_count: Option<u64>,
 }
 
 /// The file that lists the known database servers.
@@ -38,7 +38,7 @@
     pub fn new(path: PathBuf) -> MembersFile {
         let never = LastWrite {
             at: f64::NEG_INFINITY,
-            change_count: 0,
+            change_count: Some(0),
         };
         MembersFile {
             path,
@@ -62,11 +62,11 @@
     }
 
     /// Writes the servers that the controller knows, if they have changed and the last write is
-    /// long enough ago. A failed write is only logged: without the file, the next incarnation of
-    /// the process waits for heartbeats.
+    /// long enough ago. A failed write is logged and repeated: the next incarnation of the process
+    /// must know of every server that may have the only copy of a write.
     pub fn persist_if_changed(&self, now: f64, controller: &Controller) {
         let last_write = self.last_write.get();
-        let change_count = controller.members().change_count();
+        let change_count = Some(controller.members().change_count());
         if change_count == last_write.change_count || now - last_write.at < MIN_WRITE_INTERVAL_S {
             return;
         }
@@ -75,14 +75,15 @@
 
     /// Writes the servers that the controller knows, and returns whether they are on the disk.
     pub fn persist(&self, now: f64, controller: &Controller) -> bool {
-        self.last_write.set(LastWrite {
-            at: now,
-            change_count: controller.members().change_count(),
-        });
         let written = self.write(&controller.members().to_persist());
         if let Err(e) = &written {
             log::warn!("event=members_persist_failed error={e}");
         }
+        let change_count = controller.members().change_count();
+        self.last_write.set(LastWrite {
+            at: now,
+            change_count: written.is_ok().then_some(change_count),
+        });
         written.is_ok()
     }
 
--- a/crates/runtime/pooler/src/tests/members_file.rs
+++ b/crates/runtime/pooler/src/tests/members_file.rs
@@ -107,6 +107,29 @@
     );
 }
 
+/// Guards against a file that stays outdated after a write that failed, until the servers change
+/// again: the next incarnation would not know of a server that joined before.
+#[test]
+fn failed_write_is_repeated() {
+    let name = format!(
+        "badgerstream-pooler-servers-repeated-{}",
+        std::process::id()
+    );
+    let directory = std::env::temp_dir().join(name);
+    let file = MembersFile::new(directory.join("servers"));
+    let controller = controller(&["a"]);
+    file.persist_if_changed(1.0, &controller);
+    std::fs::create_dir_all(&directory).unwrap();
+    file.persist_if_changed(1.4, &controller);
+    assert!(file.read().is_empty(), "repeated sooner than changes are");
+    file.persist_if_changed(1.6, &controller);
+    assert_eq!(file.read().len(), 1);
+    std::fs::remove_file(directory.join("servers")).unwrap();
+    file.persist_if_changed(3.0, &controller);
+    assert!(file.read().is_empty(), "nothing has changed");
+    std::fs::remove_dir_all(&directory).unwrap();
+}
+
 /// Returns the servers in `fixtures/servers.txt`: a draining one, whose call sequence number is
 /// stored, and one in service with this call sequence number, which is not stored.
 fn pinned_servers(call_seq_in_service: u64) -> Vec<MemberInfo> {
