Members: refusals that were seen under an earlier leadership prove nothing

Cause: a machine that led, lost the lead and leads again kept since when a server had refused its connections, though it hadn't queried the server in between.

--- a/crates/core/control/src/members/departed.rs
+++ b/crates/core/control/src/members/departed.rs
@@ -60,6 +60,13 @@
         }
     }
 
+    /// Discards all refusals that were recorded. A new leader may not have queried the servers since.
+    pub(crate) fn clear_refusals(&mut self) {
+        for member in self.by_id.values_mut() {
+            member.refused_since = None;
+        }
+    }
+
     /// Records the leader's finding that the log of a departed server is superseded. Returns the
     /// description that tells other control machines; `None` if there is no change.
     pub(crate) fn mark_superseded(&mut self, id: &str) -> Option<MemberInfo> {
--- a/crates/core/control/src/tests/members.rs
+++ b/crates/core/control/src/tests/members.rs
@@ -323,6 +323,10 @@
     assert_eq!(inactivity(&members), Inactivity::Refusing { since: 6.0 });
     members.seen_alive(6.1, "a");
     assert_eq!(inactivity(&members), Inactivity::Unproven);
+    // Between two leaderships of this machine nobody queried the server for it.
+    members.connection_refused(6.2, "a", 2);
+    members.clear_refusals();
+    assert_eq!(inactivity(&members), Inactivity::Unproven);
     // A server that reported that it drains has ended a while after it fell silent.
     members.heartbeat(7.0, "a", &heartbeat(2, MemberPhase::Draining), 3);
     members.expire(12.0, MEMBER_TIMEOUT_S, 4);
