--- a/crates/core/control/src/controller.rs
+++ b/crates/core/control/src/controller.rs
@@ -20,6 +20,7 @@
 //! - `grants`, `router_session`, `router_updates`: what the leader sends to routers, and their
 //!   leases.
 
+mod failover_actions;
 mod failover_driver;
 mod grants;
 mod heartbeat_batch;
--- a/crates/testing/simulation/tests/departed_replicas.rs
+++ b/crates/testing/simulation/tests/departed_replicas.rs
@@ -33,6 +33,14 @@
     }
 }
 
+/// The primary a crashes, and all control machines are restarted.
+fn crash_primary_and_restart_all_control_machines(simulation: &mut Simulation) {
+    simulation.crash("a");
+    kill_all_control_machines(simulation);
+    simulation.run(1.0);
+    start_all_control_machines(simulation);
+}
+
 /// Runs for several failovers' time, in which no server may be promoted, and then until the primary
 /// a is back and is used.
 fn only_the_returning_primary_is_used(simulation: &mut Simulation) {
@@ -82,10 +90,7 @@
             }
             simulation.crash("b");
             simulation.run(6.5);
-            simulation.crash("a");
-            kill_all_control_machines(&mut simulation);
-            simulation.run(1.0);
-            start_all_control_machines(&mut simulation);
+            crash_primary_and_restart_all_control_machines(&mut simulation);
             only_the_returning_primary_is_used(&mut simulation);
         }
     }
@@ -123,10 +128,7 @@
         replica_b_has_the_only_copy(&mut simulation);
         simulation.make_unresponsive("b");
         simulation.run(6.5);
-        simulation.crash("a");
-        kill_all_control_machines(&mut simulation);
-        simulation.run(1.0);
-        start_all_control_machines(&mut simulation);
+        crash_primary_and_restart_all_control_machines(&mut simulation);
         only_the_returning_primary_is_used(&mut simulation);
     }
 }
