--- a/crates/testing/simulation/src/faults.rs
+++ b/crates/testing/simulation/src/faults.rs
@@ -4,8 +4,10 @@
 //! The fault injector has its own random source, so that its draws don't change the simulation's.
 
 mod kinds;
+mod servers;
 
 pub use kinds::LossPolicy;
+pub use servers::ServerFaultRun;
 
 use crate::control::{ControlMachine, DiskHealth, HEALTHY_DISK, Isolation};
 use crate::kernel::RandomSource;
