--- a/crates/testing/simulation/tests/failover.rs
+++ b/crates/testing/simulation/tests/failover.rs
@@ -2,10 +2,8 @@
 
 mod common;
 
-use arbtest::arbitrary::{self, Unstructured};
-use arbtest::arbtest;
-use badgerstream_simulation::{Health, ServerRole, Simulation};
-use common::{arbtest_budget_ms, steady_simulation};
+use badgerstream_simulation::{ServerRole, Simulation};
+use common::steady_simulation;
 
 #[test]
 fn writes_are_acknowledged_soon_after_the_start() {
@@ -158,61 +156,6 @@
     }
 }
 
-/// Runs until another primary than a is in use, and half a second longer. Returns the longest time
-/// without an acknowledged write, in seconds.
-fn longest_write_gap_until_failover(simulation: &mut Simulation) -> f64 {
-    let begin = simulation.now();
-    simulation.run_until(4.0, "another in use", |simulation| {
-        simulation.primary_in_use().is_some_and(|p| p != "a")
-    });
-    simulation.run(0.5);
-    let at: Vec<f64> = simulation
-        .service
-        .acknowledgement_times
-        .iter()
-        .copied()
-        .filter(|t| *t > begin)
-        .collect();
-    at.windows(2).map(|w| w[1] - w[0]).fold(0.0, f64::max)
-}
-
-#[test]
-fn planned_failover_interrupts_writes_for_less_than_a_second() {
-    for seed in 0..8 {
-        let mut simulation = steady_simulation(seed);
-        simulation.drain("a");
-        let gap = longest_write_gap_until_failover(&mut simulation);
-        assert!(gap < 1.0, "{gap}");
-        assert!(!simulation.server("a").is_primary);
-        simulation.depart("a");
-        simulation.run(1.0);
-        assert!(simulation.acknowledges_writes() && simulation.service.promotions.len() == 1);
-    }
-}
-
-/// A primary that departs before it has drained is replaced while it serves on, too.
-#[test]
-fn undrained_departing_primary_is_replaced_while_it_serves() {
-    for seed in 0..8 {
-        let mut simulation = steady_simulation(seed);
-        simulation.depart_while_serving("a");
-        let gap = longest_write_gap_until_failover(&mut simulation);
-        assert!(gap < 1.0, "{gap}");
-        simulation.crash("a");
-        simulation.run(2.0);
-        assert!(simulation.acknowledges_writes() && simulation.service.promotions.len() == 1);
-        let leader = simulation.leader().expect("a leader");
-        let controller = simulation.control.machines[&leader]
-            .controller
-            .as_ref()
-            .expect("it runs");
-        assert!(
-            controller.members().get("a").is_none(),
-            "it has ended, and is known to have"
-        );
-    }
-}
-
 /// A departing replica goes on receiving, and may alone have what the primary acknowledged: nobody
 /// is promoted without a query to it, by the same leader or by the next one.
 #[test]
@@ -242,43 +185,6 @@
     }
 }
 
-#[test]
-fn old_primary_is_used_until_the_promotion_takes_effect() {
-    let mut simulation = steady_simulation(3);
-    simulation.platform.scripted_statuses = vec![503; 4].into();
-    simulation.drain("a");
-    while simulation.service.promotions.is_empty() {
-        assert_eq!(simulation.primary_in_use().as_deref(), Some("a"));
-        simulation.run(0.005);
-        assert!(simulation.now() < 30.0);
-    }
-}
-
-/// A primary that drains right after its promotion is replaced in its turn; the one before it,
-/// which goes on until then, steps down meanwhile.
-#[test]
-fn promoted_primary_that_drains_at_once_is_replaced() {
-    for seed in 0..8 {
-        let mut simulation = steady_simulation(seed);
-        simulation.drain("a");
-        let begin = simulation.now();
-        simulation.run_until(3.0, "a promotion", |simulation| {
-            !simulation.service.promotions.is_empty()
-        });
-        let promoted = simulation.service.promotions[0].server_id.clone();
-        simulation.drain(&promoted);
-        simulation.run_until(0.8, "the first one follows", |simulation| {
-            !simulation.server("a").is_primary
-        });
-        simulation.run_until(4.0, "a third one in use", |simulation| {
-            simulation
-                .primary_in_use()
-                .is_some_and(|p| p != "a" && p != promoted)
-        });
-        assert!(simulation.now() - begin < 5.0 && simulation.service.promotions.len() == 2);
-    }
-}
-
 /// The promotion target crashes before it is promoted, with commits that the third server lacks,
 /// and the primary is back: it has them all, and is promoted instead.
 #[test]
@@ -300,54 +206,6 @@
     }
 }
 
-#[test]
-fn rolling_release_replaces_all_servers() {
-    for seed in 0..6 {
-        let mut simulation = steady_simulation(seed);
-        for (old, new) in [("a", "d"), ("b", "e"), ("c", "f")] {
-            simulation.add_server(
-                new,
-                &format!("10.0.1.{}:1", new.as_bytes()[0]),
-                ServerRole::Replica,
-            );
-            simulation.run(2.0);
-            simulation.drain(old);
-            simulation.run(7.2);
-            assert!(simulation.primary_in_use().is_some_and(|p| p != old));
-            simulation.depart(old);
-            simulation.run(1.0);
-            assert!(simulation.acknowledges_writes(), "after {old}");
-        }
-        assert!(simulation.service.promotions.len() <= 3);
-    }
-}
-
-#[test]
-fn rolling_release_at_the_same_addresses() {
-    for seed in 0..6 {
-        let mut simulation = steady_simulation(seed);
-        for (old, new) in [("a", "d"), ("b", "e"), ("c", "f")] {
-            simulation.drain(old);
-            simulation.run(7.2);
-            assert!(
-                simulation.primary_in_use().is_some_and(|p| p != old),
-                "{old}"
-            );
-            simulation.depart(old);
-            simulation.run(0.7);
-            let (endpoint, log, term) = {
-                let s = &simulation.server(old);
-                (s.endpoint.clone(), s.log.clone(), s.primary_term)
-            };
-            simulation.add_server(new, &endpoint, ServerRole::Replica);
-            let server = simulation.server_mut(new);
-            (server.log, server.primary_term) = (log, term);
-            simulation.run(3.0);
-            assert!(simulation.acknowledges_writes(), "after {old}");
-        }
-    }
-}
-
 #[test]
 fn primary_restarted_with_a_new_id_is_found() {
     for seed in 0..6 {
@@ -553,56 +411,6 @@
     }
 }
 
-/// The leader is lost at every step of a planned failover.
-#[test]
-fn next_leader_continues_a_planned_failover() {
-    let mut seen = std::collections::BTreeSet::new();
-    let start = steady_simulation(5);
-    for step in 0..60 {
-        let mut simulation = start.clone();
-        simulation.drain("a");
-        simulation.run(0.02 * f64::from(step));
-        let leader = simulation.leader().unwrap();
-        seen.insert(simulation.phase());
-        simulation.kill(leader);
-        simulation.run(0.05);
-        simulation.run_until(7.0, "a new primary", |simulation| {
-            simulation.primary_in_use().is_some_and(|p| p != "a")
-        });
-        simulation.run(1.0);
-        assert!(simulation.acknowledges_writes());
-    }
-    assert!(
-        seen.contains("promoting") && seen.contains("switching"),
-        "{seen:?}"
-    );
-}
-
-/// The same with a leader that is frozen and goes on later.
-#[test]
-fn frozen_leader_does_not_disturb_a_failover() {
-    let start = steady_simulation(6);
-    for step in 0..40 {
-        let mut simulation = start.clone();
-        if step % 2 == 0 {
-            simulation.crash("a");
-        } else {
-            simulation.drain("a");
-        }
-        simulation.run(0.03 * f64::from(step));
-        let leader = simulation.leader().unwrap();
-        simulation.freeze(leader);
-        simulation.run(0.3 + 0.05 * f64::from(step));
-        simulation.thaw(leader);
-        simulation.run(0.4);
-        simulation.run_until(9.0, "a new primary", |simulation| {
-            simulation.primary_in_use().is_some_and(|p| p != "a")
-        });
-        simulation.run(1.0);
-        assert!(simulation.acknowledges_writes());
-    }
-}
-
 /// The leader is lost at every step of a failover.
 #[test]
 fn next_leader_completes_a_failover() {
@@ -743,31 +551,6 @@
     assert_eq!(simulation.service.promotions.len(), 1);
 }
 
-/// The platform says that the promotion target doesn't run, yet it is promoted a moment later:
-/// routers stop using the old primary.
-#[test]
-fn rejected_promotion_that_took_effect_is_noticed() {
-    for seed in 13..23 {
-        let mut simulation = steady_simulation(seed);
-        simulation.platform.scripted_statuses = vec![409].into();
-        simulation.drain("a");
-        simulation.run_until(3.0, "a call", |simulation| {
-            !simulation.platform.promotion_requests.is_empty()
-        });
-        simulation.run(0.01);
-        let to = simulation.platform.promotion_requests[0].server_id.clone();
-        let server = simulation.server_mut(&to);
-        (
-            server.is_primary,
-            server.primary_term,
-            server.paused_at_term,
-        ) = (true, 2, None);
-        simulation.run_until(4.0, "the new primary in use", |simulation| {
-            simulation.primary_in_use().as_ref() == Some(&to)
-        });
-    }
-}
-
 /// A replica has seen a term that nobody knew of: it rejects a pause below it.
 #[test]
 fn pause_is_retried_above_a_higher_term() {
@@ -789,33 +572,6 @@
     });
 }
 
-/// One replica is unresponsive for longer than the member timeout, the other has received nothing
-/// since before: the planned failover waits until the latter has the commits of the former. As the
-/// silent replica may still receive, routers let go of the primary first, at the end of its drain.
-#[test]
-fn planned_failover_waits_for_commits_of_a_lost_replica() {
-    let mut simulation = steady_simulation(24);
-    simulation.server_mut("c").receives_nothing = true;
-    simulation.run(1.0);
-    simulation.make_unresponsive("b");
-    simulation.run(6.5);
-    simulation.drain("a");
-    simulation.run(3.0);
-    assert!(
-        simulation.service.promotions.is_empty()
-            && simulation.primary_in_use().as_deref() == Some("a")
-    );
-    simulation.server_mut("c").receives_nothing = false;
-    // The drain ends 4 s later.
-    simulation.run_until(4.0, "the routers let go of the primary", |simulation| {
-        simulation.primary_in_use().is_none()
-    });
-    assert!(simulation.service.promotions.is_empty());
-    simulation.run_until(3.0, "the new primary in use", |simulation| {
-        simulation.primary_in_use().as_deref() == Some("c")
-    });
-}
-
 /// The old primary is back as a replica and counts as one: with it every acknowledged commit is
 /// available.
 #[test]
@@ -846,195 +602,3 @@
         assert!(simulation.primary_in_use().is_some());
     }
 }
-
-/// A simulation with a random platform, network and kind of servers.
-fn random_simulation(u: &mut Unstructured<'_>) -> arbitrary::Result<Simulation> {
-    let mut simulation = Simulation::new(u.int_in_range(0..=1000)?);
-    simulation.service.reports_highest_term_seen = u.arbitrary()?;
-    simulation.service.rejects_repeated_pause = u.arbitrary()?;
-    simulation.platform.checks_fencing_tokens = u.arbitrary()?;
-    // Zones in one region, or three regions.
-    let (message_delay_s, promotion_duration_s) = *u.choose(&[(0.0015, 0.6), (0.012, 0.3)])?;
-    simulation.kernel.message_delay_s = message_delay_s;
-    simulation.platform.promotion_duration_s = promotion_duration_s;
-    simulation.service.command_answers_lost_per_mille = u.int_in_range(0..=60)?;
-    simulation.platform.answers_lost_per_mille = u.int_in_range(0..=500)?;
-    Ok(simulation)
-}
-
-/// Ids for servers that are added, and how many came back with a new one.
-struct NewServers {
-    next_id: u8,
-    restarted_with_new_id: usize,
-}
-
-impl NewServers {
-    fn take_id(&mut self) -> String {
-        let id = char::from(self.next_id).to_string();
-        self.next_id += 1;
-        id
-    }
-}
-
-/// One random fault or the end of some, at a random control machine and server.
-fn inject_random_fault(
-    u: &mut Unstructured<'_>,
-    simulation: &mut Simulation,
-    new_servers: &mut NewServers,
-) -> arbitrary::Result<()> {
-    let node = u.int_in_range(1..=3)?;
-    let servers = simulation.service.servers.values();
-    let present = servers.filter(|server| !server.departed);
-    let ids: Vec<String> = present.map(|server| server.id.clone()).collect();
-    let id = u.choose(&ids)?.clone();
-    let health = simulation.server(&id).health;
-    let runs = simulation.control.machines[&node].controller.is_some();
-    let is_frozen = simulation.control.machines[&node].frozen;
-    match u.int_in_range(0..=14)? {
-        0 => simulation.kill(node),
-        1 if !runs => simulation.start(node),
-        2 if runs => simulation.freeze(node),
-        3 if is_frozen => simulation.thaw(node),
-        4 if health == Health::Up => simulation.crash(&id),
-        5 if health == Health::Up => simulation.make_unresponsive(&id),
-        6 if health != Health::Up => simulation.recover(&id),
-        7 => {
-            let server = simulation.server_mut(&id);
-            server.receives_nothing = !server.receives_nothing;
-        }
-        8 => simulation.drain(&id),
-        9 if simulation.server(&id).draining && health == Health::Up => {
-            let new_id = new_servers.take_id();
-            simulation.depart(&id);
-            let endpoint = format!("10.0.1.{}:1", new_servers.next_id);
-            simulation.add_server(&new_id, &endpoint, ServerRole::Replica);
-        }
-        10 => {
-            let other = 1 + node % 3;
-            simulation.control.network.blocked.insert((node, other));
-            if u.arbitrary()? {
-                simulation.control.network.blocked.insert((other, node));
-            }
-        }
-        11 => simulation.freeze_router(u.int_in_range(0..=1)?),
-        12 => {
-            simulation.control.partitioned_from_servers.insert(node);
-        }
-        13 if health == Health::Down => {
-            simulation.recover_with_new_id(&id, &new_servers.take_id());
-            new_servers.restarted_with_new_id += 1;
-        }
-        _ => {
-            simulation.heal_all();
-            simulation.control.partitioned_from_servers.clear();
-            simulation.edge.blocked.clear();
-        }
-    }
-    Ok(())
-}
-
-/// Ends all faults; servers that departed stay away.
-fn end_all_faults(simulation: &mut Simulation) {
-    simulation.heal_all();
-    simulation.control.partitioned_from_servers.clear();
-    simulation.service.command_answers_lost_per_mille = 0;
-    simulation.platform.answers_lost_per_mille = 0;
-    for router in 0..2 {
-        simulation.thaw_router(router);
-    }
-    for node in 1..=3 {
-        if simulation.control.machines[&node].frozen {
-            simulation.thaw(node);
-        } else if simulation.control.machines[&node].controller.is_none() {
-            simulation.start(node);
-        }
-    }
-    let ids: Vec<String> = simulation.service.servers.keys().cloned().collect();
-    for id in ids {
-        let server = simulation.server_mut(&id);
-        server.receives_nothing = false;
-        server.draining = false;
-        if !server.departed && server.health != Health::Up {
-            simulation.recover(&id);
-            simulation.run(0.5);
-        }
-    }
-}
-
-/// All kinds of faults, one after the other: safety is checked at every event, and once all faults
-/// have ended writes are acknowledged again.
-fn play_random_faults(u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
-    let mut simulation = random_simulation(u)?;
-    simulation.run(3.0);
-    let mut new_servers = NewServers {
-        next_id: b'd',
-        restarted_with_new_id: 0,
-    };
-    for _ in 0..u.int_in_range(1..=8)? {
-        inject_random_fault(u, &mut simulation, &mut new_servers)?;
-        let wait: u16 = u.int_in_range(0..=1500)?;
-        simulation.run(f64::from(wait) / 1000.0);
-    }
-    end_all_faults(&mut simulation);
-    // If two servers departed during faults, nobody can tell which commits only they had.
-    let servers = simulation.service.servers.values();
-    let departed = servers.filter(|server| server.departed).count();
-    if departed < 2 + new_servers.restarted_with_new_id {
-        simulation.run(0.2);
-        simulation.run_until(
-            25.0,
-            "writes once all is calm",
-            Simulation::acknowledges_writes,
-        );
-    }
-    Ok(())
-}
-
-#[test]
-fn failover_survives_random_faults() {
-    arbtest(play_random_faults)
-        .size_min(64)
-        .size_max(400)
-        .budget_ms(arbtest_budget_ms());
-}
-
-/// Guards against a handover that is tried again and again and outlasts the drain: the primary is
-/// given up in time although a replica can't be paused.
-#[test]
-fn draining_primary_is_given_up_in_time_while_a_replica_cannot_be_paused() {
-    for seed in 0..20 {
-        let mut simulation = steady_simulation(seed);
-        let unreachable = &mut simulation.service.unresponsive_to_control;
-        unreachable.insert("c".to_owned());
-        simulation.server_mut("c").sends_heartbeats = false;
-        simulation.run(0.1 * seed as f64);
-        simulation.drain("a");
-        let drained_at = simulation.now();
-        simulation.run_until(9.0, "the primary is given up", |simulation| {
-            simulation.primary_in_use().is_none()
-        });
-        let after = simulation.now() - drained_at;
-        assert!(after < 7.0, "after {after}");
-        simulation.run_until(3.0, "another is in use", |simulation| {
-            simulation.primary_in_use().is_some_and(|p| p != "a")
-        });
-    }
-}
-
-#[test]
-fn draining_primary_is_given_up_in_time_without_the_platform() {
-    let mut simulation = steady_simulation(5);
-    simulation.platform.scripted_statuses = vec![503; 1000].into();
-    simulation.drain("a");
-    let drained_at = simulation.now();
-    simulation.run_until(9.0, "the primary is given up", |simulation| {
-        simulation.primary_in_use().is_none()
-    });
-    let after = simulation.now() - drained_at;
-    assert!(after < 7.0, "after {after}");
-    // It is replaced as soon as the platform is back.
-    simulation.platform.scripted_statuses.clear();
-    simulation.run_until(5.0, "another is in use", |simulation| {
-        simulation.primary_in_use().is_some_and(|p| p != "a")
-    });
-}
