--- a/crates/core/control/src/message.rs
+++ b/crates/core/control/src/message.rs
@@ -99,8 +99,8 @@
     pub id: String,
     /// The server's service.
     pub service: String,
-    /// Address and port to which routers connect. Empty if the log of a departed server is
-    /// superseded: see [`MemberInfo::superseded`].
+    /// Address and port to which routers connect. Empty for a departed server whose log is
+    /// superseded, that is, whose writes enough other servers have.
     pub endpoint: String,
     /// The server's zone (failure domain).
     pub zone: String,
