Control and simulation: what the review of the change found standing twice

Cause: departed servers without the primary were filtered in three places beside members_except; the settings of failover stood in two test files; the cut of a server stood in the injector and in a test.

Change: FailoverContext::departed_except, tests::common::FAILOVER_CONFIG, Simulation::cut_off_server and end_cut_of_server; the count comes first. No decision and no assertion changes.

--- a/crates/core/control/src/controller/failover_actions.rs
+++ b/crates/core/control/src/controller/failover_actions.rs
@@ -8,6 +8,7 @@
 
 /// Maximum time that a proposal of a failover may wait.
 const PROPOSAL_TIMEOUT_S: f64 = 2.0;
+
 impl Controller {
     /// Carries out the actions that the failover of a service decided.
     pub(super) fn perform_actions(
--- a/crates/core/control/src/failover/interface.rs
+++ b/crates/core/control/src/failover/interface.rs
@@ -150,6 +150,16 @@
             .filter(move |member| Some(member.id.as_str()) != excluded_id)
     }
 
+    /// Returns all departed servers except this one.
+    pub(super) fn departed_except<'c>(
+        &'c self,
+        excluded_id: Option<&'c str>,
+    ) -> impl Iterator<Item = &'c DepartedMember> {
+        self.departed
+            .iter()
+            .filter(move |departed| Some(departed.id.as_str()) != excluded_id)
+    }
+
     /// Returns whether this primary matches the recorded one: it is the recorded server or the one
     /// that replaced it at its address, and its term isn't below the recorded one.
     pub(super) fn is_recorded_primary(&self, server_id: &str, primary_term: u64) -> bool {
--- a/crates/core/control/src/failover/log_coverage.rs
+++ b/crates/core/control/src/failover/log_coverage.rs
@@ -64,9 +64,7 @@
             .filter(|member| !self.is_paused(context, member))
             .map(|member| (&member.id, member.inactivity));
         let departed = context
-            .departed
-            .iter()
-            .filter(|departed| Some(departed.id.as_str()) != old_primary_id)
+            .departed_except(old_primary_id)
             .map(|departed| (&departed.id, departed.inactivity));
         let candidates = unreachable
             .chain(departed)
@@ -98,9 +96,7 @@
         position: Position,
     ) -> bool {
         context
-            .departed
-            .iter()
-            .filter(|departed| departed.id != primary_id)
+            .departed_except(Some(primary_id))
             .any(|departed| self.may_have_later_writes(departed.inactivity, position))
     }
 
@@ -157,11 +153,7 @@
     ) {
         self.departed_queried_at
             .retain(|id, _| context.departed.iter().any(|departed| departed.id == *id));
-        let departed_replicas = context
-            .departed
-            .iter()
-            .filter(|departed| departed.id != primary.server_id);
-        for departed in departed_replicas {
+        for departed in context.departed_except(Some(&primary.server_id)) {
             if self.is_superseded(context, primary, departed) {
                 log::info!("event=departed_superseded server={}", departed.id);
                 actions.push(FailoverAction::MarkSuperseded {
--- a/crates/core/control/src/members/departed.rs
+++ b/crates/core/control/src/members/departed.rs
@@ -150,15 +150,13 @@
 
     /// Returns the ids of the departed servers beyond the maximum numbers.
     fn excess_departed(&self) -> Vec<String> {
-        let mut departed: Vec<(bool, &Member)> = self
-            .by_id
-            .values()
-            .filter(|member| member.info.departed)
-            .map(|member| (self.may_hold_the_only_copy(member), member))
-            .collect();
-        if departed.len() <= MAX_DEPARTED_PER_SERVICE {
+        let departed = || self.by_id.values().filter(|member| member.info.departed);
+        if departed().count() <= MAX_DEPARTED_PER_SERVICE {
             return Vec::new();
         }
+        let mut departed: Vec<(bool, &Member)> = departed()
+            .map(|member| (self.may_hold_the_only_copy(member), member))
+            .collect();
         departed.sort_by(|(needed, member), (other_needed, other)| {
             let by_need = other_needed.cmp(needed);
             by_need.then(other.last_seen.total_cmp(&member.last_seen))
--- a/crates/core/control/src/tests/common.rs
+++ b/crates/core/control/src/tests/common.rs
@@ -1,6 +1,7 @@
-//! Values and helpers shared by the tests of consensus.
+//! Values and helpers shared by the tests.
 
 use crate::consensus::{ConsensusConfig, HardState, StateId};
+use crate::failover::FailoverConfig;
 use crate::state::State;
 use crate::term::Term;
 use crate::voter_set::{FOUNDING_INCARNATION, NodeId, Voter};
@@ -12,6 +13,16 @@
     contact_timeout_s: 1.0,
 };
 
+/// The settings of failover with heartbeats every 1.2 s.
+pub(super) const FAILOVER_CONFIG: FailoverConfig = FailoverConfig {
+    primary_poll_interval: 0.2,
+    replica_poll_interval: 1.0,
+    primary_timeout: 0.6,
+    query_timeout: 0.6,
+    heartbeat_interval: 1.2,
+    drain_timeout: 7.0,
+};
+
 /// Returns the founding voter at the address `node`.
 pub(super) fn founder(node: NodeId) -> Voter {
     Voter {
--- a/crates/core/control/src/tests/log_coverage.rs
+++ b/crates/core/control/src/tests/log_coverage.rs
@@ -2,16 +2,9 @@
 
 use crate::failover::{Failover, FailoverAction, FailoverContext, ServerCandidate};
 use crate::members::{DepartedMember, Inactivity};
-use crate::{CommandOutcome, FailoverConfig, ServerCommand, ServerStatus};
+use crate::tests::common::FAILOVER_CONFIG;
+use crate::{CommandOutcome, ServerCommand, ServerStatus};
 
-const CONFIG: FailoverConfig = FailoverConfig {
-    primary_poll_interval: 0.2,
-    replica_poll_interval: 1.0,
-    primary_timeout: 0.6,
-    query_timeout: 0.6,
-    heartbeat_interval: 1.2,
-    drain_timeout: 7.0,
-};
 /// Interval between two steps, in seconds.
 const STEP_S: f64 = 0.05;
 /// Number of steps in which a new leader misses the primary and would promote a replica.
@@ -39,7 +32,7 @@
         last_seen: 0.0,
         inactivity: Inactivity::Unproven,
     });
-    let mut failover = Failover::new(CONFIG);
+    let mut failover = Failover::new(FAILOVER_CONFIG);
     let mut paused_at = 0;
     for step in 0..STEPS {
         let now = step as f64 * STEP_S;
--- a/crates/core/control/src/tests/promotions.rs
+++ b/crates/core/control/src/tests/promotions.rs
@@ -5,18 +5,10 @@
 use crate::members::Inactivity;
 use crate::promotion::{PendingPromotion, PromotionOutcome};
 use crate::state::PrimaryRecord;
-use crate::{CommandOutcome, FailoverConfig, ServerCommand, ServerStatus};
+use crate::tests::common::FAILOVER_CONFIG;
+use crate::{CommandOutcome, ServerCommand, ServerStatus};
 use badgerstream_line_protocol::ExecutionOutcome;
 
-const TIMING: FailoverConfig = FailoverConfig {
-    primary_poll_interval: 0.2,
-    replica_poll_interval: 1.0,
-    primary_timeout: 0.6,
-    query_timeout: 0.6,
-    heartbeat_interval: 1.2,
-    drain_timeout: 7.0,
-};
-
 // ---- What the outcome of a call to the platform proves
 
 #[test]
@@ -100,7 +92,7 @@
         };
         let members = ["a", "b", "c"].map(candidate).to_vec();
         FailoverHarness {
-            failover: Failover::new(TIMING),
+            failover: Failover::new(FAILOVER_CONFIG),
             members,
             now: 0.0,
         }
--- a/crates/testing/simulation/src/faults/servers.rs
+++ b/crates/testing/simulation/src/faults/servers.rs
@@ -215,8 +215,8 @@
             ServerFault::Crash => self.simulation.crash(id),
             ServerFault::Silence => self.simulation.make_unresponsive(id),
             ServerFault::Recover => self.recover(id),
-            ServerFault::CutOff => self.cut_off(id),
-            ServerFault::EndCut => self.end_cut(id),
+            ServerFault::CutOff => self.simulation.cut_off_server(id),
+            ServerFault::EndCut => self.simulation.end_cut_of_server(id),
             ServerFault::StopReceiving => self.simulation.server_mut(id).receives_nothing = true,
             ServerFault::Receive => self.simulation.server_mut(id).receives_nothing = false,
             ServerFault::Restart => self.restart(id),
@@ -253,25 +253,10 @@
         self.simulation.service.unresponsive_to_control.contains(id)
     }
 
-    /// Cuts a server off from the control machines and the routers, but not from other servers.
-    fn cut_off(&mut self, id: &str) {
-        let service = &mut self.simulation.service;
-        service.unresponsive_to_control.insert(id.to_owned());
-        service.unresponsive_to_routers.insert(id.to_owned());
-        self.simulation.server_mut(id).sends_heartbeats = false;
-    }
-
-    fn end_cut(&mut self, id: &str) {
-        let service = &mut self.simulation.service;
-        service.unresponsive_to_control.remove(id);
-        service.unresponsive_to_routers.remove(id);
-        self.simulation.server_mut(id).sends_heartbeats = true;
-    }
-
     /// Restarts a server. Control hears of it: a server that starts while it is cut off can't be
     /// told from one that never existed.
     fn recover(&mut self, id: &str) {
-        self.end_cut(id);
+        self.simulation.end_cut_of_server(id);
         self.simulation.recover(id);
     }
 
@@ -326,7 +311,7 @@
             self.start_control(node);
         }
         for id in self.present_servers() {
-            self.end_cut(&id);
+            self.simulation.end_cut_of_server(&id);
             let server = self.simulation.server_mut(&id);
             server.receives_nothing = false;
             if server.health != Health::Up {
--- a/crates/testing/simulation/src/simulation/actions.rs
+++ b/crates/testing/simulation/src/simulation/actions.rs
@@ -207,6 +207,22 @@
         self.service.server_mut(id).health = Health::Unresponsive;
     }
 
+    /// Cuts the server off from the control machines and the routers, but not from other servers.
+    pub fn cut_off_server(&mut self, id: &str) {
+        let service = &mut self.service;
+        service.unresponsive_to_control.insert(id.to_owned());
+        service.unresponsive_to_routers.insert(id.to_owned());
+        service.server_mut(id).sends_heartbeats = false;
+    }
+
+    /// Ends the cut of [`Simulation::cut_off_server`].
+    pub fn end_cut_of_server(&mut self, id: &str) {
+        let service = &mut self.service;
+        service.unresponsive_to_control.remove(id);
+        service.unresponsive_to_routers.remove(id);
+        service.server_mut(id).sends_heartbeats = true;
+    }
+
     /// Restarts the server with its log, as a replica if another server was promoted meanwhile.
     pub fn recover(&mut self, id: &str) {
         self.kernel.trace(|| format!("server {id} is back"));
--- a/crates/testing/simulation/tests/silent_replicas.rs
+++ b/crates/testing/simulation/tests/silent_replicas.rs
@@ -12,20 +12,6 @@
 /// Time within which a draining primary is replaced, in seconds.
 const DRAIN_TIMEOUT_S: f64 = 7.0;
 
-/// Cuts c off from the control machines and the routers.
-fn cut_off(simulation: &mut Simulation, id: &str) {
-    let service = &mut simulation.service;
-    service.unresponsive_to_control.insert(id.to_owned());
-    service.unresponsive_to_routers.insert(id.to_owned());
-    simulation.server_mut(id).sends_heartbeats = false;
-}
-
-fn end_cut(simulation: &mut Simulation, id: &str) {
-    simulation.service.unresponsive_to_control.clear();
-    simulation.service.unresponsive_to_routers.clear();
-    simulation.server_mut(id).sends_heartbeats = true;
-}
-
 /// Commits are acknowledged that only the primary a and the replica c have, as b receives nothing.
 /// Then a crashes.
 fn crash_primary_whose_commits_only_c_has(simulation: &mut Simulation) {
@@ -51,7 +37,7 @@
         for cut_s in [1.5, 2.5, MEMBER_TIMEOUT_S + 1.5] {
             for leader_lost in [false, true] {
                 let mut simulation = steady_simulation(seed);
-                cut_off(&mut simulation, "c");
+                simulation.cut_off_server("c");
                 simulation.run(cut_s);
                 crash_primary_whose_commits_only_c_has(&mut simulation);
                 if leader_lost {
@@ -61,7 +47,7 @@
                 simulation.run(7.0);
                 assert!(nobody_was_promoted(&simulation));
                 simulation.server_mut("b").receives_nothing = false;
-                end_cut(&mut simulation, "c");
+                simulation.end_cut_of_server("c");
                 simulation.run_until(4.0, "c in use", |simulation| is_in_use(simulation, "c"));
             }
         }
@@ -75,13 +61,13 @@
     for seed in 0..6 {
         for drained_after_s in [1.0, 3.0, MEMBER_TIMEOUT_S + 1.5] {
             let mut simulation = steady_simulation(seed);
-            cut_off(&mut simulation, "c");
+            simulation.cut_off_server("c");
             simulation.run(drained_after_s);
             simulation.drain("a");
             simulation.server_mut("b").receives_nothing = true;
             simulation.run(DRAIN_TIMEOUT_S + 3.0);
             assert!(nobody_was_promoted(&simulation));
-            end_cut(&mut simulation, "c");
+            simulation.end_cut_of_server("c");
             simulation.run_until(4.0, "c in use", |simulation| is_in_use(simulation, "c"));
         }
     }
@@ -94,7 +80,7 @@
     for seed in 0..6 {
         for drained_after_s in [1.0, MEMBER_TIMEOUT_S + 1.5] {
             let mut simulation = steady_simulation(seed);
-            cut_off(&mut simulation, "c");
+            simulation.cut_off_server("c");
             simulation.run(drained_after_s);
             simulation.drain("a");
             simulation.run_until(DRAIN_TIMEOUT_S + 2.0, "b in use", |simulation| {
@@ -109,7 +95,7 @@
 fn returning_primary_ends_the_wait_for_a_silent_replica() {
     for seed in 0..6 {
         let mut simulation = steady_simulation(seed);
-        cut_off(&mut simulation, "c");
+        simulation.cut_off_server("c");
         simulation.run(2.0);
         simulation.crash("a");
         simulation.run(4.0);
