--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -17,9 +17,6 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 pub const KILL: i32 = 9;
-pub const TERM: i32 = 15;
-pub const CONT: i32 = 18;
-pub const STOP: i32 = 19;
 
 /// A process of the system.
 pub struct Process {
@@ -63,7 +60,6 @@
                 rng: seed.wrapping_mul(0x9E37_79B9).max(77),
                 sync: 1,
                 promote_s: 0.6,
-                answer_delay: 0.0,
             }),
             cv: Condvar::new(),
             t0: Instant::now(),
@@ -183,14 +179,8 @@
     pub fn signal(&self, i: usize, signal: i32) {
         if let Some(c) = &self.processes[i].child {
             unsafe { kill(c.id() as i32, signal) };
-            let word = match signal {
-                KILL => "is killed",
-                TERM => "gets SIGTERM",
-                STOP => "is stopped",
-                _ => "goes on",
-            };
             self.me
-                .note(format!("process {} {word}", self.processes[i].name));
+                .note(format!("process {} is killed", self.processes[i].name));
         }
     }
 
@@ -214,33 +204,6 @@
         names
     }
 
-    pub fn index(&self, name: &str) -> usize {
-        self.processes
-            .iter()
-            .position(|p| p.name == name)
-            .expect("process")
-    }
-
-    /// The control machine that leads, by its own status.
-    pub fn leader(&self) -> Option<usize> {
-        for (i, p) in self.processes.iter().enumerate() {
-            if !p.name.starts_with("control") {
-                continue;
-            }
-            let path = self.folder.join(format!("{}.log", p.name));
-            let text = std::fs::read_to_string(path).unwrap_or_default();
-            let last = text.lines().rev().find(|l| {
-                l.contains("event=leader_elected")
-                    || l.contains("event=leadership_lost")
-                    || l.contains("event=control_started")
-            });
-            if last.is_some_and(|l| l.contains("event=leader_elected")) {
-                return Some(i);
-            }
-        }
-        None
-    }
-
     /// Sends a configuration until it is taken.
     pub fn configure(&self, base: u64, epoch: u64) -> bool {
         let until = Instant::now() + Duration::from_secs(12);
@@ -387,7 +350,6 @@
 impl Drop for Rig {
     fn drop(&mut self) {
         for i in 0..self.processes.len() {
-            self.signal(i, CONT);
             self.signal(i, KILL);
             self.reap(i);
         }
@@ -410,7 +372,6 @@
         record: get("--record", "record.txt"),
         trouble: get("--trouble", "1") != "0",
         seed: get("--seed", "1").parse().unwrap_or(1),
-        seconds: get("--seconds", "40").parse().unwrap_or(40.0),
     };
     match cases::play(&case, &run) {
         None => {
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -73,11 +73,8 @@
 
 #[derive(Default)]
 pub struct Platform {
-    /// Calls read within this time are run that much later.
-    pub delays: Vec<(f64, f64, f64)>,
     /// A delay for each of the next calls.
     pub next_delays: std::collections::VecDeque<f64>,
-    pub down_until: f64,
     pub calls: Vec<(f64, String, u64)>,
 }
 
@@ -94,7 +91,6 @@
     pub rng: u64,
     pub sync: usize,
     pub promote_s: f64,
-    pub answer_delay: f64,
 }
 
 pub struct Shared {
@@ -458,16 +454,6 @@
         let word = text.split(' ').next().unwrap_or("");
         if qid != "-" && matches!(word, "FETCH" | "PUT" | "EXECUTE" | "COMMIT" | "WAITPOS") {
             thread::sleep(Duration::from_millis(4));
-            let slow = {
-                let mut w = self.lock();
-                let most = w.answer_delay;
-                if most > 0.0 && w.rnd() < 0.05 {
-                    w.rnd() * most
-                } else {
-                    0.0
-                }
-            };
-            thread::sleep(Duration::from_secs_f64(slow));
         }
         let outcome = self.statement(id, life, c, qid, text)?;
         let mut w = self.lock();
@@ -621,17 +607,6 @@
             }
             return Some(Outcome::error("MALFORMED failed"));
         }
-        if qid != "-"
-            && c.tx.is_none()
-            && let Some(at) = w.servers[i].drain_acked_at
-            && now > at + 7.0
-        {
-            let line = format!(
-                "{now:9.3} DRAIN? {qid} reaches {id} {:.3} s after its drain was acknowledged",
-                now - at
-            );
-            w.record.push(line);
-        }
         let (kind, key, value) = match word {
             "BEGIN" => {
                 let ro = args == "FETCH";
@@ -801,16 +776,7 @@
             let mut w = self.lock();
             w.platform.calls.push((now, server.clone(), fence));
             let d = w.platform.next_delays.pop_front();
-            let slow = w
-                .platform
-                .delays
-                .iter()
-                .find(|d| now >= d.0 && now < d.1)
-                .map(|d| d.2);
-            if now < w.platform.down_until {
-                return;
-            }
-            d.or(slow).unwrap_or(0.0)
+            d.unwrap_or(0.0)
         };
         self.note(format!(
             "platform reads: promote {server}, fence {fence}, to be run in {delay:.1} s"
