--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/standin review/standin-2/main.rs
+rustc --edition 2024 -O -o target/review-2/standin review/standin-2.rs
--- a/review/standin-2/main.rs
+++ b/review/standin-2.rs
@@ -1,7 +1,10 @@
 //! Plays a case of the review: processes of the pooler on loopback, stand-ins round them, and one judge.
 
+#[path = "standin-2-cases.rs"]
 mod cases;
+#[path = "standin-2-client.rs"]
 mod client;
+#[path = "standin-2-world.rs"]
 mod world;
 
 use client::{Client, Mode, Rng, config};
